--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+GO ?= go
+SEED ?= 1
+DURATION ?= 60s
+DEPLOYMENT ?= thies
+
+.PHONY: build test lint unit integration up demo bench soak fuzz clean
+
+build:
+	$(GO) build -o bin/ragwortstep ./cmd/ragwortstep
+	$(GO) build -o bin/standin ./test/standin
+	$(GO) build -o bin/deploy ./test/deploy
+	$(GO) build -o bin/bench ./test/bench
+
+lint:
+	$(GO) vet ./...
+	test -z "$$($(GO) tool gofumpt -l cmd internal test)"
+	$(GO) tool staticcheck ./...
+	$(GO) run ./test/corecheck
+
+unit:
+	$(GO) test ./cmd/... ./internal/... ./test/standin/... ./test/deploy/... ./test/bench/... ./test/corecheck/...
+
+test: build lint
+	./test/run.sh
+
+up: build
+	./bin/deploy up --deployment $(DEPLOYMENT)
+
+demo: build
+	./bin/deploy demo --deployment $(DEPLOYMENT)
+
+bench: build
+	./bin/bench --deployment $(DEPLOYMENT) --seed $(SEED)
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/cmd/ragwortstep/main.go
@@ -0,0 +1,4 @@
+// Command ragwortstep is the one program of the system.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/core/config/snapshot.go
@@ -0,0 +1,74 @@
+// Package config is the model of the fleet's configuration: workspaces, keys,
+// routes and backend servers, as one immutable snapshot per revision.
+package config
+
+// Snapshot is the whole configuration at one revision. It is immutable once
+// published; a change makes a new snapshot with a larger revision.
+type Snapshot struct {
+	Revision   int64                `json:"revision"`
+	Workspaces map[string]Workspace `json:"workspaces"`
+	Keys       map[string]Key       `json:"keys"`   // by key id
+	Routes     map[string]Route     `json:"routes"` // by name
+	Servers    map[string]Server    `json:"servers"`
+}
+
+// Workspace is a tenant's share of the fleet.
+type Workspace struct {
+	Name     string  `json:"name"`
+	Weight   float64 `json:"weight"`    // relative share under contention, > 0
+	Rate     float64 `json:"rate"`      // requests per second over all hosts
+	Burst    float64 `json:"burst"`     // requests admitted at once over all hosts
+	MaxQueue int     `json:"max_queue"` // waiting requests per host
+	Note     string  `json:"note,omitempty"`
+}
+
+// Key is a caller's key. Only its hash is stored.
+type Key struct {
+	ID        string `json:"id"`
+	Workspace string `json:"workspace"`
+	Hash      string `json:"hash"`       // SHA-256 of the raw key, hex
+	CreatedAt int64  `json:"created_at"` // Unix seconds
+}
+
+// RouteKind tells how a route's requests are handled.
+type RouteKind string
+
+// Route kinds.
+const (
+	RouteModel   RouteKind = "model"   // OpenAI-style requests chosen by model name
+	RouteService RouteKind = "service" // any method and body under a path prefix
+)
+
+// Route maps a model or a path prefix to a pool of backend servers.
+type Route struct {
+	Name       string    `json:"name"`
+	Kind       RouteKind `json:"kind"`
+	Model      string    `json:"model,omitempty"`  // for RouteModel
+	Prefix     string    `json:"prefix,omitempty"` // for RouteService, for example /alerts/
+	Pool       string    `json:"pool"`             // servers whose Pool matches
+	Open       bool      `json:"open"`             // needs no key
+	Idempotent bool      `json:"idempotent"`       // requests may be repeated
+	TimeoutMS  int64     `json:"timeout_ms"`       // deadline of a request, 0 for the host's default
+}
+
+// Server is a backend server.
+type Server struct {
+	Name        string  `json:"name"`
+	Pool        string  `json:"pool"`
+	Address     string  `json:"address"` // IP and port
+	Zone        string  `json:"zone"`
+	Concurrency int     `json:"concurrency"` // first value of the learned limit of in-flight requests
+	Speed       float64 `json:"speed"`       // relative speed hint, 1 is average
+	Leaving     bool    `json:"leaving"`
+	Fencing     bool    `json:"fencing"` // refuses orders with an old fencing number
+}
+
+// Empty returns a snapshot with no content and revision 0.
+func Empty() *Snapshot {
+	return &Snapshot{
+		Workspaces: map[string]Workspace{},
+		Keys:       map[string]Key{},
+		Routes:     map[string]Route{},
+		Servers:    map[string]Server{},
+	}
+}
--- /dev/null
+++ b/internal/fleet/types.go
@@ -0,0 +1,50 @@
+// Package fleet drives core/membership: heartbeats between hosts, the
+// distribution of the configuration, membership epochs and the freshness lease.
+package fleet
+
+import (
+	"encoding/json"
+	"time"
+
+	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/peer"
+)
+
+// Member is one host of a membership epoch.
+type Member struct {
+	Host        peer.HostID `json:"host"`
+	Incarnation string      `json:"incarnation"` // new for each process start
+	PeerAddress string      `json:"peer_address"`
+	Zone        string      `json:"zone"`
+	Size        float64     `json:"size"` // relative capacity, 1 is average
+}
+
+// View is what a host knows of the fleet.
+type View struct {
+	Self     peer.HostID
+	Epoch    uint64
+	Members  []Member // sorted by host
+	Revision int64    // configuration revision in force at this host
+	Alive    map[peer.HostID]bool
+	// Settled is true when the generation (Epoch, Revision) is activated, so
+	// that larger shares and taken-over roles may be used.
+	Settled bool
+}
+
+// Service is what other packages use of the fleet. Fleet implements it;
+// tests use small fakes of it.
+type Service interface {
+	View() View
+	// Config is never nil after start and never older than a previous result.
+	Config() *config.Snapshot
+	// MayAdmit is nil while the freshness lease holds.
+	MayAdmit(now time.Time) error
+	OnConfig(func(*config.Snapshot))
+	OnView(func(View))
+	// Publish sets a section that heartbeats carry to all peers.
+	Publish(section string, value any)
+	// Subscribe receives a section of each peer whenever it arrives.
+	Subscribe(section string, fn func(from peer.HostID, raw json.RawMessage))
+	// Nudge sends heartbeats at once, rate limited.
+	Nudge()
+}
--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,169 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-resty/resty/v2"
+)
+
+const (
+	callTimeout  = 2 * time.Second
+	watchTimeout = 10 * time.Second
+	watchSlack   = 2 * time.Second
+)
+
+// HTTPStore is the Store over the platform's HTTP interface.
+type HTTPStore struct {
+	client *resty.Client
+}
+
+var _ Store = (*HTTPStore)(nil)
+
+// NewHTTPStore returns a client for the platform at baseURL. The platform
+// counts and limits calls by clientName.
+func NewHTTPStore(baseURL, clientName string) *HTTPStore {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: callTimeout, KeepAlive: callTimeout}).DialContext,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	c := resty.New().SetTransport(transport).SetBaseURL(baseURL)
+	c.SetHeader("X-Platform-Client", clientName)
+	return &HTTPStore{client: c}
+}
+
+// Get implements Store.
+func (s *HTTPStore) Get(ctx context.Context, key string) (Object, error) {
+	resp, err := s.do(ctx, callTimeout, http.MethodGet, "/v1/objects/"+key, nil, nil)
+	if err != nil {
+		return Object{}, err
+	}
+	version, err := strconv.ParseInt(resp.Header().Get("ETag"), 10, 64)
+	if err != nil {
+		return Object{}, errors.Wrapf(err, "platform get %s: version", key)
+	}
+	return Object{Key: key, Version: version, Value: resp.Body()}, nil
+}
+
+// List implements Store.
+func (s *HTTPStore) List(ctx context.Context, prefix, after string, limit int) (Page, error) {
+	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	var page Page
+	err := s.getJSON(ctx, callTimeout, "/v1/objects?"+q.Encode(), &page)
+	return page, err
+}
+
+// Put implements Store.
+func (s *HTTPStore) Put(ctx context.Context, key string, value []byte, ifVersion int64) (Object, error) {
+	if len(value) > MaxValueBytes {
+		return Object{}, errors.Wrapf(ErrTooLarge, "platform put %s: %d bytes", key, len(value))
+	}
+	resp, err := s.do(ctx, callTimeout, http.MethodPut, "/v1/objects/"+key, condition(ifVersion), value)
+	if err != nil {
+		return Object{}, err
+	}
+	version, err := strconv.ParseInt(resp.Header().Get("ETag"), 10, 64)
+	if err != nil {
+		return Object{}, errors.Wrapf(err, "platform put %s: version", key)
+	}
+	return Object{Key: key, Version: version, Value: value}, nil
+}
+
+// Delete implements Store.
+func (s *HTTPStore) Delete(ctx context.Context, key string, ifVersion int64) error {
+	_, err := s.do(ctx, callTimeout, http.MethodDelete, "/v1/objects/"+key, condition(ifVersion), nil)
+	return err
+}
+
+// Watch implements Store.
+func (s *HTTPStore) Watch(ctx context.Context, prefix string, from int64) (WatchResult, error) {
+	q := url.Values{
+		"prefix":     {prefix},
+		"from":       {strconv.FormatInt(from, 10)},
+		"timeout_ms": {strconv.FormatInt(watchTimeout.Milliseconds(), 10)},
+	}
+	var result WatchResult
+	err := s.getJSON(ctx, watchTimeout+watchSlack, "/v1/watch?"+q.Encode(), &result)
+	return result, err
+}
+
+// Hosts implements Store.
+func (s *HTTPStore) Hosts(ctx context.Context) ([]HostEntry, error) {
+	var body struct {
+		Hosts []HostEntry `json:"hosts"`
+	}
+	err := s.getJSON(ctx, callTimeout, "/v1/hosts", &body)
+	return body.Hosts, err
+}
+
+func condition(ifVersion int64) map[string]string {
+	if ifVersion == AnyVersion {
+		return nil
+	}
+	return map[string]string{"If-Match": strconv.FormatInt(ifVersion, 10)}
+}
+
+func (s *HTTPStore) getJSON(ctx context.Context, timeout time.Duration, path string, into any) error {
+	resp, err := s.do(ctx, timeout, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(resp.Body(), into), "platform get %s: decode", path)
+}
+
+func (s *HTTPStore) do(ctx context.Context, timeout time.Duration, method, path string, header map[string]string, body []byte) (*resty.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req := s.client.R().SetContext(ctx).SetHeaders(header)
+	if body != nil {
+		req.SetBody(body).SetHeader("Content-Type", "application/octet-stream")
+	}
+	resp, err := req.Execute(method, path)
+	if err != nil {
+		return nil, errors.Wrapf(classify(method, err), "platform %s %s: %v", method, path, err)
+	}
+	if err := statusError(resp.StatusCode()); err != nil {
+		return nil, errors.Wrapf(err, "platform %s %s: status %d", method, path, resp.StatusCode())
+	}
+	return resp, nil
+}
+
+// classify tells a call that was certainly not applied from one whose answer
+// was lost. Only a refused or failed dial is certain for writes.
+func classify(method string, err error) error {
+	if method == http.MethodGet || errors.Is(err, syscall.ECONNREFUSED) {
+		return ErrUnavailable
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrUnavailable
+	}
+	return ErrUnknownOutcome
+}
+
+func statusError(status int) error {
+	switch {
+	case status < http.StatusBadRequest:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusConflict, status == http.StatusPreconditionFailed:
+		return ErrConflict
+	case status == http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case status == http.StatusTooManyRequests:
+		return ErrRateLimited
+	case status == http.StatusServiceUnavailable:
+		return ErrUnavailable
+	default:
+		return ErrUnknownOutcome
+	}
+}
--- /dev/null
+++ b/internal/platform/platformtest/fake.go
@@ -0,0 +1,209 @@
+// Package platformtest provides an in-memory platform.Store for tests, with
+// switches for outages and lost answers.
+package platformtest
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"ragwortstep/internal/platform"
+)
+
+// watchWait is how long Watch waits for an event before it returns an empty set.
+const watchWait = 200 * time.Millisecond
+
+// Fake is an in-memory Store. The zero value is not usable; call New.
+type Fake struct {
+	mu         sync.Mutex
+	version    int64
+	objects    map[string]platform.Object
+	events     []platform.Event
+	changed    chan struct{}
+	hosts      []platform.HostEntry
+	down       bool
+	loseWrites int
+	calls      map[string]int
+}
+
+var _ platform.Store = (*Fake)(nil)
+
+// New returns an empty store.
+func New() *Fake {
+	return &Fake{objects: map[string]platform.Object{}, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+// SetDown makes every call fail with ErrUnavailable while down is true.
+func (f *Fake) SetDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+// LoseAnswers makes the next n writes take effect and return ErrUnknownOutcome.
+func (f *Fake) LoseAnswers(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loseWrites = n
+}
+
+// SetHosts sets the list that Hosts returns.
+func (f *Fake) SetHosts(hosts []platform.HostEntry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = hosts
+}
+
+// Calls returns how often the operation (get, list, put, delete, watch, hosts) was called.
+func (f *Fake) Calls(op string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[op]
+}
+
+// enter counts the call and reports an outage. The caller holds mu.
+func (f *Fake) enter(op string) error {
+	f.calls[op]++
+	if f.down {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// Get implements platform.Store.
+func (f *Fake) Get(_ context.Context, key string) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter("get"); err != nil {
+		return platform.Object{}, err
+	}
+	obj, ok := f.objects[key]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return obj, nil
+}
+
+// List implements platform.Store.
+func (f *Fake) List(_ context.Context, prefix, after string, limit int) (platform.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter("list"); err != nil {
+		return platform.Page{}, err
+	}
+	var keys []string
+	for key := range f.objects {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	var page platform.Page
+	if limit > 0 && len(keys) > limit {
+		keys = keys[:limit]
+		page.Next = keys[limit-1]
+	}
+	for _, key := range keys {
+		page.Objects = append(page.Objects, f.objects[key])
+	}
+	return page, nil
+}
+
+// Put implements platform.Store.
+func (f *Fake) Put(_ context.Context, key string, value []byte, ifVersion int64) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter("put"); err != nil {
+		return platform.Object{}, err
+	}
+	if len(value) > platform.MaxValueBytes {
+		return platform.Object{}, platform.ErrTooLarge
+	}
+	if ifVersion != platform.AnyVersion && f.objects[key].Version != ifVersion {
+		return platform.Object{}, platform.ErrConflict
+	}
+	f.version++
+	obj := platform.Object{Key: key, Version: f.version, Value: append([]byte(nil), value...)}
+	f.objects[key] = obj
+	f.publish(platform.Event{Object: obj})
+	return obj, f.loseAnswer()
+}
+
+// Delete implements platform.Store.
+func (f *Fake) Delete(_ context.Context, key string, ifVersion int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter("delete"); err != nil {
+		return err
+	}
+	obj, ok := f.objects[key]
+	if !ok {
+		return platform.ErrNotFound
+	}
+	if ifVersion != platform.AnyVersion && obj.Version != ifVersion {
+		return platform.ErrConflict
+	}
+	f.version++
+	delete(f.objects, key)
+	f.publish(platform.Event{Object: platform.Object{Key: key, Version: f.version}, Deleted: true})
+	return f.loseAnswer()
+}
+
+// Watch implements platform.Store.
+func (f *Fake) Watch(ctx context.Context, prefix string, from int64) (platform.WatchResult, error) {
+	deadline := time.After(watchWait)
+	for {
+		result, changed, err := f.eventsAfter(prefix, from)
+		if err != nil || len(result.Events) > 0 {
+			return result, err
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return result, nil
+		case <-ctx.Done():
+			return result, ctx.Err()
+		}
+	}
+}
+
+func (f *Fake) eventsAfter(prefix string, from int64) (platform.WatchResult, chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter("watch"); err != nil {
+		return platform.WatchResult{}, nil, err
+	}
+	result := platform.WatchResult{Version: f.version}
+	for _, ev := range f.events {
+		if ev.Version > from && strings.HasPrefix(ev.Key, prefix) {
+			result.Events = append(result.Events, ev)
+		}
+	}
+	return result, f.changed, nil
+}
+
+// Hosts implements platform.Store.
+func (f *Fake) Hosts(context.Context) ([]platform.HostEntry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.enter("hosts"); err != nil {
+		return nil, err
+	}
+	return append([]platform.HostEntry(nil), f.hosts...), nil
+}
+
+func (f *Fake) publish(ev platform.Event) {
+	f.events = append(f.events, ev)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Fake) loseAnswer() error {
+	if f.loseWrites == 0 {
+		return nil
+	}
+	f.loseWrites--
+	return platform.ErrUnknownOutcome
+}
--- /dev/null
+++ b/test/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench is the open-loop load tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/test/deploy/main.go
@@ -0,0 +1,4 @@
+// Command deploy starts a whole deployment as processes.
+package main
+
+func main() {}
