--- /dev/null
+++ b/internal/dispatch/errors.go
@@ -0,0 +1,25 @@
+package dispatch
+
+import (
+	"bytes"
+	"io"
+)
+
+// PreemptedError reports that batch work was cancelled at its server to make
+// room for online work. Do returns it, and so does Response.Body.Read. The
+// item may be queued again without counting an attempt.
+type PreemptedError struct {
+	Server string
+}
+
+// Error implements error.
+func (e *PreemptedError) Error() string {
+	return "batch work preempted at " + e.Server
+}
+
+func newBody(b []byte) io.Reader {
+	if len(b) == 0 {
+		return nil
+	}
+	return bytes.NewReader(b)
+}
