Add the HTTP client to backend servers

Connections to a server form generations: after one connection went silent, no request starts on an older one. net/http is kept from repeating requests on its own, because repeats have to count against the retry budget and crash quarantine. A request is reported as not sent only when the kernel accepted no byte of it; the connection is closed before the count is read.

Ruled out: per-read deadlines on the connection, which cost a system call and a timer per token; a monitor that compares coarse times every 100 ms costs two atomic stores per read.

--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,189 @@
+// Package backend is the HTTP client to backend servers. It keeps one pool of
+// connections per server, bounds every wait for a server, detects connections
+// that went silent, reports truncated responses, and polls load reports.
+package backend
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/core/config"
+)
+
+const (
+	keepAliveProbes = 3
+	monitorInterval = 100 * time.Millisecond
+	idlePerServer   = 256
+	idleTimeout     = 60 * time.Second
+)
+
+// Options configures a Client. Zero fields take the stated defaults.
+type Options struct {
+	DialTimeout  time.Duration // default 1 s
+	FirstByte    time.Duration // longest wait for the first byte of a response, default 60 s
+	BetweenBytes time.Duration // longest wait between bytes of a response, default 10 s
+	KeepAlive    time.Duration // idle time and interval of TCP keepalive, default 2 s
+	UserTimeout  time.Duration // TCP_USER_TIMEOUT, default 5 s
+	// Suspect is the wait for a byte after which the server is polled at once,
+	// default 1 s.
+	Suspect time.Duration
+	// SilentGrace is how long exchanges on replaced connections may go on
+	// without a byte, default 1 s.
+	SilentGrace time.Duration
+	// PollInterval is the interval of load reports per server, default 500 ms.
+	PollInterval time.Duration
+	// PollRate bounds the polls per second over all servers, default 32.
+	PollRate float64
+	// PollTimeout is the deadline of one poll, default 1 s.
+	PollTimeout time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.DialTimeout, time.Second)
+	setDefault(&o.FirstByte, time.Minute)
+	setDefault(&o.BetweenBytes, 10*time.Second)
+	setDefault(&o.KeepAlive, 2*time.Second)
+	setDefault(&o.UserTimeout, 5*time.Second)
+	setDefault(&o.Suspect, time.Second)
+	setDefault(&o.SilentGrace, time.Second)
+	setDefault(&o.PollInterval, 500*time.Millisecond)
+	setDefault(&o.PollTimeout, time.Second)
+	if o.PollRate <= 0 {
+		o.PollRate = 32
+	}
+	return o
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+// Request is one attempt at one server.
+type Request struct {
+	ID         string // unique per attempt
+	Method     string
+	Path       string // path and query
+	Header     http.Header
+	Body       []byte
+	Stream     bool // the response is an SSE stream that ends with data: [DONE]
+	Idempotent bool
+	FirstByte  time.Duration // 0 for the client's default
+}
+
+// Response is a server's response. Body must be closed; closing it before its
+// end closes the connection, which cancels the work at the server.
+//
+// Body.Read returns io.ErrUnexpectedEOF when the response was truncated or
+// went silent, and the context's cause when the context ended.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   *Body
+}
+
+// Client sends requests to backend servers. It is safe for concurrent use.
+type Client struct {
+	opts  Options
+	clock atomic.Int64 // coarse time in ns, advanced by the monitor
+
+	mu       sync.Mutex
+	servers  map[string]*server
+	observer Observer
+	runCtx   context.Context // set by Run
+}
+
+// New returns a client without servers.
+func New(opts Options) *Client {
+	c := &Client{opts: opts.withDefaults(), servers: map[string]*server{}}
+	c.clock.Store(time.Now().UnixNano())
+	return c
+}
+
+// SetServers replaces the set of servers. Idle connections to removed servers
+// are closed; exchanges in progress end normally.
+func (c *Client) SetServers(list []config.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	keep := make(map[string]bool, len(list))
+	for _, s := range list {
+		keep[s.Name] = true
+		c.setServer(s)
+	}
+	for name, s := range c.servers {
+		if !keep[name] {
+			s.close()
+			delete(c.servers, name)
+		}
+	}
+	for _, s := range c.servers {
+		s.pollEvery.Store(int64(c.pollInterval()))
+	}
+}
+
+// setServer adds or readdresses one server. The caller holds mu.
+func (c *Client) setServer(s config.Server) {
+	old, ok := c.servers[s.Name]
+	if ok && old.address == s.Address {
+		return
+	}
+	if ok {
+		old.close()
+	}
+	srv := newServer(s.Name, s.Address, c.opts)
+	c.servers[s.Name] = srv
+	if c.runCtx != nil {
+		c.startPoll(srv)
+	}
+}
+
+// pollInterval grows with the number of servers so that a host's polls stay
+// within PollRate. The caller holds mu.
+func (c *Client) pollInterval() time.Duration {
+	bound := time.Duration(float64(len(c.servers)) / c.opts.PollRate * float64(time.Second))
+	return max(c.opts.PollInterval, bound)
+}
+
+// errNoServer reports a server that is not in the client's set.
+var errNoServer = errors.New("server is not configured")
+
+func (c *Client) server(name string) (*server, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.servers[name]
+	if !ok {
+		return nil, errNoServer
+	}
+	return s, nil
+}
+
+// Do sends a request to the named server and returns when the response's
+// header has arrived. It returns *Error.
+func (c *Client) Do(ctx context.Context, name string, req *Request) (*Response, error) {
+	s, err := c.server(name)
+	if err != nil {
+		return nil, &Error{Stage: NotSent, Cause: Dial, Step: "dial", Peer: name, Err: err}
+	}
+	for attempt := 0; ; attempt++ {
+		ex := newExchange(ctx, c, s, req)
+		resp, err := ex.run(req)
+		if err == nil {
+			return resp, nil
+		}
+		// A pooled connection that the server closed in the meantime fails
+		// before anything is sent; a fresh one usually works.
+		stale := err.Stage == NotSent && err.Cause == Broken && ex.reused
+		if !stale || attempt >= staleAttempts {
+			return nil, err
+		}
+	}
+}
+
+// staleAttempts bounds how many pooled connections are tried in one Do.
+const staleAttempts = 3
--- /dev/null
+++ b/internal/backend/conn.go
@@ -0,0 +1,78 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// trackedConn counts the bytes that the kernel accepted for sending, so that a
+// failed exchange can state truthfully whether any part of it was sent.
+type trackedConn struct {
+	net.Conn
+	mu      sync.Mutex // held during Write
+	written int64
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
+}
+
+// sent returns the bytes written so far.
+func (c *trackedConn) sent() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
+// closeAndCount closes the connection and returns the final number of bytes
+// written. Close ends a Write in progress and makes later ones fail, so the
+// number does not change afterwards.
+func (c *trackedConn) closeAndCount() int64 {
+	_ = c.Conn.Close()
+	return c.sent()
+}
+
+// dialer opens connections with TCP keepalive and TCP_USER_TIMEOUT.
+func (o Options) dialer() func(ctx context.Context, network, address string) (net.Conn, error) {
+	d := &net.Dialer{
+		Timeout: o.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     o.KeepAlive,
+			Interval: o.KeepAlive,
+			Count:    keepAliveProbes,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return setUserTimeout(raw, o.UserTimeout)
+		},
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &trackedConn{Conn: conn}, nil
+	}
+}
+
+// setUserTimeout bounds how long sent data may stay unacknowledged.
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
