Add settings, the operators' API and the command line

A host process needs its settings, an operators' API and the commands serve and config check before the other packages can be assembled.

Operator keys are keys of the configuration with the field operator, so that they travel in the existing shards; a separate index keeps them off the callers' address.

Not yet covered by tests; the settings page is generated.

--- a/cmd/ragwortstep/main.go
+++ b/cmd/ragwortstep/main.go
@@ -1,4 +1,16 @@
 // Command ragwortstep is the one program of the system.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"ragwortstep/internal/cli"
+)
+
+// version is set by the linker: -ldflags "-X main.version=1.2.3".
+var version = "dev"
+
+func main() {
+	os.Exit(cli.Run(context.Background(), os.Args, cli.Options{Version: version}))
+}
--- /dev/null
+++ b/internal/admin/errors.go
@@ -0,0 +1,127 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/core/config"
+	coreorders "ragwortstep/internal/core/orders"
+	"ragwortstep/internal/orders"
+	"ragwortstep/internal/platform"
+)
+
+// apiError is an error with its HTTP form.
+type apiError struct {
+	status  int
+	code    string
+	message string
+	param   string
+}
+
+// Error implements error.
+func (e *apiError) Error() string { return e.code + ": " + e.message }
+
+// ErrorBody is the JSON form of every error.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail describes one error. Expected and Current are set for
+// revision_conflict, Faults for invalid_configuration and invalid_table.
+type ErrorDetail struct {
+	Message  string         `json:"message"`
+	Type     string         `json:"type"`
+	Code     string         `json:"code"`
+	Param    string         `json:"param,omitempty"`
+	Expected int64          `json:"expected_revision,omitempty"`
+	Current  int64          `json:"current_revision,omitempty"`
+	Faults   []config.Fault `json:"faults,omitempty"`
+}
+
+func failure(status int, code, format string, args ...any) *apiError {
+	return &apiError{status: status, code: code, message: fmt.Sprintf(format, args...)}
+}
+
+// writeError answers err in the JSON error form.
+func (s *server) writeError(w http.ResponseWriter, r *http.Request, err error) {
+	status, detail := describe(err)
+	if status >= http.StatusInternalServerError {
+		s.Logger.Warn("operator request failed", "step", r.Method+" "+r.URL.Path, "err", err)
+	}
+	detail.Type = errorType(status)
+	if status == http.StatusPreconditionFailed {
+		w.Header().Set("ETag", etag(detail.Current))
+	}
+	writeJSON(w, status, ErrorBody{Error: detail})
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status >= http.StatusInternalServerError:
+		return "server_error"
+	default:
+		return "invalid_request_error"
+	}
+}
+
+// describe maps an error to its status and detail.
+func describe(err error) (int, ErrorDetail) {
+	var api *apiError
+	var conflict *ConflictError
+	var faults config.Faults
+	var missing *config.NotFoundError
+	var keys *config.HasKeysError
+	var order *coreorders.InvalidError
+	switch {
+	case errors.As(err, &api):
+		return api.status, ErrorDetail{Code: api.code, Message: api.message, Param: api.param}
+	case errors.As(err, &conflict):
+		return http.StatusPreconditionFailed, ErrorDetail{
+			Code: "revision_conflict", Message: conflict.Error(), Expected: conflict.Expected, Current: conflict.Current,
+		}
+	case errors.As(err, &faults):
+		return http.StatusUnprocessableEntity, ErrorDetail{Code: "invalid_configuration", Message: faults.Error(), Faults: faults}
+	case errors.As(err, &missing):
+		return http.StatusNotFound, ErrorDetail{Code: "not_found", Message: missing.Error()}
+	case errors.As(err, &keys):
+		return http.StatusConflict, ErrorDetail{Code: "workspace_has_keys", Message: keys.Error()}
+	case errors.As(err, &order):
+		return http.StatusUnprocessableEntity, ErrorDetail{Code: "invalid_order", Message: order.Error(), Param: order.Field}
+	case errors.Is(err, orders.ErrNoOrder):
+		return http.StatusNotFound, ErrorDetail{Code: "not_found", Message: err.Error()}
+	default:
+		return describePlatform(err)
+	}
+}
+
+// describePlatform maps errors of the platform. An unknown outcome is told
+// apart, because the change may be in force.
+func describePlatform(err error) (int, ErrorDetail) {
+	switch {
+	case errors.Is(err, platform.ErrUnknownOutcome):
+		return http.StatusServiceUnavailable, ErrorDetail{Code: "outcome_unknown", Message: "the platform's answer was lost; read the configuration to see whether the change was applied"}
+	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited, context.DeadlineExceeded):
+		return http.StatusServiceUnavailable, ErrorDetail{Code: "platform_unavailable", Message: "the platform does not answer; nothing was changed"}
+	case errors.Is(err, platform.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge, ErrorDetail{Code: "configuration_too_large", Message: "the configuration does not fit into the platform"}
+	default:
+		return http.StatusInternalServerError, ErrorDetail{Code: "internal", Message: err.Error()}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		status, raw = http.StatusInternalServerError, []byte(`{"error":{"message":"answer not encodable","type":"server_error","code":"internal"}}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Content-Type-Options", "nosniff")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(raw, '\n')) // the operator is gone when this fails
+}
--- /dev/null
+++ b/internal/admin/write.go
@@ -0,0 +1,118 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"ragwortstep/internal/core/config"
+)
+
+// maxNote bounds the note of a change, in bytes.
+const maxNote = 500
+
+// WriteResult answers a write of the configuration.
+type WriteResult struct {
+	Revision int64                 `json:"revision"`
+	Changes  []config.ObjectChange `json:"changes"`
+	// InForce is present with ?wait= only: true when every live host reported
+	// the revision within the wait.
+	InForce *bool          `json:"in_force,omitempty"`
+	Hosts   []HostRevision `json:"hosts,omitempty"`
+	Key     *CreatedKey    `json:"key,omitempty"` // of a created key
+}
+
+// HostRevision is the revision in force at one host.
+type HostRevision struct {
+	Host     string `json:"host"`
+	Alive    bool   `json:"alive"`
+	Revision int64  `json:"revision"`
+}
+
+// CreatedKey shows a new raw key, once.
+type CreatedKey struct {
+	ID        string `json:"id"`
+	Raw       string `json:"raw"`
+	Workspace string `json:"workspace,omitempty"`
+	Operator  bool   `json:"operator,omitempty"`
+}
+
+// change applies mutate as one conditional update with the request's If-Match,
+// author and note, and returns the new snapshot and its changes.
+func (s *server) change(r *http.Request, op operator, mutate func(*config.Snapshot) error) (WriteResult, error) {
+	expected, err := expectedRevision(r)
+	if err != nil {
+		return WriteResult{}, err
+	}
+	note := r.URL.Query().Get("note")
+	if len(note) > maxNote {
+		return WriteResult{}, failure(http.StatusBadRequest, "invalid_parameter", "note is longer than %d bytes", maxNote)
+	}
+	wait, err := readWait(r)
+	if err != nil {
+		return WriteResult{}, err
+	}
+	var before *config.Snapshot
+	next, err := s.Writer.Write(r.Context(), expected, op.id, note, func(c *config.Snapshot) error {
+		before = c.Clone()
+		if err := mutate(c); err != nil {
+			return err
+		}
+		return c.Validate()
+	})
+	if err != nil {
+		return WriteResult{}, err
+	}
+	result := WriteResult{Revision: next.Revision, Changes: config.Diff(before, next)}
+	if wait > 0 {
+		s.awaitInForce(r.Context(), &result, wait)
+	}
+	return result, nil
+}
+
+// awaitInForce waits until every live host reports the revision.
+func (s *server) awaitInForce(ctx context.Context, result *WriteResult, wait time.Duration) {
+	deadline := time.After(wait)
+	tick := time.NewTicker(waitPoll)
+	defer tick.Stop()
+	for {
+		hosts, done := s.hostRevisions(result.Revision)
+		result.Hosts, result.InForce = hosts, &done
+		if done {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-deadline:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// hostRevisions reports whether all live hosts have at least the revision.
+// Without any live host nothing is known, which is not "in force".
+func (s *server) hostRevisions(revision int64) ([]HostRevision, bool) {
+	var out []HostRevision
+	live, done := 0, true
+	for _, h := range s.Status.Status() {
+		out = append(out, HostRevision{Host: h.Host, Alive: h.Alive, Revision: h.Revision})
+		if h.Alive {
+			live++
+			done = done && h.Revision >= revision
+		}
+	}
+	return out, done && live > 0
+}
+
+// write runs change and answers its result.
+func (s *server) write(w http.ResponseWriter, r *http.Request, op operator, mutate func(*config.Snapshot) error) error {
+	result, err := s.change(r, op, mutate)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("ETag", etag(result.Revision))
+	writeJSON(w, http.StatusOK, result)
+	return nil
+}
--- /dev/null
+++ b/internal/cli/config.go
@@ -0,0 +1,224 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"ragwortstep/internal/admin"
+	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/settings"
+)
+
+func (a *app) configCommand() *cli.Command {
+	modeFlags := func(more ...cli.Flag) []cli.Flag {
+		return append(more,
+			&cli.StringFlag{Name: "mode", Usage: "merge keeps workspaces that the table lacks, replace removes them", Value: string(config.ModeMerge), Validator: validMode},
+			&cli.StringFlag{Name: "base", Usage: "earlier export; only rows that differ from it are applied"},
+			&cli.BoolFlag{Name: "revoke-keys", Usage: "with --mode replace, revoke the keys of removed workspaces"},
+		)
+	}
+	return &cli.Command{
+		Name:  "config",
+		Usage: "check, compare, change and export the configuration",
+		Commands: []*cli.Command{
+			{
+				Name: "check", Usage: "check settings and a table without a network",
+				Flags:  append(settingsFlags(), &cli.StringFlag{Name: "table", Usage: "table of workspaces (CSV)"}),
+				Action: a.configCheck, DisableSliceFlagSeparator: true,
+			},
+			{Name: "diff", ArgsUsage: "TABLE.csv", Usage: "show what apply would change", Flags: modeFlags(), Action: a.configDiff},
+			{Name: "apply", ArgsUsage: "TABLE.csv", Usage: "apply a table of workspaces", Flags: writeFlags(modeFlags()...), Action: a.configApply},
+			{Name: "export", Usage: "print the table (CSV), or with --all the whole configuration (JSON)", Flags: []cli.Flag{&cli.BoolFlag{Name: "all"}}, Action: a.configExport},
+			{Name: "history", Usage: "list the latest changes", Flags: []cli.Flag{&cli.IntFlag{Name: "limit", Value: 20}}, Action: a.configHistory},
+			{Name: "reference", Usage: "print the reference of all settings (Markdown)", Action: func(context.Context, *cli.Command) error {
+				_, err := io.WriteString(a.out, settings.Reference())
+				return err
+			}},
+		},
+	}
+}
+
+func validMode(value string) error {
+	if value != string(config.ModeMerge) && value != string(config.ModeReplace) {
+		return errors.Newf("mode must be merge or replace, not %q", value)
+	}
+	return nil
+}
+
+// configCheck checks the settings, the table, or both. The settings are left
+// out only when a table is named and no settings are.
+func (a *app) configCheck(_ context.Context, c *cli.Command) error {
+	if err := noArgs(c); err != nil {
+		return err
+	}
+	var checked []string
+	if c.String("table") == "" || c.IsSet("settings") {
+		if _, err := loadSettings(c); err != nil {
+			return err
+		}
+		checked = append(checked, c.String("settings"))
+	}
+	if name := c.String("table"); name != "" {
+		if _, err := readTable(name); err != nil {
+			return err
+		}
+		checked = append(checked, name)
+	}
+	return a.print(c, map[string][]string{"valid": checked}, func(w io.Writer) {
+		for _, name := range checked {
+			fmt.Fprintf(w, "%s: valid\n", name)
+		}
+	})
+}
+
+func readTable(name string) ([]config.Workspace, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, withCode(ExitInvalid, err)
+	}
+	rows, err := config.ParseTable(name, data)
+	return rows, withCode(ExitInvalid, err)
+}
+
+// readRows returns the rows to apply: all, or with --base only those that differ from it.
+func readRows(c *cli.Command) ([]config.Workspace, error) {
+	name, err := oneArg(c, "table")
+	if err != nil {
+		return nil, err
+	}
+	rows, err := readTable(name)
+	if err != nil || c.String("base") == "" {
+		return rows, err
+	}
+	if c.String("mode") == string(config.ModeReplace) {
+		return nil, usageError("--base works with --mode merge only")
+	}
+	base, err := readTable(c.String("base"))
+	if err != nil {
+		return nil, err
+	}
+	return changedRows(base, rows), nil
+}
+
+func changedRows(base, rows []config.Workspace) []config.Workspace {
+	before := map[string]config.Workspace{}
+	for _, row := range base {
+		before[row.Name] = row
+	}
+	changed := []config.Workspace{}
+	for _, row := range rows {
+		if before[row.Name] != row {
+			changed = append(changed, row)
+		}
+	}
+	return changed
+}
+
+func snapshotOf(rows []config.Workspace) *config.Snapshot {
+	s := config.Empty()
+	for _, row := range rows {
+		s.Workspaces[row.Name] = row
+	}
+	return s
+}
+
+func (a *app) configDiff(ctx context.Context, c *cli.Command) error {
+	rows, err := readRows(c)
+	if err != nil {
+		return err
+	}
+	api, err := operatorClient(c)
+	if err != nil {
+		return err
+	}
+	current, err := list[config.Workspace](ctx, api, "/workspaces")
+	if err != nil {
+		return err
+	}
+	old := snapshotOf(current)
+	next := old.Clone()
+	if err := next.ApplyTable(rows, config.TableMode(c.String("mode")), true); err != nil {
+		return err
+	}
+	changes := config.Diff(old, next)
+	return a.print(c, changes, func(w io.Writer) {
+		for _, change := range changes {
+			fmt.Fprintln(w, change)
+		}
+		if len(changes) == 0 {
+			fmt.Fprintln(w, "no change")
+		}
+	})
+}
+
+func (a *app) configApply(ctx context.Context, c *cli.Command) error {
+	rows, err := readRows(c)
+	if err != nil {
+		return err
+	}
+	api, err := operatorClient(c)
+	if err != nil {
+		return err
+	}
+	query := writeQuery(c)
+	query.Set("mode", c.String("mode"))
+	query.Set("file", c.Args().First())
+	query.Set("revoke_keys", strconv.FormatBool(c.Bool("revoke-keys")))
+	result, err := writeAtRevision(ctx, c, api, request{
+		method: http.MethodPut, path: admin.Prefix + "/table", query: query, body: config.FormatTable(snapshotOf(rows)),
+	})
+	if err != nil {
+		return err
+	}
+	return a.report(c, result)
+}
+
+func (a *app) configExport(ctx context.Context, c *cli.Command) error {
+	api, err := operatorClient(c)
+	if err != nil {
+		return err
+	}
+	path := admin.Prefix + "/table"
+	if c.Bool("all") {
+		path = admin.Prefix + "/config"
+	}
+	resp, err := api.call(ctx, request{method: http.MethodGet, path: path})
+	if err != nil {
+		return err
+	}
+	if _, err := a.out.Write(resp.Body()); err != nil {
+		return errors.Wrap(err, "write output")
+	}
+	revision, err := revisionOf(resp)
+	if err == nil {
+		fmt.Fprintf(a.err, "revision %d; apply edits with --revision %d\n", revision, revision)
+	}
+	return err
+}
+
+func (a *app) configHistory(ctx context.Context, c *cli.Command) error {
+	api, err := operatorClient(c)
+	if err != nil {
+		return err
+	}
+	var history admin.HistoryBody
+	query := url.Values{"limit": {strconv.Itoa(c.Int("limit"))}}
+	if _, err := api.call(ctx, request{method: http.MethodGet, path: admin.Prefix + "/history", query: query, into: &history}); err != nil {
+		return err
+	}
+	return a.print(c, history.Data, func(w io.Writer) {
+		table(w, "REVISION\tTIME\tAUTHOR\tCHANGE\tNOTE", func(line func(...any)) {
+			for _, h := range history.Data {
+				line(h.Revision, unixTime(h.Unix), h.Author, h.Summary, h.Note)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,75 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"ragwortstep/internal/settings"
+)
+
+func settingsFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "settings", Usage: "settings file", Value: "ragwortstep.yaml", Sources: cli.EnvVars("RAGWORTSTEP_SETTINGS")},
+		&cli.StringSliceFlag{Name: "set", Usage: "override one setting, for example --set host.name=h1; repeatable"},
+	}
+}
+
+// loadSettings reads the settings that the flags name. Faults exit with ExitInvalid.
+func loadSettings(c *cli.Command) (*settings.Settings, error) {
+	overrides := map[string]string{}
+	for _, item := range c.StringSlice("set") {
+		path, value, ok := strings.Cut(item, "=")
+		if !ok {
+			return nil, usageError("--set %q: write field=value", item)
+		}
+		overrides[path] = value
+	}
+	s, err := settings.Load(c.String("settings"), overrides)
+	return s, withCode(ExitInvalid, err)
+}
+
+func (a *app) serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "serve",
+		Usage:  "run a host",
+		Flags:  settingsFlags(),
+		Action: a.serve,
+		// A comma belongs to values such as lists of seeds.
+		DisableSliceFlagSeparator: true,
+	}
+}
+
+func (a *app) serve(ctx context.Context, c *cli.Command) error {
+	if err := noArgs(c); err != nil {
+		return err
+	}
+	s, err := loadSettings(c)
+	if err != nil {
+		return err
+	}
+	if a.opts.Serve == nil {
+		return errors.New("this build cannot serve")
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return a.opts.Serve(ctx, s, newLogger(a.err, s))
+}
+
+// newLogger returns the logger of the settings with the host's name and zone.
+func newLogger(w io.Writer, s *settings.Settings) *slog.Logger {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(s.Log.Level)) // checked by settings.Load
+	opts := &slog.HandlerOptions{Level: level}
+	var h slog.Handler = slog.NewJSONHandler(w, opts)
+	if s.Log.Format == "text" {
+		h = slog.NewTextHandler(w, opts)
+	}
+	return slog.New(h).With("host", s.Host.Name, "zone", s.Host.Zone)
+}
--- /dev/null
+++ b/internal/core/config/diff.go
@@ -0,0 +1,170 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Action is what happened to an object between two snapshots.
+type Action string
+
+// Actions.
+const (
+	Added   Action = "added"
+	Removed Action = "removed"
+	Edited  Action = "edited"
+)
+
+// FieldChange is one changed field as text.
+type FieldChange struct {
+	Field string `json:"field"`
+	Old   string `json:"old"`
+	New   string `json:"new"`
+}
+
+// ObjectChange is the change of one object.
+type ObjectChange struct {
+	Object string        `json:"object"` // workspace, key, route or server
+	Name   string        `json:"name"`
+	Action Action        `json:"action"`
+	Fields []FieldChange `json:"fields,omitempty"`
+}
+
+// String returns one line, for example "~ workspace alerts: rate 10 -> 20".
+func (c ObjectChange) String() string {
+	sign := map[Action]string{Added: "+", Removed: "-", Edited: "~"}[c.Action]
+	line := fmt.Sprintf("%s %s %s", sign, c.Object, c.Name)
+	var parts []string
+	for _, f := range c.Fields {
+		parts = append(parts, f.text(c.Action))
+	}
+	if len(parts) > 0 {
+		line += ": " + strings.Join(parts, ", ")
+	}
+	return line
+}
+
+func (f FieldChange) text(action Action) string {
+	if action == Edited {
+		return fmt.Sprintf("%s %s -> %s", f.Field, shown(f.Old), shown(f.New))
+	}
+	return fmt.Sprintf("%s %s", f.Field, shown(f.New+f.Old))
+}
+
+func shown(value string) string {
+	if value == "" || strings.ContainsAny(value, " ,\n\"") {
+		return fmt.Sprintf("%q", value)
+	}
+	return value
+}
+
+// Change is one entry of the configuration's history.
+type Change struct {
+	Revision int64          `json:"revision"`
+	Author   string         `json:"author"` // id of the operator key
+	Unix     int64          `json:"unix"`   // time of the change, Unix seconds
+	Note     string         `json:"note,omitempty"`
+	Summary  string         `json:"summary"` // as Summarize returns it
+	Changes  []ObjectChange `json:"changes,omitempty"`
+}
+
+// summaryChanges is how many changes a summary names before it only counts.
+const summaryChanges = 5
+
+// Summarize returns the first changes and the number of further ones in one line.
+func Summarize(changes []ObjectChange) string {
+	if len(changes) == 0 {
+		return "no change"
+	}
+	var lines []string
+	for _, c := range changes[:min(len(changes), summaryChanges)] {
+		lines = append(lines, c.String())
+	}
+	if more := len(changes) - summaryChanges; more > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", more))
+	}
+	return strings.Join(lines, "; ")
+}
+
+// Diff returns the changes from old to next, ordered by kind of object and
+// name. Hashes of keys are left out.
+func Diff(old, next *Snapshot) []ObjectChange {
+	var out []ObjectChange
+	out = append(out, diffMap("workspace", old.Workspaces, next.Workspaces, workspaceFields)...)
+	out = append(out, diffMap("key", old.Keys, next.Keys, keyFields)...)
+	out = append(out, diffMap("route", old.Routes, next.Routes, routeFields)...)
+	out = append(out, diffMap("server", old.Servers, next.Servers, serverFields)...)
+	return out
+}
+
+func diffMap[T comparable](object string, old, next map[string]T, fields func(T) []FieldChange) []ObjectChange {
+	all := map[string]bool{}
+	for name := range old {
+		all[name] = true
+	}
+	for name := range next {
+		all[name] = true
+	}
+	var out []ObjectChange
+	for _, name := range sortedKeys(all) {
+		before, had := old[name]
+		after, has := next[name]
+		if had && has && before == after {
+			continue
+		}
+		out = append(out, diffObject(object, name, had, has, fields(before), fields(after)))
+	}
+	return out
+}
+
+// diffObject compares the field lists of one object; New of a FieldChange
+// holds the value in both lists.
+func diffObject(object, name string, had, has bool, before, after []FieldChange) ObjectChange {
+	c := ObjectChange{Object: object, Name: name}
+	switch {
+	case !had:
+		c.Action, c.Fields = Added, after
+	case !has:
+		c.Action = Removed
+	default:
+		c.Action = Edited
+		for i := range after {
+			if before[i].New != after[i].New {
+				c.Fields = append(c.Fields, FieldChange{Field: after[i].Field, Old: before[i].New, New: after[i].New})
+			}
+		}
+	}
+	return c
+}
+
+func field(name string, value any) FieldChange {
+	if v, ok := value.(float64); ok {
+		return FieldChange{Field: name, New: formatNumber(v)}
+	}
+	return FieldChange{Field: name, New: fmt.Sprint(value)}
+}
+
+func workspaceFields(w Workspace) []FieldChange {
+	return []FieldChange{
+		field("weight", w.Weight), field("rate", w.Rate), field("burst", w.Burst),
+		field("max_queue", w.MaxQueue), field("note", w.Note),
+	}
+}
+
+func keyFields(k Key) []FieldChange {
+	return []FieldChange{field("workspace", k.Workspace), field("operator", k.Operator), field("note", k.Note)}
+}
+
+func routeFields(r Route) []FieldChange {
+	return []FieldChange{
+		field("kind", r.Kind), field("model", r.Model), field("prefix", r.Prefix), field("pool", r.Pool),
+		field("open", r.Open), field("idempotent", r.Idempotent), field("timeout_ms", r.TimeoutMS),
+	}
+}
+
+func serverFields(v Server) []FieldChange {
+	return []FieldChange{
+		field("pool", v.Pool), field("address", v.Address), field("zone", v.Zone), field("concurrency", v.Concurrency),
+		field("speed", v.Speed), field("leaving", v.Leaving), field("fencing", v.Fencing),
+	}
+}
--- a/internal/core/config/snapshot.go
+++ b/internal/core/config/snapshot.go
@@ -28,6 +28,10 @@
 	Workspace string `json:"workspace"`
 	Hash      string `json:"hash"`       // SHA-256 of the raw key, hex
 	CreatedAt int64  `json:"created_at"` // Unix seconds
+	// Operator marks a key of the operators' API. It belongs to no workspace
+	// and opens nothing on the callers' address; look keys up by KeyIndex.
+	Operator bool   `json:"operator,omitempty"`
+	Note     string `json:"note,omitempty"`
 }
 
 // RouteKind tells how a route's requests are handled.
--- /dev/null
+++ b/internal/core/config/validate.go
@@ -0,0 +1,230 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+)
+
+// Ranges of the fields of a workspace, route and server.
+const (
+	MinWeight, MaxWeight           = 0.001, 1e6
+	MinRate, MaxRate               = 0.001, 1e6 // requests/s
+	MinBurst, MaxBurst             = 1, 1e6     // requests
+	MinQueue, MaxQueue             = 1, 100_000 // requests per host
+	MaxNoteLength                  = 500        // characters
+	MaxTimeoutMS                   = 3_600_000
+	MinConcurrency, MaxConcurrency = 1, 10_000
+	MinSpeed, MaxSpeed             = 0.01, 100
+
+	// significantDigits is what spreadsheets keep of a number.
+	significantDigits = 15
+)
+
+const (
+	nameAllowed    = "1 to 63 of a-z, 0-9, dot, hyphen, underscore, starting with a letter"
+	modelAllowed   = "1 to 200 printable characters without spaces"
+	prefixAllowed  = "path that starts and ends with /, not below /v1/"
+	addressAllowed = "IP:port, port 1 to 65535"
+	noteAllowed    = "at most 500 characters, no control characters but line feed"
+)
+
+// namePattern has no capitals and a letter in front, because spreadsheets
+// rewrite other names: 001 becomes 1, mar1 becomes 1-Mar, true becomes TRUE.
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9._-]{0,62}$`)
+
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// ValidName reports whether the name is allowed for workspaces, routes, servers, pools and zones.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
+// checker collects the faults of one object.
+type checker struct {
+	object, name string
+	faults       *Faults
+}
+
+func (c checker) add(field, value, problem, allowed string) {
+	*c.faults = append(*c.faults, Fault{
+		Object: c.object, Name: c.name, Field: field, Value: value, Problem: problem, Allowed: allowed,
+	})
+}
+
+func (c checker) nameField(field, value string) {
+	if !ValidName(value) {
+		c.add(field, value, "name not allowed", nameAllowed)
+	}
+}
+
+func (c checker) number(field string, value, low, high float64) {
+	text := formatNumber(value)
+	if !(value >= low && value <= high) {
+		c.add(field, text, "out of range", rangeText(low, high))
+		return
+	}
+	rounded, _ := strconv.ParseFloat(strconv.FormatFloat(value, 'g', significantDigits, 64), 64)
+	if rounded != value {
+		c.add(field, text, "more than 15 significant digits", rangeText(low, high))
+	}
+}
+
+func rangeText(low, high float64) string {
+	return formatNumber(low) + " to " + formatNumber(high)
+}
+
+// formatNumber writes a number without an exponent.
+func formatNumber(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+
+// Validate checks the whole snapshot and returns all problems as Faults, or nil.
+func (s *Snapshot) Validate() error {
+	var faults Faults
+	for _, name := range sortedKeys(s.Workspaces) {
+		s.Workspaces[name].check(name, &faults)
+	}
+	for _, id := range sortedKeys(s.Keys) {
+		s.checkKey(id, &faults)
+	}
+	for _, name := range sortedKeys(s.Routes) {
+		s.Routes[name].check(name, &faults)
+	}
+	for _, name := range sortedKeys(s.Servers) {
+		s.Servers[name].check(name, &faults)
+	}
+	s.checkUnique(&faults)
+	return faults.orNil()
+}
+
+func (w Workspace) check(name string, faults *Faults) {
+	c := checker{object: "workspace", name: name, faults: faults}
+	c.nameField("name", w.Name)
+	c.sameName(w.Name)
+	c.number("weight", w.Weight, MinWeight, MaxWeight)
+	c.number("rate", w.Rate, MinRate, MaxRate)
+	c.number("burst", w.Burst, MinBurst, MaxBurst)
+	c.number("max_queue", float64(w.MaxQueue), MinQueue, MaxQueue)
+	if !validNote(w.Note) {
+		c.add("note", w.Note, "note not allowed", noteAllowed)
+	}
+}
+
+func (c checker) sameName(inner string) {
+	if inner != c.name {
+		c.add("name", inner, "differs from the name it is stored under", c.name)
+	}
+}
+
+func validNote(note string) bool {
+	if !utf8.ValidString(note) || utf8.RuneCountInString(note) > MaxNoteLength {
+		return false
+	}
+	return !strings.ContainsFunc(note, func(r rune) bool { return unicode.IsControl(r) && r != '\n' })
+}
+
+func (s *Snapshot) checkKey(id string, faults *Faults) {
+	k := s.Keys[id]
+	c := checker{object: "key", name: id, faults: faults}
+	c.sameName(k.ID)
+	if !hashPattern.MatchString(k.Hash) {
+		c.add("hash", "", "not a SHA-256 in hex", "64 hex digits")
+	}
+	_, known := s.Workspaces[k.Workspace]
+	switch {
+	case k.Operator && k.Workspace != "":
+		c.add("workspace", k.Workspace, "operator keys belong to no workspace", "empty")
+	case !k.Operator && !known:
+		c.add("workspace", k.Workspace, "unknown workspace", "name of a workspace")
+	}
+}
+
+func (r Route) check(name string, faults *Faults) {
+	c := checker{object: "route", name: name, faults: faults}
+	c.nameField("name", r.Name)
+	c.sameName(r.Name)
+	c.nameField("pool", r.Pool)
+	switch r.Kind {
+	case RouteModel:
+		r.checkModel(c)
+	case RouteService:
+		r.checkService(c)
+	default:
+		c.add("kind", string(r.Kind), "unknown kind", "model, service")
+	}
+	c.number("timeout_ms", float64(r.TimeoutMS), 0, MaxTimeoutMS)
+}
+
+func (r Route) checkModel(c checker) {
+	if !validModel(r.Model) {
+		c.add("model", r.Model, "model name not allowed", modelAllowed)
+	}
+	if r.Prefix != "" {
+		c.add("prefix", r.Prefix, "only for routes of kind service", "empty")
+	}
+}
+
+func validModel(model string) bool {
+	bad := func(r rune) bool { return !unicode.IsPrint(r) || unicode.IsSpace(r) }
+	return model != "" && len(model) <= 200 && utf8.ValidString(model) && !strings.ContainsFunc(model, bad)
+}
+
+func (r Route) checkService(c checker) {
+	if !validPrefix(r.Prefix) {
+		c.add("prefix", r.Prefix, "prefix not allowed", prefixAllowed)
+	}
+	if r.Model != "" {
+		c.add("model", r.Model, "only for routes of kind model", "empty")
+	}
+}
+
+func validPrefix(p string) bool {
+	bad := func(r rune) bool { return !unicode.IsPrint(r) || unicode.IsSpace(r) || strings.ContainsRune("?#%", r) }
+	if len(p) < 3 || !strings.HasPrefix(p, "/") || !strings.HasSuffix(p, "/") || strings.ContainsFunc(p, bad) {
+		return false
+	}
+	return !strings.Contains(p, "//") && !strings.Contains(p, "/../") && !strings.Contains(p, "/./") && !strings.HasPrefix(p, "/v1/")
+}
+
+func (v Server) check(name string, faults *Faults) {
+	c := checker{object: "server", name: name, faults: faults}
+	c.nameField("name", v.Name)
+	c.sameName(v.Name)
+	c.nameField("pool", v.Pool)
+	c.nameField("zone", v.Zone)
+	if a, err := netip.ParseAddrPort(v.Address); err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+		c.add("address", v.Address, "address not allowed", addressAllowed)
+	}
+	c.number("concurrency", float64(v.Concurrency), MinConcurrency, MaxConcurrency)
+	c.number("speed", v.Speed, MinSpeed, MaxSpeed)
+}
+
+// checkUnique refuses values that must not occur twice: models, prefixes,
+// server addresses and key hashes.
+func (s *Snapshot) checkUnique(faults *Faults) {
+	seen := map[string]string{}
+	unique := func(object, name, field, value string) {
+		id := object + "\x00" + field + "\x00" + value
+		if other, ok := seen[id]; ok && value != "" {
+			checker{object, name, faults}.add(field, value, "already used by "+other, "")
+		}
+		seen[id] = name
+	}
+	for _, name := range sortedKeys(s.Routes) {
+		unique("route", name, "model", s.Routes[name].Model)
+		unique("route", name, "prefix", s.Routes[name].Prefix)
+	}
+	for _, name := range sortedKeys(s.Servers) {
+		unique("server", name, "address", s.Servers[name].Address)
+	}
+	for _, id := range sortedKeys(s.Keys) {
+		unique("key", id, "hash", s.Keys[id].Hash)
+	}
+}
+
+// NotFoundError reports an object that a change needs and the snapshot lacks.
+type NotFoundError struct{ Object, Name string }
+
+// Error implements error.
+func (e *NotFoundError) Error() string { return fmt.Sprintf("no %s %q", e.Object, e.Name) }
--- /dev/null
+++ b/internal/orders/desired.go
@@ -0,0 +1,149 @@
+// Package orders sends orders to engines: load a model, an adapter or a
+// version, or change the role. The desired state is kept in the platform; one
+// host at a time, the holder of the role, brings the engines to it.
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/core/orders"
+	"ragwortstep/internal/platform"
+)
+
+// Order and Entry are the types of the core, for users of this package.
+type (
+	Order = orders.Order
+	Entry = orders.Entry
+)
+
+const (
+	desiredPrefix = "orders/desired/" // one object per server
+	listLimit     = 500
+)
+
+// ErrNoOrder reports that the server has no order in the slot.
+var ErrNoOrder = errors.New("no such order")
+
+// Desired is the desired state of all engines, stored in the platform. It is
+// safe for concurrent use by several hosts.
+type Desired struct {
+	store  platform.Store
+	writer *platform.Writer
+}
+
+// NewDesired returns the desired state kept in the store.
+func NewDesired(store platform.Store, writer *platform.Writer) *Desired {
+	return &Desired{store: store, writer: writer}
+}
+
+// serverOrders is the stored object of one server, by slot.
+type serverOrders map[string]Entry
+
+// List returns all orders, sorted by server and slot.
+func (d *Desired) List(ctx context.Context) ([]Entry, error) {
+	var out []Entry
+	for after := ""; ; {
+		page, err := d.store.List(ctx, desiredPrefix, after, listLimit)
+		if err != nil {
+			return nil, errors.Wrapf(err, "platform list %s", desiredPrefix)
+		}
+		for _, obj := range page.Objects {
+			entries, err := decodeObject(obj)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, entries...)
+		}
+		if page.Next == "" {
+			break
+		}
+		after = page.Next
+	}
+	sortEntries(out)
+	return out, nil
+}
+
+func sortEntries(entries []Entry) {
+	sort.Slice(entries, func(i, j int) bool {
+		a, b := entries[i], entries[j]
+		if a.Server != b.Server {
+			return a.Server < b.Server
+		}
+		return a.Slot() < b.Slot()
+	})
+}
+
+func decodeObject(obj platform.Object) ([]Entry, error) {
+	var env platform.Envelope
+	if err := json.Unmarshal(obj.Value, &env); err != nil {
+		return nil, errors.Wrapf(err, "decode envelope of %s", obj.Key)
+	}
+	slots, err := decodeSlots(env.Data, obj.Key)
+	if err != nil {
+		return nil, err
+	}
+	var out []Entry
+	for _, e := range slots {
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+func decodeSlots(raw json.RawMessage, key string) (serverOrders, error) {
+	slots := serverOrders{}
+	if len(raw) == 0 {
+		return slots, nil
+	}
+	err := json.Unmarshal(raw, &slots)
+	return slots, errors.Wrapf(err, "decode orders of %s", key)
+}
+
+// Set stores an order as desired. It becomes pending unless the same order is
+// already confirmed.
+func (d *Desired) Set(ctx context.Context, order Order) (Entry, error) {
+	if err := order.Validate(); err != nil {
+		return Entry{}, err
+	}
+	var result Entry
+	err := d.update(ctx, order.Server, func(slots serverOrders) error {
+		e, ok := slots[order.Slot()]
+		if !ok || e.Order != order {
+			e = Entry{Order: order, Generation: e.Generation + 1, Applied: e.Applied, Epoch: e.Epoch}
+		}
+		result = e
+		slots[order.Slot()] = e
+		return nil
+	})
+	return result, err
+}
+
+// Remove forgets the order of a slot. The engine keeps what it has.
+func (d *Desired) Remove(ctx context.Context, server, slot string) error {
+	return d.update(ctx, server, func(slots serverOrders) error {
+		if _, ok := slots[slot]; !ok {
+			return ErrNoOrder
+		}
+		delete(slots, slot)
+		return nil
+	})
+}
+
+// update changes the orders of one server by one conditional update.
+func (d *Desired) update(ctx context.Context, server string, change func(serverOrders) error) error {
+	key := desiredPrefix + server
+	_, _, err := platform.Update(ctx, d.store, d.writer, key, func(current json.RawMessage, _ bool) (json.RawMessage, error) {
+		slots, err := decodeSlots(current, key)
+		if err != nil {
+			return nil, err
+		}
+		if err := change(slots); err != nil {
+			return nil, err
+		}
+		return json.Marshal(slots)
+	})
+	return err
+}
