--- a/internal/core/orders/orders.go
+++ b/internal/core/orders/orders.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"strings"
+	"unicode"
 )
 
 // Kind is what an order changes at an engine.
@@ -32,12 +33,16 @@
 }
 
 // Slot names the aspect of the engine that the order sets; a later order for
-// the same slot replaces it. Adapters have one slot each.
+// the same slot replaces it. Each model and adapter has slots of its own.
 func (o Order) Slot() string {
-	if o.Kind == LoadAdapter {
+	switch o.Kind {
+	case LoadModel, LoadVersion:
+		return string(o.Kind) + ":" + o.Model
+	case LoadAdapter:
 		return string(o.Kind) + ":" + o.Adapter
+	default:
+		return string(o.Kind)
 	}
-	return string(o.Kind)
 }
 
 // InvalidError reports an order that lacks a field or has one too many.
@@ -81,8 +86,8 @@
 		switch {
 		case value != "" && !known:
 			return &InvalidError{name, "not used by " + string(o.Kind)}
-		case len(value) > maxFieldLength || strings.ContainsAny(value, "/ \t\r\n") && name == "adapter":
-			return &InvalidError{name, "too long, or contains a slash or space"}
+		case len(value) > maxFieldLength || strings.ContainsFunc(value, unicode.IsSpace):
+			return &InvalidError{name, fmt.Sprintf("longer than %d bytes, or contains a space", maxFieldLength)}
 		}
 	}
 	return nil
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -369,6 +369,9 @@
 	l.checkAddresses()
 	l.checkTLS("listen.tls", l.settings.Listen.TLS, false)
 	l.checkTLS("peers.tls", l.settings.Peers.TLS, true)
+	if l.settings.Listen.TLS.CA != "" {
+		l.fault("listen.tls.ca", "not used on the callers' address, where keys authenticate")
+	}
 	p := l.settings.Peers
 	if p.Secret == "" && p.TLS == (TLS{}) && !l.origin["peers.secret"].bad {
 		l.fault("peers.secret", "missing; hosts authenticate by peers.secret or peers.tls")
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -56,7 +56,7 @@
 	{Path: "listen.metrics", Required: true, Allowed: addressAllowed, check: isAddress, Doc: "Address of /debug/vars."},
 	{Path: "listen.tls.cert", Allowed: fileAllowed, file: true, Doc: "Certificate (PEM) of the callers' address; plain HTTP when empty."},
 	{Path: "listen.tls.key", Allowed: fileAllowed, file: true, Doc: "Private key (PEM) of listen.tls.cert."},
-	{Path: "listen.tls.ca", Allowed: fileAllowed, file: true, Doc: "Not used on the callers' address."},
+	{Path: "listen.tls.ca", Allowed: "empty", Doc: "Not used: callers authenticate by keys, not by certificates."},
 	{Path: "platform.url", Required: true, Allowed: "http or https URL with a host", check: isURL, Doc: "Base URL of the platform's object API."},
 	{Path: "platform.poll", Allowed: "100ms to 1m", check: between(100*time.Millisecond, time.Minute), Doc: "Interval at which watching hosts poll the platform. The bound for revoked keys grows with it."},
 	{Path: "peers.seeds", Allowed: "list of " + addressAllowed, check: isAddressList, Doc: "Peer addresses to contact at start; may contain the host's own address."},
