--- /dev/null
+++ b/test/standin/engine/orders.go
@@ -0,0 +1,132 @@
+package engine
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"ragwortstep/test/standin/control"
+)
+
+// Order asks the engine to load weights or to change its role.
+type Order struct {
+	Kind    string `json:"kind"` // load_model, load_adapter, load_version, set_role
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"` // for example prefill, decode or both
+	Fencing int64  `json:"fencing"`
+}
+
+// OrderRecord is the ledger's entry of one order.
+type OrderRecord struct {
+	Order
+	AtMS    int64  `json:"at_ms"`
+	Applied bool   `json:"applied"`
+	Reason  string `json:"reason,omitempty"` // why it was refused
+	Highest int64  `json:"highest"`          // fencing number seen before this order
+}
+
+// OrderState is what orders have changed.
+type OrderState struct {
+	Models   []string          `json:"models"`
+	Adapters []string          `json:"adapters"`
+	Versions map[string]string `json:"versions"` // by model
+	Role     string            `json:"role"`
+	Fencing  int64             `json:"fencing"` // highest number seen
+}
+
+// orders applies orders one after another, each taking the configured time.
+type orders struct {
+	check bool // refuse an order with an old fencing number
+	delay time.Duration
+
+	mu      sync.Mutex
+	state   OrderState
+	records []OrderRecord
+}
+
+func newOrders(models []string, check bool, delay time.Duration) *orders {
+	return &orders{check: check, delay: delay, state: OrderState{
+		Models: models, Adapters: []string{}, Versions: map[string]string{}, Role: "both",
+	}}
+}
+
+func (o *orders) serves(model string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Contains(o.state.Models, model) || slices.Contains(o.state.Adapters, model)
+}
+
+func (o *orders) models() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append(append([]string{}, o.state.Models...), o.state.Adapters...)
+}
+
+func (o *orders) handle(w http.ResponseWriter, r *http.Request) {
+	var order Order
+	if !control.ReadJSON(w, r, &order) {
+		return
+	}
+	if !control.Sleep(r.Context(), o.delay) {
+		control.Abort()
+	}
+	status, rec := o.apply(order)
+	control.WriteJSON(w, status, rec)
+}
+
+// apply runs the order unless its fencing number is checked and old.
+func (o *orders) apply(order Order) (int, OrderRecord) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	rec := OrderRecord{Order: order, AtMS: time.Now().UnixMilli(), Highest: o.state.Fencing}
+	status := http.StatusOK
+	switch {
+	case o.check && order.Fencing < o.state.Fencing:
+		rec.Reason = "old fencing number"
+		status = http.StatusConflict
+	case !o.change(order):
+		rec.Reason = "unknown kind or empty field"
+		status = http.StatusBadRequest
+	default:
+		rec.Applied = true
+		o.state.Fencing = max(o.state.Fencing, order.Fencing)
+	}
+	o.records = append(o.records, rec)
+	return status, rec
+}
+
+func (o *orders) change(order Order) bool {
+	switch {
+	case order.Kind == "load_model" && order.Model != "":
+		o.state.Models = add(o.state.Models, order.Model)
+	case order.Kind == "load_adapter" && order.Adapter != "":
+		o.state.Adapters = add(o.state.Adapters, order.Adapter)
+	case order.Kind == "load_version" && order.Model != "" && order.Version != "":
+		o.state.Versions[order.Model] = order.Version
+	case order.Kind == "set_role" && order.Role != "":
+		o.state.Role = order.Role
+	default:
+		return false
+	}
+	return true
+}
+
+func add(list []string, name string) []string {
+	if slices.Contains(list, name) {
+		return list
+	}
+	return append(list[:len(list):len(list)], name)
+}
+
+// report is the answer of GET /orders.
+func (o *orders) report(w http.ResponseWriter, _ *http.Request) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	control.WriteJSON(w, http.StatusOK, struct {
+		State   OrderState    `json:"state"`
+		Records []OrderRecord `json:"records"`
+	}{o.state, append([]OrderRecord{}, o.records...)})
+}
--- /dev/null
+++ b/test/standin/platform/hosts.go
@@ -0,0 +1,39 @@
+package platform
+
+import (
+	"sync"
+	"time"
+
+	client "ragwortstep/internal/platform"
+)
+
+// hostList is the platform's list of hosts and servers. A change becomes
+// visible only after the lag.
+type hostList struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	visible []client.HostEntry
+	pending []hostChange
+}
+
+type hostChange struct {
+	at    time.Time // when the change becomes visible
+	hosts []client.HostEntry
+}
+
+func (h *hostList) set(hosts []client.HostEntry, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pending = append(h.pending, hostChange{at: now.Add(h.lag), hosts: hosts})
+}
+
+func (h *hostList) get(now time.Time) []client.HostEntry {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for len(h.pending) > 0 && !h.pending[0].at.After(now) {
+		h.visible = h.pending[0].hosts
+		h.pending = h.pending[1:]
+	}
+	return append([]client.HostEntry{}, h.visible...)
+}
