Add the plain service and relay stand-ins

Cause: at-most-once tests need a ledger of calls that ran, and tests with real processes need network delays and faults.

--- a/test/standin/engine/orders.go
+++ b/test/standin/engine/orders.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
@@ -9,6 +10,9 @@
 	"ragwortstep/test/standin/control"
 )
 
+// maxOrderBytes bounds the body of an order.
+const maxOrderBytes = 64 << 10
+
 // Order asks the engine to load weights or to change its role.
 type Order struct {
 	Kind    string `json:"kind"` // load_model, load_adapter, load_version, set_role
@@ -67,7 +71,8 @@
 
 func (o *orders) handle(w http.ResponseWriter, r *http.Request) {
 	var order Order
-	if !control.ReadJSON(w, r, &order) {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOrderBytes)).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	if !control.Sleep(r.Context(), o.delay) {
--- a/test/standin/main.go
+++ b/test/standin/main.go
@@ -17,7 +17,7 @@
 	root := &cli.Command{
 		Name:     "standin",
 		Usage:    "stand-ins of outside systems, each one process on a loopback address",
-		Commands: []*cli.Command{platformCommand(), engineCommand()},
+		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand(), relayCommand()},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
