--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,137 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// maxMessageBytes bounds the memory that one message of a peer can take.
+	// The largest is a full configuration of a few megabytes.
+	maxMessageBytes = 64 << 20
+	// writeTimeout bounds a write to a connection whose peer reads nothing.
+	writeTimeout = 2 * time.Second
+	// tcpUserTimeout closes connections whose data stays unacknowledged.
+	tcpUserTimeout = 2 * time.Second
+	// keepAliveInterval finds dead connections on which nothing is sent.
+	keepAliveInterval = 2 * time.Second
+	keepAliveProbes   = 3
+)
+
+// timedConn is a connection that notes when it last received, bounds its
+// writes and counts bytes. readTimeout, when not zero, ends silent connections.
+type timedConn struct {
+	net.Conn
+	readTimeout time.Duration
+	lastRead    atomic.Int64 // nanoseconds since processStart
+}
+
+// processStart is the origin of monotonic times kept in atomics.
+var processStart = time.Now()
+
+func monotonicNow() int64 { return int64(time.Since(processStart)) }
+
+func newTimedConn(conn net.Conn, readTimeout time.Duration) *timedConn {
+	setTCPOptions(conn)
+	c := &timedConn{Conn: conn, readTimeout: readTimeout}
+	c.lastRead.Store(monotonicNow())
+	return c
+}
+
+// Read implements net.Conn.
+func (c *timedConn) Read(p []byte) (int, error) {
+	if c.readTimeout > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.lastRead.Store(monotonicNow())
+		stats.Add("bytes_received", int64(n))
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *timedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	stats.Add("bytes_sent", int64(n))
+	if err != nil {
+		// A partly written message leaves the stream unusable, and the library
+		// keeps a connection open after a failed write.
+		_ = c.Close()
+	}
+	return n, err
+}
+
+// idle returns how long nothing was received.
+func (c *timedConn) idle() time.Duration {
+	return time.Duration(monotonicNow() - c.lastRead.Load())
+}
+
+func setTCPOptions(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetNoDelay(true)
+	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+	})
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+	})
+	if err != nil {
+		slog.Warn("peer: TCP_USER_TIMEOUT not set", "error", err)
+	}
+}
+
+// boundedCodec is jsonrpc2's length-prefixed codec with a limit on the length.
+type boundedCodec struct {
+	jsonrpc2.VarintObjectCodec
+	limit uint64
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (c boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
+	// Every JSON-RPC message is longer than the peeked header.
+	header, err := stream.Peek(binary.MaxVarintLen64)
+	if err != nil {
+		return io.EOF
+	}
+	if size, n := binary.Uvarint(header); n <= 0 || size > c.limit {
+		return errors.Newf("message of %d bytes exceeds %d", size, c.limit)
+	}
+	return c.VarintObjectCodec.ReadObject(stream, v)
+}
+
+// rpcLogger sends the library's log lines, which are about broken
+// connections, to the debug level.
+type rpcLogger struct{ log *slog.Logger }
+
+// Printf implements jsonrpc2.Logger.
+func (l rpcLogger) Printf(format string, v ...any) {
+	l.log.Debug("peer: "+format, "args", v)
+}
+
+func newStream(conn net.Conn, limit uint64) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewBufferedStream(conn, boundedCodec{limit: limit})
+}
