--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/dedupe"
 	"ragwortstep/internal/dispatch"
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/limiter"
@@ -39,12 +40,12 @@
 	defer f.mu.Unlock()
 	return f.snapshot
 }
-func (f *fakeFleet) MayAdmit(time.Time) error                               { return f.stale }
-func (f *fakeFleet) OnConfig(fn func(*config.Snapshot))                     { f.onConfig = append(f.onConfig, fn) }
-func (f *fakeFleet) OnView(func(fleet.View))                                {}
-func (f *fakeFleet) Publish(string, any)                                    {}
-func (f *fakeFleet) Subscribe(string, func(peer.HostID, json.RawMessage))   {}
-func (f *fakeFleet) Nudge()                                                 {}
+func (f *fakeFleet) MayAdmit(time.Time) error                             { return f.stale }
+func (f *fakeFleet) OnConfig(fn func(*config.Snapshot))                   { f.onConfig = append(f.onConfig, fn) }
+func (f *fakeFleet) OnView(func(fleet.View))                              {}
+func (f *fakeFleet) Publish(string, any)                                  {}
+func (f *fakeFleet) Subscribe(string, func(peer.HostID, json.RawMessage)) {}
+func (f *fakeFleet) Nudge()                                               {}
 func (f *fakeFleet) set(s *config.Snapshot) {
 	f.mu.Lock()
 	f.snapshot = s
@@ -317,3 +318,53 @@
 		}
 	})
 }
+
+// fakeOnce keeps claims in memory.
+type fakeOnce struct {
+	mu     sync.Mutex
+	states map[string]dedupe.Claim
+}
+
+func newFakeOnce() *fakeOnce { return &fakeOnce{states: map[string]dedupe.Claim{}} }
+
+func (o *fakeOnce) Claim(_ context.Context, workspace, key string) (dedupe.Claim, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if c, ok := o.states[workspace+key]; ok {
+		return c, nil
+	}
+	o.states[workspace+key] = dedupe.Claim{State: dedupe.Unknown}
+	return dedupe.Claim{State: dedupe.Fresh}, nil
+}
+
+func (o *fakeOnce) Complete(context.Context, dedupe.Claim, dedupe.StoredResponse) error { return nil }
+
+func (o *fakeOnce) Abandon(context.Context, dedupe.Claim) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	clear(o.states)
+	return nil
+}
+
+// Guards against a second run of a keyed request whose first run has an
+// unknown outcome, and against blocking the key of one that was never sent.
+func TestIdempotencyKey(t *testing.T) {
+	is := is.New(t)
+	executed := dispatch.ExecutedNo
+	g, _, d := newTestGateway(func(context.Context, *dispatch.Request) (*dispatch.Response, error) {
+		return nil, &dispatch.RefusedError{Status: 503, Code: "no_server", Executed: executed}
+	})
+	send := func() *httptest.ResponseRecorder {
+		rec := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodPost, "/svc/a", http.NoBody)
+		r.Header.Set("X-Api-Key", testKey)
+		r.Header.Set("Idempotency-Key", "once")
+		g.ServeHTTP(rec, r)
+		return rec
+	}
+	is.Equal(send().Code, 503)
+	executed = dispatch.ExecutedUnknown
+	is.Equal(send().Code, 503) // the first was not sent, so this one is tried
+	is.Equal(send().Code, 409)
+	is.Equal(len(d.seen), 2)
+}
