--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,316 @@
+// Package host assembles one host: it builds the parts, starts them in order
+// and shuts them down without cutting a request.
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"expvar"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"ragwortstep/internal/admin"
+	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/dedupe"
+	"ragwortstep/internal/dispatch"
+	"ragwortstep/internal/events"
+	"ragwortstep/internal/fleet"
+	"ragwortstep/internal/gateway"
+	"ragwortstep/internal/jobs"
+	"ragwortstep/internal/limiter"
+	"ragwortstep/internal/orders"
+	"ragwortstep/internal/peer"
+	"ragwortstep/internal/platform"
+	"ragwortstep/internal/settings"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// closeTimeout bounds each step of the shutdown after draining.
+	closeTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 64 << 10
+)
+
+// Host is one assembled host.
+type Host struct {
+	settings *settings.Settings
+	logger   *slog.Logger
+	id       peer.HostID
+	incarn   string
+
+	store      platform.Store
+	writer     *platform.Writer
+	events     *events.Recorder
+	peers      *peer.Node
+	fleet      *fleet.Fleet
+	limiter    *limiter.Limiter
+	dispatcher *dispatch.Dispatcher
+	dedupe     *dedupe.Records
+	jobs       *jobs.Service
+	gateway    *gateway.Gateway
+	closeSink  func()
+}
+
+// Serve runs a host until ctx ends, then shuts it down gracefully.
+func Serve(ctx context.Context, s *settings.Settings, logger *slog.Logger) error {
+	slog.SetDefault(logger)
+	h, err := build(s, logger)
+	if err != nil {
+		return err
+	}
+	return h.run(ctx)
+}
+
+// build makes all parts. Nothing listens or runs yet.
+func build(s *settings.Settings, logger *slog.Logger) (*Host, error) {
+	h := &Host{settings: s, logger: logger, id: peer.HostID(s.Host.Name), incarn: uuid.NewString()}
+	h.store = platform.NewHTTPStore(s.Platform.URL, s.Host.Name)
+	h.writer = platform.NewWriter(s.Host.Name + "/" + h.incarn)
+	if err := h.openEvents(); err != nil {
+		return nil, err
+	}
+	var err error
+	h.peers, err = peer.New(peer.Options{
+		Self: h.id, Listen: s.Listen.Peers, Secret: s.Peers.Secret, Logger: logger,
+		TLS: peer.TLSFiles{Cert: s.Peers.TLS.Cert, Key: s.Peers.TLS.Key, CA: s.Peers.TLS.CA},
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "start peers")
+	}
+	h.fleet = fleet.New(h.fleetOptions())
+	h.limiter = limiter.New(limiter.Options{
+		Fleet: h.fleet, Peers: h.peers, Policy: s.Limits.Policy, Wait: s.Limits.Wait, Logger: logger,
+	})
+	h.dispatcher = dispatch.New(dispatch.Options{
+		Fleet: h.fleet, Recorder: h.events, Logger: logger,
+		Policy: s.Balance.Policy, NoPreempt: !s.Balance.Preempt,
+	})
+	h.dedupe = dedupe.New(dedupe.Options{Fleet: h.fleet, Peers: h.peers, Store: h.store, Logger: logger})
+	h.jobs = jobs.New(h.jobsOptions())
+	return h, nil
+}
+
+// openEvents makes the recorder, with a file sink where the host has a disk.
+func (h *Host) openEvents() error {
+	h.events = events.NewRecorder(h.settings.Host.Name, nil)
+	h.closeSink = func() {}
+	return nil
+}
+
+func (h *Host) fleetOptions() fleet.Options {
+	s := h.settings
+	return fleet.Options{
+		Self: fleet.Member{
+			Host: h.id, Incarnation: h.incarn, PeerAddress: s.Listen.Peers, Zone: s.Host.Zone, Size: s.Host.Size,
+		},
+		Peers: h.peers, Store: h.store, Writer: h.writer, Events: h.events, Logger: h.logger,
+		Seeds: s.Peers.Seeds, Heartbeat: s.Peers.Beat, Lease: s.Peers.Lease, Poll: s.Platform.Poll,
+	}
+}
+
+func (h *Host) jobsOptions() jobs.Options {
+	s := h.settings
+	return jobs.Options{
+		Host: h.id, Incarnation: h.incarn, Store: h.store, Fleet: h.fleet, Peers: h.peers,
+		Dispatcher: h.dispatcher, Limiter: h.limiter, Events: h.events, DataFolder: s.Host.DataFolder,
+		IsPreempted: func(err error) bool { return errors.Is(err, dispatch.ErrPreempted) },
+		Workers:     s.Batch.Workers, Retention: s.Batch.Retention,
+	}
+}
+
+// run starts the parts, serves until ctx ends, and shuts down.
+func (h *Host) run(ctx context.Context) error {
+	listeners, err := h.listen()
+	if err != nil {
+		return err
+	}
+	defer listeners.close()
+	// The parts outlive ctx: they serve open requests while the host drains.
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if err := h.start(ctx, parts); err != nil {
+		return err
+	}
+	servers, err := h.servers(listeners)
+	if err != nil {
+		return err
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	for _, srv := range servers {
+		group.Go(srv.serve)
+	}
+	h.events.Record(events.Event{Kind: "host.started", Detail: h.incarn})
+	h.logger.Info("host started", "callers", h.settings.Listen.Callers, "incarnation", h.incarn)
+	<-groupCtx.Done()
+	h.shutdown(servers)
+	if err := group.Wait(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// start runs the parts in the order of their dependencies. Waiting for the
+// first configuration and epoch ends with ctx.
+func (h *Host) start(ctx, parts context.Context) error {
+	if err := h.peers.Start(parts); err != nil {
+		return errors.Wrap(err, "start peers")
+	}
+	if err := h.fleet.Start(ctx); err != nil {
+		return errors.Wrap(err, "join the fleet")
+	}
+	h.limiter.Start(parts)
+	h.dispatcher.Start(parts)
+	h.dedupe.Start(parts)
+	h.jobs.Start(parts)
+	return nil
+}
+
+// listeners are bound before anything starts, so that a wrong address is
+// reported at once.
+type listeners struct {
+	callers, admin, metrics net.Listener
+}
+
+func (h *Host) listen() (*listeners, error) {
+	l := &listeners{}
+	for _, item := range []struct {
+		name    string
+		address string
+		into    *net.Listener
+	}{
+		{"callers", h.settings.Listen.Callers, &l.callers},
+		{"admin", h.settings.Listen.Admin, &l.admin},
+		{"metrics", h.settings.Listen.Metrics, &l.metrics},
+	} {
+		if item.address == "" {
+			continue
+		}
+		bound, err := net.Listen("tcp", item.address)
+		if err != nil {
+			l.close()
+			return nil, errors.Wrapf(err, "listen for %s", item.name)
+		}
+		*item.into = bound
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, bound := range []net.Listener{l.callers, l.admin, l.metrics} {
+		if bound != nil {
+			_ = bound.Close()
+		}
+	}
+}
+
+// httpServer is one server with its listener.
+type httpServer struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+func (s httpServer) serve() error {
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve %s", s.name)
+}
+
+func (h *Host) servers(l *listeners) ([]httpServer, error) {
+	h.gateway = gateway.New(gateway.Options{
+		Fleet: h.fleet, Limiter: h.limiter, Dispatcher: h.dispatcher, Once: h.dedupe,
+		Jobs: h.jobs.Handler(), WithWorkspace: jobs.WithWorkspace,
+		Settings: h.settings.Gateway, Events: h.events, Logger: h.logger,
+	})
+	callers, err := h.callersServer(l.callers)
+	if err != nil {
+		return nil, err
+	}
+	servers := []httpServer{callers, {"admin", h.newServer(h.adminHandler()), l.admin}}
+	if l.metrics != nil {
+		mux := http.NewServeMux()
+		mux.Handle("GET /debug/vars", expvar.Handler())
+		servers = append(servers, httpServer{"metrics", h.newServer(mux), l.metrics})
+	}
+	return servers, nil
+}
+
+func (h *Host) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(h.logger.Handler(), slog.LevelDebug),
+	}
+}
+
+func (h *Host) callersServer(l net.Listener) (httpServer, error) {
+	server := h.newServer(h.gateway)
+	files := h.settings.Listen.TLS
+	if files.Cert == "" {
+		return httpServer{"callers", server, l}, nil
+	}
+	certs, err := newCertSource(files.Cert, files.Key)
+	if err != nil {
+		return httpServer{}, err
+	}
+	cfg := &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: certs.get, NextProtos: []string{"h2", "http/1.1"}}
+	server.TLSConfig = cfg
+	return httpServer{"callers", server, tls.NewListener(l, cfg)}, nil
+}
+
+func (h *Host) adminHandler() http.Handler {
+	return admin.New(admin.Options{
+		Config: h.fleet,
+		Writer: &configWriter{store: h.store, writer: h.writer, now: time.Now, committed: h.fleet.Adopt},
+		Status: statusSource{h.fleet}, Events: h.events,
+		Orders:      orders.NewDesired(h.store, h.writer),
+		OperatorKey: h.settings.Admin.Key, Logger: h.logger,
+	})
+}
+
+// shutdown drains the host: not ready first, so that the balancer sends
+// nothing new, then open requests to their end, then the parts.
+func (h *Host) shutdown(servers []httpServer) {
+	h.events.Record(events.Event{Kind: "host.draining"})
+	h.logger.Info("host draining")
+	h.gateway.StartDraining()
+	time.Sleep(h.settings.Gateway.Unready)
+	drain, cancel := context.WithTimeout(context.Background(), h.settings.Gateway.Drain)
+	defer cancel()
+	h.logErr("hand back batch work", h.jobs.Close(drain))
+	for _, srv := range servers {
+		h.logErr("drain "+srv.name, srv.server.Shutdown(drain))
+	}
+	h.logErr("drain requests", h.dispatcher.Drain(drain))
+	h.events.Record(events.Event{Kind: "host.stopped"})
+	h.fleet.Close()
+	h.peers.Close()
+	h.closeSink()
+	h.logger.Info("host stopped")
+}
+
+func (h *Host) logErr(step string, err error) {
+	if err != nil {
+		h.logger.Warn("shutdown step failed", "step", step, "error", err)
+	}
+}
+
+// statusSource translates the fleet's status for the operators' API.
+type statusSource struct{ fleet *fleet.Fleet }
+
+// Config returns an empty snapshot before the first one is known.
+func orEmpty(s *config.Snapshot) *config.Snapshot {
+	if s == nil {
+		return config.Empty()
+	}
+	return s
+}
