batch: Add chunk rules, file storage, jobs and their HTTP interface

Cause: batch jobs had only shared contracts. This adds core/batch (claims with epochs, commits, sealing, job states, assignment, order) and jobs (upload, jobs, runner, commits, ending, cancellation, repair, retention, handlers).

Ruled out: listing manifests for index repair, because a listing of jobs/ returns segments of up to 1 MB each; entries under jobnew/ mark jobs that are being created instead. Listing segments to collect garbage, for the same reason; segment numbers of lost owners are tried until one does not exist.

Kills, outages, cancellation and call counts are not tested yet.

--- /dev/null
+++ b/internal/jobs/commit.go
@@ -0,0 +1,253 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/core/batch"
+	"ragwortstep/internal/invariant"
+	"ragwortstep/internal/platform"
+)
+
+// errLost reports that the chunk has another owner or was sealed.
+var errLost = errors.New("chunk lost to another owner")
+
+// Pauses between attempts to write while the platform is unavailable.
+const (
+	putBaseDelay = 100 * time.Millisecond
+	putMaxDelay  = 5 * time.Second
+)
+
+// chunkSeq numbers the conditional updates of chunks by this process. It is
+// separate from the writer's own sequence, which the manifest updates use.
+var chunkSeq atomic.Uint64
+
+// putChunk replaces the progress object of the given version. It repeats the
+// write until it is known to be applied, to be refused (errLost), or ctx ends.
+// A lost answer is resolved by reading the object back: writer and sequence
+// identify the write, and an unchanged version means that it was not applied.
+func (s *Service) putChunk(ctx context.Context, job string, version int64, prev, next batch.Chunk) (int64, error) {
+	err := batch.CheckSuccessor(prev, next)
+	if !invariant.Check(err == nil, "chunk-successor", "commit chunk", "", "job", job, "chunk", next.Index, "err", err) {
+		return 0, errLost
+	}
+	data, err := json.Marshal(next)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode chunk")
+	}
+	env := platform.Envelope{Writer: s.writer.ID + "/chunk", Seq: chunkSeq.Add(1), Data: data}
+	key := chunkKey(job, next.Index)
+	unresolved := false
+	for attempt := 0; ; attempt++ {
+		if err := s.beforePut(ctx, attempt); err != nil {
+			return 0, errors.Wrapf(err, "platform put %s", key)
+		}
+		if unresolved {
+			stored, applied, err := s.resolve(ctx, key, version, env)
+			if applied || errors.Is(err, errLost) {
+				return stored, err
+			}
+			unresolved = err != nil
+			if unresolved {
+				s.pace.failure()
+				continue
+			}
+		}
+		stored, err := platform.PutEnvelope(ctx, s.store, key, env, version)
+		switch {
+		case err == nil:
+			counters.Add("chunk_puts", 1)
+			return stored.Version, nil
+		case errors.IsAny(err, platform.ErrConflict, platform.ErrUnknownOutcome):
+			unresolved = true
+		case errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited):
+			s.pace.failure()
+		default:
+			return 0, errors.Wrapf(err, "platform put %s", key)
+		}
+	}
+}
+
+// resolve tells whether the write was applied. errLost means that another
+// writer has replaced the object.
+func (s *Service) resolve(ctx context.Context, key string, version int64, env platform.Envelope) (int64, bool, error) {
+	obj, found, exists, err := platform.ReadEnvelope(ctx, s.store, key)
+	switch {
+	case err != nil:
+		return 0, false, err
+	case exists && found.Writer == env.Writer && found.Seq == env.Seq:
+		return obj.Version, true, nil
+	case obj.Version != version:
+		counters.Add("chunks_lost", 1)
+		return 0, false, errLost
+	}
+	return 0, false, nil
+}
+
+// beforePut waits between attempts, paces writes after an outage, and holds
+// them back while the freshness lease does not hold.
+func (s *Service) beforePut(ctx context.Context, attempt int) error {
+	if attempt > 1 {
+		delay := min(putBaseDelay<<min(attempt-2, 10), putMaxDelay)
+		if !sleep(ctx, jitter(delay)) {
+			return ctx.Err()
+		}
+	}
+	if err := s.pace.wait(ctx); err != nil {
+		return err
+	}
+	return s.waitLease(ctx)
+}
+
+// leasePoll is the interval between looks at a lapsed lease.
+const leasePoll = 100 * time.Millisecond
+
+// waitLease waits until the host's freshness lease holds.
+func (s *Service) waitLease(ctx context.Context) error {
+	for s.o.Fleet.MayAdmit(s.now()) != nil {
+		if !sleep(ctx, leasePoll) {
+			return ctx.Err()
+		}
+	}
+	return ctx.Err()
+}
+
+// commitOptions are the parts of a commit beside results and attempts.
+type commitOptions struct {
+	intend   []int
+	withdraw []int
+	release  bool
+	seal     bool
+	// deferResults leaves fresh results for a later commit.
+	deferResults bool
+}
+
+// commit saves the held results: first in segments, then by the conditional
+// update of the progress, which is the commit point.
+func (r *chunkRun) commit(ctx context.Context, o commitOptions) error {
+	r.commitMu.Lock()
+	defer r.commitMu.Unlock()
+	lines, attempts := r.snapshot()
+	if o.deferResults {
+		lines = nil
+	}
+	update := batch.Commit{
+		Epoch: r.progress.Epoch, Owner: r.s.owner, Attempts: attempts,
+		Intend: o.intend, Withdraw: o.withdraw, Release: o.release, Seal: o.seal,
+	}
+	for _, l := range lines {
+		update.Outcomes = append(update.Outcomes, batch.Outcome{Item: l.item, Failed: l.failed})
+	}
+	refs, err := r.writeSegments(ctx, lines)
+	if err != nil {
+		return err
+	}
+	update.Segments = refs
+	next, err := r.progress.Apply(update)
+	if !invariant.Check(!errors.Is(err, batch.ErrSecondResult), "one-result-per-item", "commit chunk", "",
+		"job", r.job.entry.ID, "chunk", r.index) || err != nil {
+		return errors.Wrap(err, "commit chunk")
+	}
+	version, err := r.s.putChunk(ctx, r.job.entry.ID, r.version, r.progress, next)
+	if err != nil {
+		return err
+	}
+	r.saved(next, version, len(lines))
+	return nil
+}
+
+// saved takes over a successful commit.
+func (r *chunkRun) saved(next batch.Chunk, version int64, lines int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress, r.version = next, version
+	r.held.drop(lines)
+	r.committedAt = r.s.now()
+	if lines > 0 {
+		r.oldestHeld = time.Time{}
+		if len(r.held.lines) > 0 {
+			r.oldestHeld = r.committedAt
+		}
+	}
+	counters.Add("items_committed", int64(lines))
+}
+
+// snapshot returns the held results and the attempts, including those of
+// running items: an item that was running when its owner died has used one.
+func (r *chunkRun) snapshot() ([]heldLine, []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]heldLine(nil), r.held.lines...), append([]byte(nil), r.attempts...)
+}
+
+// segmentRawBytes bounds the lines of one segment, so that it fits into one
+// platform value even when it does not compress, and into a reader's memory.
+const segmentRawBytes = 1000 << 10
+
+// writeSegments stores lines as immutable segments.
+func (r *chunkRun) writeSegments(ctx context.Context, lines []heldLine) ([]batch.SegmentRef, error) {
+	var refs []batch.SegmentRef
+	var raw []byte
+	ref := r.nextRef()
+	flush := func() error {
+		if len(raw) == 0 {
+			return nil
+		}
+		if err := r.putSegment(ctx, ref, raw); err != nil {
+			return err
+		}
+		refs = append(refs, ref)
+		raw, ref = raw[:0], r.nextRef()
+		return nil
+	}
+	for _, held := range lines {
+		line, err := r.held.read(held)
+		if err != nil {
+			return nil, err
+		}
+		if len(raw)+len(line) > segmentRawBytes {
+			if err := flush(); err != nil {
+				return nil, err
+			}
+		}
+		raw = append(raw, line...)
+		if line[0] == markError {
+			ref.Errors += int64(len(line) - 1)
+		} else {
+			ref.Output += int64(len(line) - 1)
+		}
+	}
+	return refs, flush()
+}
+
+// nextRef numbers the next segment. A number is never used for two contents,
+// because a delayed write of the first could replace the second.
+func (r *chunkRun) nextRef() batch.SegmentRef {
+	r.segments++
+	return batch.SegmentRef{Epoch: r.progress.Epoch, Number: r.segments - 1}
+}
+
+// putSegment writes a segment. Only this claim uses the key, and repeated
+// writes have the same content.
+func (r *chunkRun) putSegment(ctx context.Context, ref batch.SegmentRef, raw []byte) error {
+	key := segmentKey(r.job.entry.ID, r.index, ref.Epoch, ref.Number)
+	packed := compress(raw)
+	for attempt := 0; ; attempt++ {
+		if err := r.s.beforePut(ctx, attempt); err != nil {
+			return errors.Wrapf(err, "platform put %s", key)
+		}
+		_, err := r.s.store.Put(ctx, key, packed, platform.AnyVersion)
+		switch {
+		case err == nil:
+			return nil
+		case errors.IsAny(err, platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrRateLimited):
+			r.s.pace.failure()
+		default:
+			return errors.Wrapf(err, "platform put %s", key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,52 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/core/batch"
+)
+
+// Guards against losing or repeating items on the plain path over two hosts,
+// and against results that only one host can read.
+func TestSmallJob(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	a, b := c.start("a", nil), c.start("b", nil)
+	job := a.submit(1203, chatPath)
+	is.Equal(job.Status, batch.StatusInProgress)
+	is.Equal(job.RequestCounts.Total, 1203)
+	ended := c.await(job.ID, func() *node { return a })
+	is.Equal(ended.Status, batch.StatusCompleted)
+	for _, n := range []*node{a, b} {
+		output, _ := n.checkAll(ended, 1203)
+		is.Equal(string(output["i7"].Response.Body), `{"echo":"i7"}`)
+	}
+	for id, runs := range c.runs {
+		if runs != 1 {
+			t.Errorf("item %s ran %d times without any failure", id, runs)
+		}
+	}
+}
+
+// Guards against a paused owner that wakes after its chunk was taken over and
+// commits or adds a second result.
+func TestPausedOwnerCommitsNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	a, b := c.start("a", nil), c.start("b", nil)
+	c.serve = func(string) answer { return answer{status: 200, delay: 2 * time.Millisecond} }
+	job := b.submit(3000, chatPath)
+	for b.job(job.ID).RequestCounts.Completed == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	a.pause()
+	ended := c.await(job.ID, func() *node { return b })
+	is.Equal(ended.RequestCounts.Completed, 3000)
+	a.resume()
+	time.Sleep(200 * time.Millisecond)
+	is.Equal(b.job(job.ID).RequestCounts, ended.RequestCounts)
+	b.checkAll(ended, 3000)
+}
--- /dev/null
+++ b/internal/jobs/options.go
@@ -0,0 +1,119 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/dispatch"
+	"ragwortstep/internal/events"
+	"ragwortstep/internal/fleet"
+	"ragwortstep/internal/limiter"
+	"ragwortstep/internal/peer"
+	"ragwortstep/internal/platform"
+)
+
+// Dispatcher runs one item at a backend server. A refusal is a
+// *dispatch.RefusedError.
+type Dispatcher interface {
+	Do(ctx context.Context, req *dispatch.Request) (*dispatch.Response, error)
+}
+
+// Limiter paces items by their workspace's rate. A *limiter.RefusedError
+// makes the runner wait for RetryAfter and ask again.
+type Limiter interface {
+	Acquire(ctx context.Context, workspace string, n float64, class limiter.Class) error
+}
+
+// Fleet is what the jobs service uses of the membership.
+type Fleet interface {
+	View() fleet.View
+	Config() *config.Snapshot
+	MayAdmit(now time.Time) error
+	Publish(section string, value any)
+	Subscribe(section string, fn func(from peer.HostID, raw json.RawMessage))
+	Nudge()
+}
+
+// Options configures a Service. Fields without a default are required unless
+// marked optional. Zero durations and sizes take the default.
+type Options struct {
+	Host        peer.HostID // this host's name, as in fleet.View.Members
+	Incarnation string      // new for each process start, as in fleet.Member.Incarnation
+
+	Store      platform.Store
+	Fleet      Fleet
+	Peers      peer.Caller // optional: without it, hosts learn of jobs by listing only
+	Dispatcher Dispatcher
+	Limiter    Limiter // optional: without it, items are not paced
+	// IsPreempted reports that an error of Dispatcher.Do means that the item
+	// yielded to online work, for example errors.Is(err, dispatch.ErrPreempted).
+	// Optional: without it, no error counts as preemption.
+	IsPreempted func(error) bool
+	Events      *events.Recorder // optional
+
+	// DataFolder is the folder for bulk data; empty when the host has no disk.
+	DataFolder string
+
+	Workers       int           // items in flight, default 256
+	OpenChunks    int           // chunks claimed at once, default 16
+	MaxAttempts   int           // attempts per item over all owners, default 3, at most 255
+	ItemTimeout   time.Duration // deadline of one attempt whose route sets none, default 10 min
+	Retention     time.Duration // of files and results, default 720 h
+	HeldBytes     int64         // unsaved results in memory, default 32 MiB
+	HeldDiskBytes int64         // unsaved results under DataFolder, default 1 GiB
+	MaxFileBytes  int64         // largest uploaded file, default 2 GiB
+	MaxItems      int           // items per file, default 200,000
+	MaxUploads    int           // files uploaded at once per host, default 4
+
+	Discovery      time.Duration // interval between listings of active jobs, default 10 s, jittered
+	WatchInterval  time.Duration // the same on the watching hosts of a zone, default 1 s
+	CommitInterval time.Duration // interval between commits of a chunk, default 5 s
+	FinishInterval time.Duration // interval between checks whether a job has ended, default 10 s
+	RepairInterval time.Duration // interval between index repairs, default 60 s
+	SweepInterval  time.Duration // interval between retention sweeps, default 1 h
+	CommitRate     float64       // commits per second and host after an outage, default 20
+	RetryDelay     time.Duration // first delay before an item is tried again, default 500 ms
+	SealGrace      time.Duration // time for owners to save results of a cancelled job, default 1 s
+
+	Now func() time.Time // default time.Now
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// withDefaults returns the options with defaults in place of zero values.
+func (o Options) withDefaults() Options {
+	setDefault(&o.Workers, 256)
+	setDefault(&o.OpenChunks, 16)
+	setDefault(&o.MaxAttempts, 3)
+	setDefault(&o.ItemTimeout, 10*time.Minute)
+	setDefault(&o.Retention, 720*time.Hour)
+	setDefault(&o.HeldBytes, 32<<20)
+	setDefault(&o.HeldDiskBytes, 1<<30)
+	setDefault(&o.MaxFileBytes, 2<<30)
+	setDefault(&o.MaxItems, 200_000)
+	setDefault(&o.MaxUploads, 4)
+	setDefault(&o.Discovery, 10*time.Second)
+	setDefault(&o.WatchInterval, time.Second)
+	setDefault(&o.CommitInterval, 5*time.Second)
+	setDefault(&o.FinishInterval, 10*time.Second)
+	setDefault(&o.RepairInterval, time.Minute)
+	setDefault(&o.SweepInterval, time.Hour)
+	setDefault(&o.CommitRate, 20)
+	setDefault(&o.RetryDelay, 500*time.Millisecond)
+	setDefault(&o.SealGrace, time.Second)
+	o.MaxAttempts = min(o.MaxAttempts, 255)
+	if o.IsPreempted == nil {
+		o.IsPreempted = func(error) bool { return false }
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
--- /dev/null
+++ b/internal/jobs/service.go
@@ -0,0 +1,187 @@
+// Package jobs stores callers' files, runs batch jobs over the fleet, and
+// serves /v1/files and /v1/batches in OpenAI's form.
+//
+// All durable state is in the platform. A host claims chunks of jobs, runs
+// their items through the dispatcher and commits results by conditional
+// updates of the chunk's progress, which are the only commit points. Any host
+// can be lost at any time; the rules are in internal/core/batch.
+package jobs
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/core/batch"
+	"ragwortstep/internal/events"
+	"ragwortstep/internal/platform"
+)
+
+// cleanupTimeout bounds the removal of what a failed request wrote.
+const cleanupTimeout = 5 * time.Second
+
+// lastCommitTime bounds the commits of interrupted chunks at the end of Close.
+const lastCommitTime = 2 * time.Second
+
+// counters are the package's expvar metrics.
+var counters = expvar.NewMap("jobs")
+
+// Service stores files and runs batch jobs on one host.
+type Service struct {
+	o        Options
+	store    platform.Store
+	writer   *platform.Writer
+	owner    batch.Owner
+	registry *registry
+	uploads  chan struct{}
+	slots    *slots
+	held     *heldResults
+	pace     *pacer
+	pool     pond.Pool
+	samples  *sampler
+	wakeup   chan struct{}
+	finishUp chan struct{}
+
+	mu   sync.Mutex
+	runs map[runKey]*chunkRun
+
+	ctx      context.Context // ends when the process must stop at once
+	stop     context.CancelFunc
+	items    context.Context // ends when running items must stop
+	halt     context.CancelFunc
+	draining context.Context // ends when no new item may start
+	drain    context.CancelFunc
+	wg       sync.WaitGroup
+	closing  bool // no further background work; guarded by mu
+}
+
+// New returns a service that serves callers at once and runs jobs after Start.
+func New(o Options) *Service {
+	o = o.withDefaults()
+	s := &Service{
+		o:        o,
+		store:    o.Store,
+		writer:   platform.NewWriter(string(o.Host) + "/" + o.Incarnation),
+		owner:    batch.Owner{Host: string(o.Host), Incarnation: o.Incarnation},
+		uploads:  make(chan struct{}, o.MaxUploads),
+		slots:    newSlots(o.Workers),
+		held:     newHeldResults(o.HeldBytes, o.HeldDiskBytes, o.DataFolder),
+		pace:     &pacer{interval: time.Duration(float64(time.Second) / o.CommitRate), now: o.Now},
+		pool:     pond.NewPool(o.Workers),
+		samples:  newSampler(o.Now),
+		wakeup:   make(chan struct{}, 1),
+		finishUp: make(chan struct{}, 1),
+		runs:     map[runKey]*chunkRun{},
+		registry: newRegistry(o.Now),
+	}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.items, s.halt = context.WithCancel(s.ctx)
+	s.draining, s.drain = context.WithCancel(s.items)
+	s.registry.onCancel = s.wakeFinish
+	if o.Peers != nil {
+		o.Peers.Handle(methodNotify, s.handleNotify)
+	}
+	if o.Fleet != nil {
+		o.Fleet.Subscribe(sectionJobs, s.receiveSection)
+	}
+	return s
+}
+
+// Start begins to run jobs. The service stops when Close is called; ctx only
+// bounds the start itself.
+func (s *Service) Start(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(err, "start jobs")
+	}
+	if err := s.held.reset(); err != nil {
+		return errors.Wrap(err, "start jobs")
+	}
+	for _, loop := range []func(){s.discoverLoop, s.fillLoop, s.finishLoop, s.repairLoop, s.sweepLoop} {
+		s.spawn(loop)
+	}
+	return nil
+}
+
+// Close starts no further item, waits until running items are finished or ctx
+// ends, commits their results, and gives up the claimed chunks. Items still
+// running at the end of ctx are interrupted; another host runs them again.
+func (s *Service) Close(ctx context.Context) error {
+	s.drain()
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		s.halt()
+		select {
+		case <-done:
+		case <-time.After(lastCommitTime):
+		}
+	}
+	s.stop()
+	<-done
+	s.pool.StopAndWait()
+	return errors.Wrap(s.held.reset(), "close jobs")
+}
+
+// spawn runs fn in the background, unless the service is closing.
+func (s *Service) spawn(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closing {
+		s.wg.Go(fn)
+	}
+}
+
+func (s *Service) now() time.Time { return s.o.Now() }
+
+// wake makes the fill loop look for work.
+func (s *Service) wake() {
+	select {
+	case s.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) record(e events.Event) {
+	if s.o.Events != nil {
+		s.o.Events.Record(e)
+	}
+}
+
+// every calls fn until the service drains, with jittered pauses of the given
+// mean length.
+func (s *Service) every(interval func() time.Duration, fn func(ctx context.Context)) {
+	for sleep(s.draining, jitter(interval())) {
+		fn(s.draining)
+	}
+}
+
+// sleep reports false when ctx ended before the time was over.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// jitter returns a duration from 3/4 to 5/4 of d, so that hosts do not call
+// the platform at the same moment.
+func jitter(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(rand.Int64N(int64(d/2)+1))
+}
