Add the test harness

Cause: integration tests, the demo, the load tool and the soak run all need a whole deployment of real processes with faults.

Ruled out: relays between hosts. settings.Listen.Peers is both the bound and the published address, so nothing can stand between two hosts; this needs a separate published address. Per zone pair delays to servers: the table has one address per server, so its link has the mean delay over host zones.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(GO) run ./test/corecheck
 
 unit:
-	$(GO) test ./cmd/... ./internal/... ./test/standin/... ./test/deploy/... ./test/bench/... ./test/corecheck/...
+	$(GO) test ./cmd/... ./internal/... ./test/standin/... ./test/harness/... ./test/deploy/... ./test/bench/... ./test/corecheck/...
 
 test: build lint
 	./test/run.sh
--- /dev/null
+++ b/test/harness/operator.go
@@ -0,0 +1,201 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-resty/resty/v2"
+
+	"ragwortstep/internal/core/config"
+)
+
+const (
+	operatorTimeout = 15 * time.Second
+	writeAttempts   = 40
+	writePause      = 100 * time.Millisecond
+)
+
+// Operator is a client of the operators' API of one host.
+type Operator struct {
+	URL    string
+	client *resty.Client
+}
+
+// NewOperator returns a client with the operator key.
+func NewOperator(url, key string) *Operator {
+	c := resty.New().SetBaseURL(url + "/admin/v1").SetAuthToken(key).SetTimeout(operatorTimeout)
+	return &Operator{URL: url, client: c}
+}
+
+// Key is a caller's key as shown once at its creation.
+type Key struct {
+	ID  string `json:"id"`
+	Raw string `json:"raw"`
+}
+
+// WriteResult is the answer to a write of the configuration.
+type WriteResult struct {
+	Revision int64 `json:"revision"`
+	InForce  *bool `json:"in_force"` // with a wait only
+	Key      *Key  `json:"key"`      // of a created key
+}
+
+// StatusError reports an answer with an unexpected status.
+type StatusError struct {
+	Step   string
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s: status %d: %s", e.Step, e.Status, e.Body)
+}
+
+// Revision returns the revision in force at the host.
+func (o *Operator) Revision(ctx context.Context) (int64, error) {
+	var body struct {
+		Revision int64 `json:"revision"`
+	}
+	err := o.getJSON(ctx, "/config", &body)
+	return body.Revision, err
+}
+
+// HostStatus is one host in the answer of /status.
+type HostStatus struct {
+	Host      string `json:"host"`
+	Alive     bool   `json:"alive"`
+	Revision  int64  `json:"revision"`
+	Epoch     uint64 `json:"epoch"`
+	LeaseHeld bool   `json:"lease_held"`
+}
+
+// Status returns what the host knows of all hosts.
+func (o *Operator) Status(ctx context.Context) ([]HostStatus, error) {
+	var body struct {
+		Hosts []HostStatus `json:"hosts"`
+	}
+	err := o.getJSON(ctx, "/status", &body)
+	return body.Hosts, err
+}
+
+// Events returns the events of the host after a sequence number, as JSON.
+func (o *Operator) Events(ctx context.Context, after uint64) (json.RawMessage, error) {
+	var body json.RawMessage
+	err := o.getJSON(ctx, fmt.Sprintf("/events?after=%d", after), &body)
+	return body, err
+}
+
+func (o *Operator) getJSON(ctx context.Context, path string, into any) error {
+	resp, err := o.client.R().SetContext(ctx).Get(path)
+	if err != nil {
+		return errors.Wrapf(err, "operator get %s", path)
+	}
+	if resp.StatusCode() != http.StatusOK {
+		return &StatusError{Step: "operator get " + path, Status: resp.StatusCode(), Body: resp.String()}
+	}
+	return errors.Wrapf(json.Unmarshal(resp.Body(), into), "operator get %s: decode", path)
+}
+
+// WriteOnce sends one write based on the revision, without a retry. wait is
+// the longest wait for all hosts to have the result in force, 0 for none.
+func (o *Operator) WriteOnce(ctx context.Context, method, path string, body any, revision int64, wait time.Duration) (WriteResult, error) {
+	req := o.client.R().SetContext(ctx).SetHeader("If-Match", fmt.Sprintf("%q", fmt.Sprint(revision)))
+	if wait > 0 {
+		req.SetQueryParam("wait", wait.String())
+	}
+	switch b := body.(type) {
+	case nil:
+	case string:
+		req.SetBody(b).SetHeader("Content-Type", "text/csv")
+	default:
+		req.SetBody(b)
+	}
+	resp, err := req.Execute(method, path)
+	step := "operator " + strings.ToLower(method) + " " + path
+	if err != nil {
+		return WriteResult{}, errors.Wrap(err, step)
+	}
+	if resp.StatusCode() >= http.StatusBadRequest {
+		return WriteResult{}, &StatusError{Step: step, Status: resp.StatusCode(), Body: resp.String()}
+	}
+	var result WriteResult
+	return result, errors.Wrapf(json.Unmarshal(resp.Body(), &result), "%s: decode", step)
+}
+
+// Write repeats a write on the current revision until it is applied or refused
+// for another reason than a conflict or an unavailable platform.
+func (o *Operator) Write(ctx context.Context, method, path string, body any, wait time.Duration) (WriteResult, error) {
+	var last error
+	for range writeAttempts {
+		revision, err := o.Revision(ctx)
+		if err == nil {
+			var result WriteResult
+			if result, err = o.WriteOnce(ctx, method, path, body, revision, wait); err == nil {
+				return result, nil
+			}
+		}
+		if last = err; !mayRepeat(err) || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(writePause)
+	}
+	return WriteResult{}, last
+}
+
+// mayRepeat is true for conflicts and passing failures. All writes but the
+// creation of keys are idempotent.
+func mayRepeat(err error) bool {
+	var status *StatusError
+	if !errors.As(err, &status) {
+		return true
+	}
+	return status.Status == http.StatusPreconditionFailed || status.Status == http.StatusServiceUnavailable
+}
+
+// PutTable merges rows into the table of workspaces.
+func (o *Operator) PutTable(ctx context.Context, rows []WorkspaceSpec, wait time.Duration) (WriteResult, error) {
+	return o.Write(ctx, http.MethodPut, "/table", FormatTable(rows), wait)
+}
+
+// FormatTable returns the rows as the operators' CSV table.
+func FormatTable(rows []WorkspaceSpec) string {
+	var b strings.Builder
+	b.WriteString("workspace,weight,rate,burst,max_queue,note\n")
+	for _, w := range rows {
+		fmt.Fprintf(&b, "%s,%g,%g,%g,%d,\n", w.Name, w.Weight, w.Rate, w.Burst, w.MaxQueue)
+	}
+	return b.String()
+}
+
+// PutRoute creates or replaces a route.
+func (o *Operator) PutRoute(ctx context.Context, route config.Route) (WriteResult, error) {
+	return o.Write(ctx, http.MethodPut, "/routes/"+route.Name, route, 0)
+}
+
+// PutServer creates or replaces a backend server.
+func (o *Operator) PutServer(ctx context.Context, server config.Server) (WriteResult, error) {
+	return o.Write(ctx, http.MethodPut, "/servers/"+server.Name, server, 0)
+}
+
+// CreateKey issues a key for the workspace.
+func (o *Operator) CreateKey(ctx context.Context, workspace string, wait time.Duration) (Key, error) {
+	result, err := o.Write(ctx, http.MethodPost, "/workspaces/"+workspace+"/keys", nil, wait)
+	if err != nil {
+		return Key{}, err
+	}
+	if result.Key == nil {
+		return Key{}, errors.Newf("operator create key of %s: answer without key", workspace)
+	}
+	return *result.Key, nil
+}
+
+// RevokeKey revokes a key.
+func (o *Operator) RevokeKey(ctx context.Context, id string, wait time.Duration) (WriteResult, error) {
+	return o.Write(ctx, http.MethodDelete, "/keys/"+id, nil, wait)
+}
--- /dev/null
+++ b/test/harness/standins.go
@@ -0,0 +1,188 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-resty/resty/v2"
+
+	client "ragwortstep/internal/platform"
+	"ragwortstep/test/standin/engine"
+	"ragwortstep/test/standin/platform"
+	"ragwortstep/test/standin/relay"
+	"ragwortstep/test/standin/service"
+)
+
+// controlTimeout bounds a control call; ledgers may be large.
+const controlTimeout = 60 * time.Second
+
+// control is a client of a stand-in's control interface.
+type control struct {
+	URL    string
+	client *resty.Client
+}
+
+func newControl(address string) control {
+	return control{URL: "http://" + address, client: resty.New().SetBaseURL("http://" + address).SetTimeout(controlTimeout)}
+}
+
+func (c control) call(ctx context.Context, method, path string, body, into any) error {
+	req := c.client.R().SetContext(ctx)
+	if body != nil {
+		req.SetBody(body)
+	}
+	resp, err := req.Execute(method, path)
+	if err != nil {
+		return errors.Wrapf(err, "stand-in %s %s%s", method, c.URL, path)
+	}
+	if resp.StatusCode() >= http.StatusBadRequest {
+		return &StatusError{Step: "stand-in " + method + " " + c.URL + path, Status: resp.StatusCode(), Body: resp.String()}
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(resp.Body(), into), "stand-in %s %s%s: decode", method, c.URL, path)
+}
+
+// Reset clears the stand-in's ledger.
+func (c control) Reset(ctx context.Context) error {
+	return c.call(ctx, http.MethodDelete, "/ledger", nil, nil)
+}
+
+// ClearFaults restores the stand-in's initial fault switches.
+func (c control) ClearFaults(ctx context.Context) error {
+	return c.call(ctx, http.MethodDelete, "/fault", nil, nil)
+}
+
+// SetFault changes the named fault switches and leaves the others as they are.
+func (c control) SetFault(ctx context.Context, fields map[string]any) error {
+	return c.call(ctx, http.MethodPost, "/fault", fields, nil)
+}
+
+// Platform is the running platform stand-in.
+type Platform struct {
+	control
+	*Process
+}
+
+// Ledger returns the platform's call counts.
+func (p *Platform) Ledger(ctx context.Context) (platform.Summary, error) {
+	var s platform.Summary
+	return s, p.call(ctx, http.MethodGet, "/ledger", nil, &s)
+}
+
+// Writes returns the history of writes to keys with the prefix.
+func (p *Platform) Writes(ctx context.Context, prefix string) ([]platform.Write, error) {
+	var w []platform.Write
+	return w, p.call(ctx, http.MethodGet, "/ledger/writes?prefix="+url.QueryEscape(prefix), nil, &w)
+}
+
+// SetHosts replaces the list of hosts and servers, visible after the lag.
+func (p *Platform) SetHosts(ctx context.Context, hosts []client.HostEntry) error {
+	return p.call(ctx, http.MethodPost, "/hosts", map[string]any{"hosts": hosts}, nil)
+}
+
+// Engine is a running engine stand-in.
+type Engine struct {
+	control
+	*Process
+	Spec    EngineSpec
+	Address string // of the engine itself
+	Via     string // of the relay in front of it, as in the table of servers
+}
+
+// Records returns the ledger's records after a sequence number.
+func (e *Engine) Records(ctx context.Context, after int64) ([]engine.Record, error) {
+	var r []engine.Record
+	return r, e.call(ctx, http.MethodGet, fmt.Sprintf("/ledger?after=%d", after), nil, &r)
+}
+
+// Summary returns the ledger's counts.
+func (e *Engine) Summary(ctx context.Context) (engine.Summary, error) {
+	var s engine.Summary
+	return s, e.call(ctx, http.MethodGet, "/ledger?summary=1", nil, &s)
+}
+
+// Service is a running plain service.
+type Service struct {
+	control
+	*Process
+	Spec    ServiceSpec
+	Address string
+	Via     string
+}
+
+// Calls returns the calls that ran after a sequence number.
+func (s *Service) Calls(ctx context.Context, after int64) ([]service.Call, error) {
+	var c []service.Call
+	return c, s.call(ctx, http.MethodGet, fmt.Sprintf("/ledger?after=%d", after), nil, &c)
+}
+
+// Summary returns the ledger's counts.
+func (s *Service) Summary(ctx context.Context) (service.Summary, error) {
+	var sum service.Summary
+	return sum, s.call(ctx, http.MethodGet, "/ledger?summary=1", nil, &sum)
+}
+
+// Relay is the running relay.
+type Relay struct {
+	control
+	*Process
+}
+
+// Links of the relay are named by what they lead to.
+const (
+	linkCallers  = "callers-"  // callers to a host
+	linkServer   = "server-"   // hosts to a backend server
+	linkPlatform = "platform-" // a host to the platform
+)
+
+// CallersLink returns the name of the link from callers to the host.
+func CallersLink(host string) string { return linkCallers + host }
+
+// ServerLink returns the name of the link from hosts to the backend server.
+func ServerLink(server string) string { return linkServer + server }
+
+// PlatformLink returns the name of the link from the host to the platform.
+func PlatformLink(host string) string { return linkPlatform + host }
+
+// Fault applies a fault to the matching links.
+func (r *Relay) Fault(ctx context.Context, f relay.Fault) error {
+	return r.call(ctx, http.MethodPost, "/fault", f, nil)
+}
+
+// Cut resets all open connections of the matching links.
+func (r *Relay) Cut(ctx context.Context, links string) error {
+	return r.Fault(ctx, relay.Fault{Link: links, Cut: true})
+}
+
+// Freeze silences all open connections of the matching links for good.
+func (r *Relay) Freeze(ctx context.Context, links string) error {
+	return r.Fault(ctx, relay.Fault{Link: links, Freeze: true})
+}
+
+// Refuse makes the matching links refuse new connections, or accept them again.
+func (r *Relay) Refuse(ctx context.Context, links string, refuse bool) error {
+	return r.Fault(ctx, relay.Fault{Link: links, Refuse: &refuse})
+}
+
+// Silence holds the data of the matching links: to_target, to_client, both, or empty to end it.
+func (r *Relay) Silence(ctx context.Context, links, direction string) error {
+	return r.Fault(ctx, relay.Fault{Link: links, Silent: &direction})
+}
+
+// Truncate closes connections of the matching links after n bytes to the client; 0 ends it.
+func (r *Relay) Truncate(ctx context.Context, links string, n int64) error {
+	return r.Fault(ctx, relay.Fault{Link: links, TruncateAfter: &n})
+}
+
+// Status returns the state and counters of all links.
+func (r *Relay) Status(ctx context.Context) ([]relay.Status, error) {
+	var s []relay.Status
+	return s, r.call(ctx, http.MethodGet, "/ledger", nil, &s)
+}
--- a/test/standin/engine/answer.go
+++ b/test/standin/engine/answer.go
@@ -49,7 +49,7 @@
 	}
 }
 
-func (q *request) usage(rec *Record) *usage {
+func (q *request) usage(rec *entry) *usage {
 	made := rec.tokenCount()
 	return &usage{
 		PromptTokens: rec.PromptTokens, CompletionTokens: made, TotalTokens: rec.PromptTokens + made,
@@ -59,7 +59,7 @@
 
 // writePlain answers with the whole text at once. With cut true it announces
 // the full length, sends half and closes the connection.
-func (q *request) writePlain(w http.ResponseWriter, rec *Record, cut bool) {
+func (q *request) writePlain(w http.ResponseWriter, rec *entry, cut bool) {
 	text := AnswerText(q.id, q.ResumeFrom, q.tokens)
 	reason := q.finishReason()
 	c := choice{Text: &text, FinishReason: &reason}
@@ -135,7 +135,7 @@
 }
 
 // finish sends the finish reason, the usage when asked for, and the end mark.
-func (s *streamWriter) finish(rec *Record) error {
+func (s *streamWriter) finish(rec *entry) error {
 	reason := s.q.finishReason()
 	empty := ""
 	c := choice{Text: &empty, FinishReason: &reason}
--- a/test/standin/engine/ledger.go
+++ b/test/standin/engine/ledger.go
@@ -26,12 +26,17 @@
 	Outcome      outcome     `json:"outcome"`
 	Tokens       int         `json:"tokens"`      // made in this request
 	Concurrency  int         `json:"concurrency"` // sequences in the batch when it was admitted
+}
 
+// entry is a record of the ledger. The ledger's lock guards the record;
+// tokens are counted without it.
+type entry struct {
+	Record
 	tokens atomic.Int64
 }
 
-func (r *Record) addToken()       { r.tokens.Add(1) }
-func (r *Record) tokenCount() int { return int(r.tokens.Load()) }
+func (e *entry) addToken()       { e.tokens.Add(1) }
+func (e *entry) tokenCount() int { return int(e.tokens.Load()) }
 
 // Summary is the answer of GET /ledger?summary=1.
 type Summary struct {
@@ -52,7 +57,7 @@
 
 	mu       sync.Mutex
 	seq      int64
-	records  []*Record
+	records  []*entry
 	outcomes map[outcome]int
 	tokens   int64
 }
@@ -61,8 +66,8 @@
 	return &ledger{max: limit, headers: headers, outcomes: map[outcome]int{}}
 }
 
-func (l *ledger) begin(r *http.Request, now time.Time) *Record {
-	rec := &Record{Path: r.URL.Path, Query: r.URL.RawQuery, ArrivedMS: millis(now), Outcome: outcomeRunning}
+func (l *ledger) begin(r *http.Request, now time.Time) *entry {
+	rec := &entry{Record: Record{Path: r.URL.Path, Query: r.URL.RawQuery, ArrivedMS: millis(now), Outcome: outcomeRunning}}
 	if l.headers {
 		rec.Header = r.Header.Clone()
 	}
@@ -71,14 +76,14 @@
 	l.seq++
 	rec.Seq = l.seq
 	if len(l.records) >= l.max {
-		l.records = append([]*Record(nil), l.records[l.max/4:]...)
+		l.records = append([]*entry(nil), l.records[l.max/4:]...)
 	}
 	l.records = append(l.records, rec)
 	return rec
 }
 
 // admitted notes that the request entered the batch.
-func (l *ledger) admitted(rec *Record, now time.Time, concurrency, cached int) {
+func (l *ledger) admitted(rec *entry, now time.Time, concurrency, cached int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	rec.StartedMS = millis(now)
@@ -87,7 +92,7 @@
 }
 
 // end notes how the request ended. Only the first call has an effect.
-func (l *ledger) end(rec *Record, how outcome, now time.Time) {
+func (l *ledger) end(rec *entry, how outcome, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if rec.Outcome != outcomeRunning {
@@ -101,10 +106,10 @@
 }
 
 // after returns copies of the records with a sequence larger than seq.
-func (l *ledger) after(seq int64) []*Record {
+func (l *ledger) after(seq int64) []Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := []*Record{}
+	out := []Record{}
 	for _, rec := range l.records {
 		if rec.Seq > seq {
 			out = append(out, rec.snapshot())
@@ -113,14 +118,10 @@
 	return out
 }
 
-func (r *Record) snapshot() *Record {
-	return &Record{
-		Seq: r.Seq, ID: r.ID, Path: r.Path, Query: r.Query, Header: r.Header, Model: r.Model,
-		Stream: r.Stream, ResumeFrom: r.ResumeFrom, PromptTokens: r.PromptTokens,
-		CachedTokens: r.CachedTokens, MaxTokens: r.MaxTokens, ArrivedMS: r.ArrivedMS,
-		StartedMS: r.StartedMS, EndedMS: r.EndedMS, Outcome: r.Outcome,
-		Tokens: r.tokenCount(), Concurrency: r.Concurrency,
-	}
+func (e *entry) snapshot() Record {
+	rec := e.Record
+	rec.Tokens = e.tokenCount()
+	return rec
 }
 
 func (l *ledger) summary() Summary {
@@ -137,7 +138,7 @@
 func (l *ledger) reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var open []*Record
+	var open []*entry
 	for _, rec := range l.records {
 		if rec.Outcome == outcomeRunning {
 			open = append(open, rec)
--- a/test/standin/engine/sequence.go
+++ b/test/standin/engine/sequence.go
@@ -21,7 +21,7 @@
 // sequence is one request in the batch. The batcher owns it between submit
 // and the close of done; made is published through progress.
 type sequence struct {
-	record *Record
+	record *entry
 
 	prefill int // prompt tokens still to be processed
 	kv      int // tokens that its KV cache holds
--- a/test/standin/engine/server.go
+++ b/test/standin/engine/server.go
@@ -248,7 +248,7 @@
 	s.answerPlain(w, r, q, seq, cut)
 }
 
-func newSequence(q *request, rec *Record, f Faults) *sequence {
+func newSequence(q *request, rec *entry, f Faults) *sequence {
 	return &sequence{
 		record:   rec,
 		prefill:  q.promptTokens() + q.ResumeFrom,
@@ -262,7 +262,7 @@
 }
 
 // describe fills the record before the batcher knows it.
-func (s *Server) describe(rec *Record, q *request) {
+func (s *Server) describe(rec *entry, q *request) {
 	s.ledger.mu.Lock()
 	defer s.ledger.mu.Unlock()
 	rec.ID, rec.Model, rec.Stream = q.id, q.Model, q.Stream
@@ -270,7 +270,7 @@
 	rec.PromptTokens = q.promptTokens()
 }
 
-func (s *Server) refuse(w http.ResponseWriter, rec *Record, status int, text string) {
+func (s *Server) refuse(w http.ResponseWriter, rec *entry, status int, text string) {
 	s.ledger.end(rec, outcomeFailed, time.Now())
 	control.WriteJSON(w, status, map[string]any{"error": map[string]any{"message": text, "type": "server_error"}})
 }
