Add the cores of server choice, scheduling and retries

The parts of all hosts in a server's slots come from cumulative rounding with a shift per server, so they add up to the limit exactly and cost one computation per server; a largest-remainder division needs a sort of all hosts per server, which at 420 hosts and 420 servers does not fit the control budget.

--- /dev/null
+++ b/internal/core/balance/observe.go
@@ -0,0 +1,147 @@
+package balance
+
+import "time"
+
+// Ticket identifies one request in flight at a server.
+type Ticket struct {
+	Server string
+	sentAt time.Time
+	load   float64 // estimated load including this request
+	valid  bool
+}
+
+// Outcome is how a request at a server ended.
+type Outcome int
+
+// Outcomes.
+const (
+	Succeeded Outcome = iota
+	Failed            // the server or its connection failed
+	Neutral           // says nothing about the server: cancelled, preempted
+)
+
+// Transition reports a change of a server's ejection.
+type Transition int
+
+// Transitions.
+const (
+	NoChange Transition = iota
+	Ejected
+	Restored
+)
+
+// Sent notes that a request is sent to the server.
+func (b *Balancer) Sent(now time.Time, name string) Ticket {
+	s, ok := b.servers[name]
+	if !ok {
+		return Ticket{Server: name}
+	}
+	s.inFlight++
+	s.record(now)
+	s.ejection.sent()
+	return Ticket{Server: name, sentAt: now, load: s.load(now), valid: true}
+}
+
+// Finished notes the end of a request with its actual cost in tokens. cost 0
+// means that its latency says nothing, for example after a truncated response.
+func (b *Balancer) Finished(now time.Time, t Ticket, outcome Outcome, cost float64) Transition {
+	s, ok := b.servers[t.Server]
+	if !ok || !t.valid {
+		return NoChange
+	}
+	s.inFlight = max(0, s.inFlight-1)
+	s.record(now)
+	switch outcome {
+	case Failed:
+		if s.ejection.failed(now) {
+			return Ejected
+		}
+	case Neutral:
+		s.ejection.neutral()
+	case Succeeded:
+		if cost > 0 {
+			s.learn(now, now.Sub(t.sentAt).Seconds()/(costFloor+cost), t.load)
+		}
+		if s.ejection.succeeded() {
+			return Restored
+		}
+	}
+	return NoChange
+}
+
+// Reported takes a load report into account.
+func (b *Balancer) Reported(now time.Time, name string, r Report) {
+	if s, ok := b.servers[name]; ok {
+		s.ejection.polled(now, true)
+		s.takeReport(now, r)
+	}
+}
+
+// Polled notes whether a server without a load report answered a poll.
+func (b *Balancer) Polled(now time.Time, name string, ok bool) Transition {
+	s, found := b.servers[name]
+	if found && s.ejection.polled(now, ok) {
+		return Ejected
+	}
+	return NoChange
+}
+
+// Load returns the estimated requests at the server, of this and other hosts.
+func (b *Balancer) Load(now time.Time, name string) float64 {
+	if s, ok := b.servers[name]; ok {
+		return s.load(now)
+	}
+	return 0
+}
+
+// InFlight returns the own requests at the server.
+func (b *Balancer) InFlight(name string) int {
+	if s, ok := b.servers[name]; ok {
+		return s.inFlight
+	}
+	return 0
+}
+
+// Limit returns the learned limit of requests at the server, at least 1.
+func (b *Balancer) Limit(name string) int {
+	if s, ok := b.servers[name]; ok {
+		return s.limit()
+	}
+	return 1
+}
+
+// PoolState summarizes a pool.
+type PoolState struct {
+	Servers   int // configured and not leaving
+	Available int // neither leaving nor ejected
+	Slots     int // sum of the limits of available servers
+}
+
+// Pool returns the state of a pool.
+func (b *Balancer) Pool(now time.Time, name string) PoolState {
+	var st PoolState
+	p, ok := b.pools[name]
+	if !ok {
+		return st
+	}
+	for _, s := range p.servers {
+		if s.cfg.Leaving {
+			continue
+		}
+		st.Servers++
+		if s.available(now) {
+			st.Available++
+			st.Slots += s.limit()
+		}
+	}
+	return st
+}
+
+// Pools returns the names of all pools with servers.
+func (b *Balancer) Pools() []string {
+	out := make([]string, 0, len(b.pools))
+	for name := range b.pools {
+		out = append(out, name)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/retry/idempotency.go
@@ -0,0 +1,74 @@
+package retry
+
+import "time"
+
+// RecordState is the state of an idempotency record at its owner.
+type RecordState int
+
+// States of a record. A record starts as RecordWriting and is removed only by
+// Abandon or at the end of its retention.
+const (
+	RecordWriting RecordState = iota // not yet durable, its claimer has no answer
+	RecordRunning                    // durable, its claimer may send the request
+	RecordDone                       // the claimer reported the response
+	RecordUnknown                    // it cannot be told whether the request ran
+)
+
+// IdempotencyRecord is what the owner of a key knows of it.
+type IdempotencyRecord struct {
+	State   RecordState
+	Claim   string    // id of the claim that may run the request
+	Claimer string    // incarnation of the host that made the claim
+	At      time.Time // of the claim
+}
+
+// ClaimAnswer is what a claim finds.
+type ClaimAnswer int
+
+// Answers to a claim.
+const (
+	ClaimFresh   ClaimAnswer = iota // the claimer may send the request
+	ClaimRunning                    // another claim is running
+	ClaimDone                       // the request ran to its end
+	ClaimUnknown                    // it cannot be told
+)
+
+// Answer returns what a claim with the given id finds in the record. alive
+// tells whether the incarnation that made the first claim is still a member.
+// A claim that is repeated with its own id, after a lost answer, finds itself.
+func (r IdempotencyRecord) Answer(claim string, alive bool) ClaimAnswer {
+	switch r.State {
+	case RecordDone:
+		return ClaimDone
+	case RecordUnknown:
+		return ClaimUnknown
+	}
+	switch {
+	case r.Claim == claim:
+		return ClaimFresh
+	case !alive:
+		return ClaimUnknown
+	}
+	return ClaimRunning
+}
+
+// Complete notes the response of a claim. It reports false for a claim that
+// is not the record's.
+func (r *IdempotencyRecord) Complete(claim string) bool {
+	if r.Claim != claim || r.State == RecordWriting {
+		return false
+	}
+	r.State = RecordDone
+	return true
+}
+
+// MayAbandon reports whether the claim may be withdrawn: it is the record's
+// and has not ended.
+func (r IdempotencyRecord) MayAbandon(claim string) bool {
+	return r.Claim == claim && (r.State == RecordWriting || r.State == RecordRunning)
+}
+
+// Expired reports whether the record's retention is over.
+func (r IdempotencyRecord) Expired(now time.Time, retention time.Duration) bool {
+	return now.Sub(r.At) > retention
+}
--- /dev/null
+++ b/internal/core/schedule/division.go
@@ -0,0 +1,227 @@
+package schedule
+
+import (
+	"math"
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Claimant is one party in a water-filling.
+type Claimant struct {
+	Weight float64
+	Demand float64
+}
+
+// WaterFill divides a capacity by weight so that none gets more than its
+// demand, and what some leave is divided among the others by weight.
+func WaterFill(capacity float64, claimants []Claimant) []float64 {
+	out := make([]float64, len(claimants))
+	order := make([]int, len(claimants))
+	var weights float64
+	for i, c := range claimants {
+		order[i] = i
+		weights += max(c.Weight, minWeight)
+	}
+	level := func(i int) float64 { return claimants[i].Demand / max(claimants[i].Weight, minWeight) }
+	sort.SliceStable(order, func(a, b int) bool { return level(order[a]) < level(order[b]) })
+	for _, i := range order {
+		weight := max(claimants[i].Weight, minWeight)
+		out[i] = min(claimants[i].Demand, max(0, capacity)*weight/weights)
+		capacity -= out[i]
+		weights -= weight
+	}
+	return out
+}
+
+// Amount is an amount of work.
+type Amount struct {
+	Tokens float64 // estimated
+	Items  int
+}
+
+func (a Amount) add(b Amount) Amount {
+	return Amount{a.Tokens + b.Tokens, a.Items + b.Items}
+}
+
+// WorkspaceDemand is one workspace's waiting and running work at one host.
+type WorkspaceDemand struct {
+	Workspace string
+	Online    Amount
+	Batch     Amount
+}
+
+// HostDemand is the demand of one host in one pool.
+type HostDemand struct {
+	Host       string
+	Workspaces []WorkspaceDemand
+}
+
+// Division is the parts of one host in a pool's slots.
+type Division struct {
+	online, batch span
+	// OnlineItems is the online work in the whole pool.
+	OnlineItems int
+	// Weights is each workspace's local weight per class: its configured
+	// weight times the part of its demand that is at this host.
+	Weights [classes]map[string]float64
+}
+
+// span is a host's interval on a line on which all hosts' parts follow one
+// another from 0 to 1.
+type span struct{ low, high float64 }
+
+// whole is the span of a host that shares with none.
+var whole = span{0, 1}
+
+// Divide computes the parts of host self in a pool with the given total
+// slots. weights holds the configured weight of each workspace. All hosts that
+// know the same demand compute parts that add up to the whole.
+func Divide(self string, slots int, weights map[string]float64, hosts []HostDemand) Division {
+	hosts = slices.Clone(hosts)
+	slices.SortFunc(hosts, func(a, b HostDemand) int { return compare(a.Host, b.Host) })
+	total := totalDemand(hosts)
+	capacity := float64(slots) * total.meanCost()
+	d := Division{OnlineItems: total.online.Items}
+	online := entitlements(capacity, weights, total.byWorkspace, Online)
+	for _, tokens := range online {
+		capacity -= tokens
+	}
+	batch := entitlements(capacity, weights, total.byWorkspace, Batch)
+	d.online, d.Weights[Online] = part(self, hosts, weights, total.byWorkspace, online, Online)
+	d.batch, d.Weights[Batch] = part(self, hosts, weights, total.byWorkspace, batch, Batch)
+	return d
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// totals is the demand over all hosts.
+type totals struct {
+	byWorkspace   map[string]WorkspaceDemand
+	online, batch Amount
+}
+
+func totalDemand(hosts []HostDemand) totals {
+	t := totals{byWorkspace: map[string]WorkspaceDemand{}}
+	for _, h := range hosts {
+		for _, w := range h.Workspaces {
+			sum := t.byWorkspace[w.Workspace]
+			sum.Online = sum.Online.add(w.Online)
+			sum.Batch = sum.Batch.add(w.Batch)
+			t.byWorkspace[w.Workspace] = sum
+			t.online = t.online.add(w.Online)
+			t.batch = t.batch.add(w.Batch)
+		}
+	}
+	return t
+}
+
+// meanCost converts slots to tokens.
+func (t totals) meanCost() float64 {
+	all := t.online.add(t.batch)
+	if all.Items == 0 {
+		return 1
+	}
+	return max(1, all.Tokens/float64(all.Items))
+}
+
+func (w WorkspaceDemand) of(class Class) Amount {
+	if class == Batch {
+		return w.Batch
+	}
+	return w.Online
+}
+
+// entitlements returns each workspace's part of the capacity in tokens.
+func entitlements(capacity float64, weights map[string]float64, demand map[string]WorkspaceDemand, class Class) map[string]float64 {
+	var names []string
+	for name, w := range demand {
+		if w.of(class).Items > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	claimants := make([]Claimant, len(names))
+	for i, name := range names {
+		claimants[i] = Claimant{Weight: weightOf(weights, name), Demand: demand[name].of(class).Tokens}
+	}
+	out := make(map[string]float64, len(names))
+	for i, tokens := range WaterFill(capacity, claimants) {
+		out[names[i]] = tokens
+	}
+	return out
+}
+
+// part computes the span of host self and its local weights. Without any
+// demand in the class the span is the whole, so that the first request of an
+// idle fleet is not held back. All hosts add the same numbers in the same
+// order, so that their spans meet exactly.
+func part(self string, hosts []HostDemand, weights map[string]float64, total map[string]WorkspaceDemand, entitled map[string]float64, class Class) (span, map[string]float64) {
+	local := map[string]float64{}
+	var end, low, high float64
+	for _, h := range hosts {
+		start := end
+		for _, w := range h.Workspaces {
+			all := total[w.Workspace].of(class).Tokens
+			mine := w.of(class).Tokens
+			if mine <= 0 || all <= 0 {
+				continue
+			}
+			end += entitled[w.Workspace] * mine / all
+			if h.Host == self {
+				local[w.Workspace] = weightOf(weights, w.Workspace) * mine / all
+			}
+		}
+		if h.Host == self {
+			low, high = start, end
+		}
+	}
+	if end <= 0 {
+		return whole, local
+	}
+	return span{low / end, high / end}, local
+}
+
+func weightOf(weights map[string]float64, workspace string) float64 {
+	if w, ok := weights[workspace]; ok {
+		return w
+	}
+	return defaultWeight
+}
+
+// Slots returns the host's part of one server's limit in a class. The parts
+// of all hosts add up to the limit exactly: each part is the number of whole
+// slots in the host's span after a shift that depends on the server only, so
+// rounding favours different hosts at different servers.
+func (d Division) Slots(server string, limit int, class Class) int {
+	s := d.online
+	if class == Batch {
+		s = d.batch
+	}
+	shift := float64(xxhash.Sum64String(server)>>11) / (1 << 53)
+	n := float64(limit)
+	return int(math.Floor(s.high*n+shift) - math.Floor(s.low*n+shift))
+}
+
+// headroomPart is the part of the slots that batch work leaves free for the
+// first requests of an online burst. The rest of a burst takes slots from
+// batch work by preemption, so the part only has to cover the milliseconds
+// until a cancelled item has left its server.
+const headroomPart = 1.0 / 16
+
+// Headroom returns the slots of one server that batch work leaves free. It
+// rounds up at a part of the servers that depends on the server's name, so
+// that the pool as a whole keeps headroomPart free.
+func Headroom(server string, limit int) int {
+	shift := float64(xxhash.Sum64String(server)&0xffff) / 0x10000
+	return int(math.Floor(float64(limit)*headroomPart + shift))
+}
--- /dev/null
+++ b/internal/core/schedule/heap.go
@@ -0,0 +1,74 @@
+package schedule
+
+// nodeHeap orders the items of one workspace by deadline, then by arrival.
+// Items without a deadline come last.
+type nodeHeap []*node
+
+func (h nodeHeap) Len() int { return len(h) }
+
+func (h nodeHeap) Less(i, j int) bool {
+	x, y := h[i], h[j]
+	dx, dy := x.item.Deadline, y.item.Deadline
+	switch {
+	case dx.IsZero() != dy.IsZero():
+		return dy.IsZero()
+	case !dx.Equal(dy):
+		return dx.Before(dy)
+	}
+	return x.seq < y.seq
+}
+
+func (h nodeHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *nodeHeap) Push(x any) {
+	n := x.(*node)
+	n.index = len(*h)
+	*h = append(*h, n)
+}
+
+// Pop implements heap.Interface.
+func (h *nodeHeap) Pop() any {
+	old := *h
+	n := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return n
+}
+
+// flowHeap orders backlogged workspaces by virtual start time.
+type flowHeap []*flow
+
+func (h flowHeap) Len() int { return len(h) }
+
+func (h flowHeap) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].workspace < h[j].workspace
+}
+
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	f.index = -1
+	return f
+}
