Queue, schedule and retry requests in the dispatcher

Requests wait in a fair queue per pool and get a slot on a server: online work within the host's part of the slots or what load reports show as free, batch work below the headroom and only while no online request waits. Online work that finds no free slot cancels idempotent batch work here and, by a nudged demand section, at the peers.

A broken connection makes its request a suspect only until the server is known to have survived: by a poll over a connection opened before the loss, or by a response that was in flight during it. Without this, cut connections would quarantine requests that never harmed a server.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -14,6 +14,7 @@
 // failed exchange can state truthfully whether any part of it was sent.
 type trackedConn struct {
 	net.Conn
+	opened  time.Time
 	mu      sync.Mutex // held during Write
 	written int64
 }
@@ -61,7 +62,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		return &trackedConn{Conn: conn, opened: time.Now()}, nil
 	}
 }
 
--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,7 +21,9 @@
 	maxLoadBytes  = 4 << 10
 	pollJitter    = 0.2         // part of the interval
 	pollPatience  = 3           // poll timeouts until the pooled connection is given up
-	minPokedDelay = time.Second // between polls that a suspicion asked for
+	minPokedDelay = time.Second // between polls that a slow exchange asked for
+	// minUrgentDelay bounds the polls after broken connections.
+	minUrgentDelay = 50 * time.Millisecond
 )
 
 // Load is a server's load report. It lags behind the server's actual state.
@@ -34,9 +37,10 @@
 
 // Observer receives the results of polls. Its methods must not block.
 type Observer interface {
-	// LoadReported receives a report that arrived now. A server without load
-	// reports is alive but has no report: known is false.
-	LoadReported(server string, load Load, known bool)
+	// LoadReported receives a report that arrived now over a connection that
+	// was opened at opened. A server without load reports is alive but has no
+	// report: known is false.
+	LoadReported(server string, load Load, known bool, opened time.Time)
 	// PollFailed reports that the server did not answer on a new connection.
 	PollFailed(server string, err error)
 }
@@ -96,6 +100,10 @@
 			if time.Since(last) < minPokedDelay {
 				continue
 			}
+		case <-s.pollUrgent:
+			if time.Since(last) < minUrgentDelay {
+				continue
+			}
 		}
 		last = time.Now()
 		c.pollOnce(ctx, s, observer)
@@ -109,9 +117,10 @@
 
 // pollResult is the outcome of one poll.
 type pollResult struct {
-	load  Load
-	known bool
-	err   error
+	load   Load
+	known  bool
+	opened time.Time // when the connection was opened
+	err    error
 }
 
 // pollOnce polls on the pooled connection and, when that is slow or fails, on
@@ -162,40 +171,56 @@
 	case r.err != nil:
 		observer.PollFailed(s.name, r.err)
 	default:
-		observer.LoadReported(s.name, r.load, r.known)
+		observer.LoadReported(s.name, r.load, r.known, r.opened)
 	}
 }
 
 func (s *server) pollAsync(ctx context.Context, gen *generation) <-chan pollResult {
 	out := make(chan pollResult, 1)
 	go func() {
-		load, known, err := s.poll(ctx, gen)
-		out <- pollResult{load, known, err}
+		out <- s.poll(ctx, gen)
 	}()
 	return out
 }
 
-// poll fetches the load report over one generation's poll connection. known
-// is false when the server answers without a report.
-func (s *server) poll(ctx context.Context, gen *generation) (load Load, known bool, err error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address+loadPath, nil)
+// poll fetches the load report over one generation's poll connection.
+func (s *server) poll(ctx context.Context, gen *generation) pollResult {
+	var result pollResult
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*trackedConn); ok {
+			result.opened = conn.opened
+		}
+	}}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, "http://"+s.address+loadPath, nil)
 	if err != nil {
-		return Load{}, false, errors.Wrapf(err, "poll server %s", s.name)
+		return pollResult{err: errors.Wrapf(err, "poll server %s", s.name)}
 	}
 	resp, err := gen.polls.RoundTrip(req)
 	if err != nil {
-		return Load{}, false, errors.Wrapf(err, "poll server %s", s.name)
+		return pollResult{err: errors.Wrapf(err, "poll server %s", s.name)}
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes))
-	if err != nil {
-		return Load{}, false, errors.Wrapf(err, "poll server %s: read", s.name)
+	switch {
+	case err != nil:
+		result.err = errors.Wrapf(err, "poll server %s: read", s.name)
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		result.err = errors.Newf("poll server %s: status %d", s.name, resp.StatusCode)
+	case resp.StatusCode == http.StatusOK:
+		result.known = json.Unmarshal(raw, &result.load) == nil
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable {
-		return Load{}, false, errors.Newf("poll server %s: status %d", s.name, resp.StatusCode)
+	return result
+}
+
+// PollNow polls the server at once, to learn whether it survived the loss of
+// a connection.
+func (c *Client) PollNow(name string) {
+	s, err := c.server(name)
+	if err != nil {
+		return
 	}
-	if resp.StatusCode != http.StatusOK || json.Unmarshal(raw, &load) != nil {
-		return Load{}, false, nil
+	select {
+	case s.pollUrgent <- struct{}{}:
+	default:
 	}
-	return load, true, nil
 }
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -48,7 +48,9 @@
 	opts      Options
 	pollEvery atomic.Int64  // ns
 	pollNow   chan struct{} // capacity 1
-	stopPoll  context.CancelFunc
+	// pollUrgent asks for a poll after a connection broke, capacity 1.
+	pollUrgent chan struct{}
+	stopPoll   context.CancelFunc
 
 	mu        sync.Mutex
 	gen       *generation
@@ -60,12 +62,13 @@
 
 func newServer(name, address string, opts Options) *server {
 	return &server{
-		name:      name,
-		address:   address,
-		opts:      opts,
-		pollNow:   make(chan struct{}, 1),
-		gen:       newGeneration(1, opts),
-		exchanges: map[*exchange]struct{}{},
+		name:       name,
+		address:    address,
+		opts:       opts,
+		pollNow:    make(chan struct{}, 1),
+		pollUrgent: make(chan struct{}, 1),
+		gen:        newGeneration(1, opts),
+		exchanges:  map[*exchange]struct{}{},
 	}
 }
 
--- a/internal/core/retry/suspects.go
+++ b/internal/core/retry/suspects.go
@@ -228,6 +228,26 @@
 	return true
 }
 
+// Survived notes that the server went on running since a time before the
+// losses reported on it, so only connections broke and no request is suspect
+// for it.
+func (s *Suspects) Survived(server string, since time.Time) bool {
+	changed := false
+	for fp, l := range s.own {
+		if l.server != server || l.at.Before(since) {
+			continue
+		}
+		changed = true
+		if l.count--; l.count == 0 {
+			delete(s.own, fp)
+			continue
+		}
+		l.server = ""
+		s.own[fp] = l
+	}
+	return changed
+}
+
 // Known reports whether any fingerprint is remembered, so that callers can
 // skip the checks in the common case.
 func (s *Suspects) Known() bool {
--- /dev/null
+++ b/internal/dispatch/demand.go
@@ -0,0 +1,192 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"ragwortstep/internal/core/retry"
+	"ragwortstep/internal/core/schedule"
+	"ragwortstep/internal/peer"
+)
+
+// Heartbeat sections of the dispatcher.
+const (
+	demandSection     = "demand"
+	quarantineSection = "quarantine"
+	leavingSection    = "leaving"
+)
+
+// publishInterval is how often demand is published; heartbeats carry it every
+// 500 ms, and at once after a nudge.
+const publishInterval = 200 * time.Millisecond
+
+// demandMessage is the section demand: the work of one host by pool.
+type demandMessage map[string]poolDemand
+
+// poolDemand is one host's work in one pool.
+type poolDemand struct {
+	Pressed      bool              `json:"pressed,omitempty"` // an online request found no free slot
+	BatchRunning int               `json:"batch_running,omitempty"`
+	Workspaces   []workspaceDemand `json:"workspaces,omitempty"`
+}
+
+// workspaceDemand is one workspace's waiting and running work.
+type workspaceDemand struct {
+	Workspace    string  `json:"w"`
+	OnlineTokens float64 `json:"ot,omitempty"`
+	OnlineItems  int     `json:"oi,omitempty"`
+	BatchTokens  float64 `json:"bt,omitempty"`
+	BatchItems   int     `json:"bi,omitempty"`
+}
+
+// peerDemand is a peer's demand with the time of its arrival.
+type peerDemand struct {
+	poolDemand
+	at time.Time
+}
+
+// divide computes the host's parts of the pool's slots and the local weights
+// from the demand of all hosts. The caller holds mu.
+func (d *Dispatcher) divide(p *poolState, now time.Time) {
+	hosts := []schedule.HostDemand{p.ownDemand(d.self).forHost(d.self)}
+	for host, peer := range p.peers {
+		if now.Sub(peer.at) < demandExpiry {
+			hosts = append(hosts, peer.forHost(hostName(host)))
+		}
+	}
+	slots := d.bal.Pool(now, p.name).Slots
+	p.division = schedule.Divide(d.self, slots, d.weights, hosts)
+	p.divided, p.dirty = now, false
+	for class, weights := range p.division.Weights {
+		for workspace, weight := range weights {
+			p.queue.SetWeight(schedule.Class(class), workspace, weight)
+		}
+	}
+}
+
+func (m poolDemand) forHost(host string) schedule.HostDemand {
+	out := schedule.HostDemand{Host: host}
+	for _, w := range m.Workspaces {
+		out.Workspaces = append(out.Workspaces, schedule.WorkspaceDemand{
+			Workspace: w.Workspace,
+			Online:    schedule.Amount{Tokens: w.OnlineTokens, Items: w.OnlineItems},
+			Batch:     schedule.Amount{Tokens: w.BatchTokens, Items: w.BatchItems},
+		})
+	}
+	return out
+}
+
+// ownDemand adds up the host's waiting and running work, sorted by workspace.
+func (p *poolState) ownDemand(string) poolDemand {
+	byName := map[string]workspaceDemand{}
+	add := func(workspace string, class schedule.Class, tokens float64, items int) {
+		w := byName[workspace]
+		w.Workspace = workspace
+		if class == schedule.Batch {
+			w.BatchTokens += tokens
+			w.BatchItems += items
+		} else {
+			w.OnlineTokens += tokens
+			w.OnlineItems += items
+		}
+		byName[workspace] = w
+	}
+	p.queue.Backlogs(func(b schedule.Backlog) { add(b.Workspace, b.Class, b.Tokens, b.Items) })
+	out := poolDemand{}
+	for key, amount := range p.running {
+		add(key.workspace, key.class, amount.Tokens, amount.Items)
+		if key.class == schedule.Batch {
+			out.BatchRunning += amount.Items
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		out.Workspaces = append(out.Workspaces, byName[name])
+	}
+	return out
+}
+
+// publish publishes demand, and suspects when they changed.
+func (d *Dispatcher) publish(now time.Time) {
+	d.mu.Lock()
+	demand := d.demand(now)
+	due := demand != nil
+	var suspects *retry.Report
+	if d.suspectsDirty || (due && d.suspects.Known()) {
+		report := d.suspects.Report(now)
+		suspects = &report
+	}
+	nudge := d.suspectsDirty
+	d.suspectsDirty = false
+	d.mu.Unlock()
+	if due {
+		d.opts.Fleet.Publish(demandSection, demand)
+	}
+	if suspects != nil {
+		d.opts.Fleet.Publish(quarantineSection, suspects)
+	}
+	if nudge {
+		d.opts.Fleet.Nudge()
+	}
+}
+
+// demand returns the section to publish, or nil when it is not due yet. The
+// caller holds mu.
+func (d *Dispatcher) demand(now time.Time) demandMessage {
+	if now.Sub(d.publishedAt) < publishInterval {
+		return nil
+	}
+	d.publishedAt = now
+	out := demandMessage{}
+	for name, p := range d.pools {
+		own := p.ownDemand(d.self)
+		own.Pressed = now.Sub(p.pressedAt) <= pressFor
+		if own.Pressed || len(own.Workspaces) > 0 {
+			out[name] = own
+		}
+	}
+	return out
+}
+
+// publishNow publishes demand out of turn and sends it to the peers at once.
+func (d *Dispatcher) publishNow() {
+	d.mu.Lock()
+	d.publishedAt = time.Time{}
+	d.mu.Unlock()
+	d.publish(time.Now())
+	d.opts.Fleet.Nudge()
+}
+
+// demandReceived takes over a peer's demand and makes room for its online work.
+func (d *Dispatcher) demandReceived(from peer.HostID, raw json.RawMessage) {
+	var m demandMessage
+	if err := json.Unmarshal(raw, &m); err != nil {
+		counters.Add("bad_sections", 1)
+		return
+	}
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, p := range d.pools {
+		if _, ok := m[name]; !ok {
+			delete(p.peers, from)
+			p.dirty = true
+		}
+	}
+	for name, demand := range m {
+		d.peerDemand(d.pool(name), from, peerDemand{demand, now})
+	}
+}
+
+// peerDemand takes over a peer's demand in one pool. The caller holds mu.
+func (d *Dispatcher) peerDemand(p *poolState, from peer.HostID, demand peerDemand) {
+	p.peers[from] = demand
+	p.dirty = true
+	if demand.Pressed {
+		p.holdUntil = demand.at.Add(holdBatch)
+		d.divide(p, demand.at)
+		d.yield(p, demand.at)
+	}
+	d.schedule(p, demand.at)
+}
--- /dev/null
+++ b/internal/dispatch/do.go
@@ -0,0 +1,298 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/backend"
+	"ragwortstep/internal/core/balance"
+	"ragwortstep/internal/core/schedule"
+	"ragwortstep/internal/invariant"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request, including the first.
+	maxAttempts = 3
+	// bytesPerToken converts prompt and response bytes to estimated tokens.
+	bytesPerToken = 4.0
+	// queueRetryAfter is the advice with a full queue.
+	queueRetryAfter = time.Second
+)
+
+// EstimateCost returns the estimated work in tokens of a request with the
+// given prompt size and bound of generated tokens.
+func EstimateCost(promptBytes, maxTokens int) float64 {
+	return max(1, float64(promptBytes)/bytesPerToken+float64(maxTokens))
+}
+
+// Do waits for a slot, runs the request at a server of its pool and returns
+// when the response's header has arrived. The caller closes Response.Body.
+//
+// It returns *RefusedError when no response was obtained, *PreemptedError when
+// an idempotent batch item had to make room for online work, and the
+// context's error when ctx was cancelled by the caller.
+func (d *Dispatcher) Do(ctx context.Context, req *Request) (*Response, error) {
+	j, err := d.admit(req)
+	if err != nil {
+		return nil, err
+	}
+	cancel := func() {}
+	if !req.Deadline.IsZero() {
+		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+	}
+	resp, err := d.attempts(ctx, cancel, j)
+	if err != nil {
+		cancel()
+		d.leave()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// admit checks what can be refused before queueing and counts the call.
+func (d *Dispatcher) admit(req *Request) (*job, error) {
+	j := &job{req: req, class: classOf(req.Class), cost: req.Cost, fp: fingerprint(req), ready: make(chan grant, 1)}
+	if j.cost <= 0 {
+		j.cost = EstimateCost(len(req.Body), 0)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining && j.class == schedule.Batch {
+		return nil, j.refuse(http.StatusServiceUnavailable, "draining", "the host is shutting down", time.Second)
+	}
+	d.nextID++
+	j.id = d.nextID
+	d.budget.Request(time.Now())
+	d.active++
+	counters.Add("requests", 1)
+	return j, nil
+}
+
+// leave ends a call that admit counted.
+func (d *Dispatcher) leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.active--
+	invariant.Check(d.active >= 0, "active", "end call", "")
+	d.signalIdle()
+}
+
+// attempts runs a job until it has a response or may not be repeated.
+func (d *Dispatcher) attempts(ctx context.Context, cancel context.CancelFunc, j *job) (*Response, error) {
+	for {
+		r, err := d.acquire(ctx, j)
+		if err != nil {
+			return nil, err
+		}
+		stop := context.AfterFunc(ctx, func() { r.cancel(context.Cause(ctx)) })
+		resp, failure := d.send(r)
+		if failure == nil && !d.repeatAnswer(r, resp) {
+			return d.respond(r, resp, func() { stop(); cancel() }), nil
+		}
+		stop()
+		if failure == nil {
+			d.discard(r, resp)
+			continue
+		}
+		if err := d.failed(ctx, r, failure); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// acquire queues the job and waits for a slot.
+func (d *Dispatcher) acquire(ctx context.Context, j *job) (*run, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, d.contextError(ctx, j)
+	}
+	p, err := d.enqueue(j)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case g := <-j.ready:
+		return g.run, g.err
+	case <-ctx.Done():
+		d.abandon(p, j)
+		return nil, d.contextError(ctx, j)
+	}
+}
+
+// enqueue adds the job to its pool's queue.
+func (d *Dispatcher) enqueue(j *job) (*poolState, error) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.quarantineError(j, now); err != nil {
+		return nil, err
+	}
+	if d.bal.Pool(now, j.req.Pool).Servers == 0 {
+		return nil, j.refuse(http.StatusServiceUnavailable, "no_server", "no server in pool "+strconv.Quote(j.req.Pool), time.Second)
+	}
+	p := d.pool(j.req.Pool)
+	item := schedule.Item{ID: j.id, Workspace: j.req.Workspace, Class: j.class, Cost: j.cost, Deadline: j.req.Deadline}
+	if !p.queue.Push(item, d.maxQueue(j)) {
+		counters.Add("queue_full", 1)
+		return nil, j.refuse(http.StatusTooManyRequests, "queue_full", "too many requests of the workspace are waiting", queueRetryAfter)
+	}
+	p.waiting[j.id] = j
+	p.dirty = true
+	d.schedule(p, now)
+	return p, nil
+}
+
+// maxQueue returns the bound of waiting requests of the job's workspace. A
+// repeated attempt is not bounded: it was accepted before.
+func (d *Dispatcher) maxQueue(j *job) int {
+	if j.attempts > 0 {
+		return 0
+	}
+	if j.class == schedule.Batch {
+		return d.opts.BatchQueue
+	}
+	if w, ok := d.cfg.Workspaces[j.req.Workspace]; ok && w.MaxQueue > 0 {
+		return w.MaxQueue
+	}
+	return defaultMaxQueue
+}
+
+// abandon takes a job out of the queue after its context ended, or frees the
+// slot that it was given in the meantime.
+func (d *Dispatcher) abandon(p *poolState, j *job) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p.queue.Remove(j.id) {
+		delete(p.waiting, j.id)
+		return
+	}
+	if g := <-j.ready; g.run != nil {
+		g.run.cancel(context.Canceled)
+		d.end(g.run, balance.Neutral, 0, time.Now())
+	}
+}
+
+// send runs one attempt at its server.
+func (d *Dispatcher) send(r *run) (*backend.Response, *backend.Error) {
+	j := r.job
+	invariant.Check(j.req.Idempotent || !j.sent, "I10", "send", r.server, "request", j.req.ID)
+	j.attempts++
+	resp, err := d.client.Do(r.ctx, r.server, &backend.Request{
+		ID:     j.req.ID + "-" + strconv.Itoa(j.attempts),
+		Method: j.req.Method, Path: j.req.Path, Header: j.req.Header, Body: j.req.Body,
+		Stream: j.req.Stream, Idempotent: j.req.Idempotent,
+	})
+	if err == nil {
+		j.sent = true
+		return resp, nil
+	}
+	var failure *backend.Error
+	if !errors.As(err, &failure) {
+		failure = &backend.Error{Stage: backend.NoResponse, Cause: backend.Broken, Step: "send", Peer: r.server, Err: err}
+	}
+	if failure.Stage > backend.NotSent {
+		j.sent = true
+	}
+	return nil, failure
+}
+
+// failed frees the slot of a failed attempt. It returns nil when the job may
+// be repeated, and the error for the caller otherwise.
+func (d *Dispatcher) failed(ctx context.Context, r *run, failure *backend.Error) error {
+	j := r.job
+	now := time.Now()
+	preempted := r.preempted()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.end(r, outcomeOf(failure), 0, now)
+	r.cancel(nil)
+	if preempted != nil {
+		return preempted
+	}
+	if failure.Cause == backend.Cancelled {
+		return d.contextError(ctx, j)
+	}
+	if failure.Cause == backend.Malformed && failure.Stage == backend.NotSent {
+		return j.refuse(http.StatusBadRequest, "bad_request", failure.Error(), 0)
+	}
+	if failure.Cause == backend.Broken && failure.Stage != backend.NotSent {
+		d.lost(r, now)
+	}
+	j.tried = append(j.tried, r.server)
+	if d.mayRepeat(j, failure.Stage == backend.NotSent, now) {
+		counters.Add("retries", 1)
+		return nil
+	}
+	return j.serverFailed(failure)
+}
+
+func (j *job) serverFailed(failure *backend.Error) *RefusedError {
+	status, code := http.StatusBadGateway, "server_failed"
+	if failure.Cause == backend.Silent {
+		status, code = http.StatusGatewayTimeout, "server_silent"
+	}
+	if !j.sent {
+		status, code = http.StatusServiceUnavailable, "no_server"
+	}
+	out := j.refuse(status, code, failure.Error(), time.Second)
+	out.Step, out.Peer = failure.Step, failure.Peer
+	return out
+}
+
+// mayRepeat reports whether a failed job may be tried again, and spends the
+// retry. A non-idempotent request may only when nothing was sent.
+func (d *Dispatcher) mayRepeat(j *job, nothingSent bool, now time.Time) bool {
+	if j.attempts >= maxAttempts {
+		return false
+	}
+	if !j.req.Idempotent && (j.sent || !nothingSent) {
+		return false
+	}
+	return d.budget.Take(now)
+}
+
+// outcomeOf tells what a failure says about the server.
+func outcomeOf(failure *backend.Error) balance.Outcome {
+	switch failure.Cause {
+	case backend.Cancelled:
+		return balance.Neutral
+	case backend.Malformed:
+		if failure.Stage == backend.NotSent {
+			return balance.Neutral
+		}
+	}
+	return balance.Failed
+}
+
+// contextError returns the error of a job whose context ended.
+func (d *Dispatcher) contextError(ctx context.Context, j *job) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return j.refuse(http.StatusGatewayTimeout, "deadline", "no response before the deadline", 0)
+	}
+	return errors.Wrapf(context.Cause(ctx), "dispatch to pool %s", j.req.Pool)
+}
+
+// repeatAnswer reports whether a response says that the server could not take
+// the request, and the request may go to another server.
+func (d *Dispatcher) repeatAnswer(r *run, resp *backend.Response) bool {
+	if resp.Status != http.StatusServiceUnavailable || !r.job.req.Idempotent {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mayRepeat(r.job, false, time.Now())
+}
+
+// discard drops a response whose request is repeated.
+func (d *Dispatcher) discard(r *run, resp *backend.Response) {
+	_ = resp.Body.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.job.tried = append(r.job.tried, r.server)
+	counters.Add("retries", 1)
+	d.end(r, balance.Failed, 0, time.Now())
+	r.cancel(nil)
+}
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -1,13 +1,9 @@
 package dispatch
 
-import (
-	"bytes"
-	"io"
-)
-
 // PreemptedError reports that batch work was cancelled at its server to make
-// room for online work. Do returns it, and so does Response.Body.Read. The
-// item may be queued again without counting an attempt.
+// room for online work. Do returns it, and so does Response.Body.Read. Only
+// idempotent items are preempted; the item may be queued again without
+// counting an attempt.
 type PreemptedError struct {
 	Server string
 }
@@ -16,10 +12,3 @@
 func (e *PreemptedError) Error() string {
 	return "batch work preempted at " + e.Server
 }
-
-func newBody(b []byte) io.Reader {
-	if len(b) == 0 {
-		return nil
-	}
-	return bytes.NewReader(b)
-}
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,334 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"ragwortstep/internal/core/balance"
+	"ragwortstep/internal/core/retry"
+	"ragwortstep/internal/core/schedule"
+	"ragwortstep/internal/fleet"
+	"ragwortstep/internal/invariant"
+	"ragwortstep/internal/peer"
+)
+
+const (
+	// divideInterval bounds how often a pool is divided when demand changes.
+	divideInterval = 20 * time.Millisecond
+	// holdBatch is how long batch work stops starting after a peer reported
+	// waiting online requests.
+	holdBatch = 250 * time.Millisecond
+	// demandExpiry is the age at which a peer's demand is ignored.
+	demandExpiry = 3 * time.Second
+)
+
+// poolState is the queue and the work in flight of one pool.
+type poolState struct {
+	name     string
+	queue    *schedule.Queue
+	waiting  map[uint64]*job
+	runs     map[*run]struct{}
+	batchAt  map[string]int // batch work in flight by server
+	running  map[flowKey]schedule.Amount
+	division schedule.Division
+	divided  time.Time
+	dirty    bool
+	peers    map[peer.HostID]peerDemand
+	// holdUntil is until when no batch work starts.
+	holdUntil time.Time
+	pressedAt time.Time // when an online request last found no free slot
+	// unusableSince is since when no server is usable, zero when one is.
+	unusableSince time.Time
+}
+
+// flowKey is a workspace in a class.
+type flowKey struct {
+	workspace string
+	class     schedule.Class
+}
+
+func newPoolState(name string) *poolState {
+	return &poolState{
+		name:    name,
+		queue:   schedule.NewQueue(),
+		waiting: map[uint64]*job{},
+		runs:    map[*run]struct{}{},
+		batchAt: map[string]int{},
+		running: map[flowKey]schedule.Amount{},
+		peers:   map[peer.HostID]peerDemand{},
+		dirty:   true,
+	}
+}
+
+func (p *poolState) forgetAbsent(v fleet.View) {
+	for host := range p.peers {
+		if !v.Alive[host] {
+			delete(p.peers, host)
+			p.dirty = true
+		}
+	}
+}
+
+// job is one call of Do.
+type job struct {
+	id       uint64
+	req      *Request
+	class    schedule.Class
+	cost     float64
+	fp       retry.Fingerprint
+	ready    chan grant // capacity 1
+	tried    []string   // servers that failed
+	attempts int
+	sent     bool // at least one byte went to a server
+}
+
+// grant is the end of a job's wait: a slot or a refusal.
+type grant struct {
+	run *run
+	err error
+}
+
+// run is one attempt of a job in a slot of a server.
+type run struct {
+	job     *job
+	pool    *poolState
+	server  string
+	ticket  balance.Ticket
+	started time.Time
+	suspect bool
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	ended   bool
+}
+
+// schedule gives free slots to waiting requests: to online ones first, and to
+// batch items only when no online request waits. The caller holds mu.
+func (d *Dispatcher) schedule(p *poolState, now time.Time) {
+	if p.queue.Len(schedule.Online)+p.queue.Len(schedule.Batch) == 0 {
+		return
+	}
+	if p.dirty && now.Sub(p.divided) >= divideInterval {
+		d.divide(p, now)
+	}
+	for d.startNext(p, schedule.Online, now) {
+	}
+	if p.queue.Len(schedule.Online) > 0 {
+		d.press(p, now)
+		return
+	}
+	if now.Before(p.holdUntil) || d.opts.Fleet.MayAdmit(now) != nil {
+		return
+	}
+	for d.startNext(p, schedule.Batch, now) {
+	}
+}
+
+// startNext starts the next waiting request of a class. It reports false when
+// none can start.
+func (d *Dispatcher) startNext(p *poolState, class schedule.Class, now time.Time) bool {
+	if p.queue.Len(class) == 0 {
+		return false
+	}
+	var server string
+	item, ok := p.queue.Pop(class, func(it schedule.Item) bool {
+		var found bool
+		server, found = d.pick(p, p.waiting[it.ID], now)
+		return found
+	})
+	if !ok {
+		return false
+	}
+	j := p.waiting[item.ID]
+	delete(p.waiting, item.ID)
+	if class == schedule.Batch {
+		invariant.Check(p.queue.Len(schedule.Online) == 0, "I3", "start batch item", server, "pool", p.name)
+	}
+	j.ready <- grant{run: d.begin(p, j, server, now)}
+	return true
+}
+
+// pick chooses a server for a job among those with a slot for it.
+func (d *Dispatcher) pick(p *poolState, j *job, now time.Time) (string, bool) {
+	suspect := false
+	if d.suspects.Known() {
+		verdict, _ := d.suspects.Check(j.fp, now)
+		suspect = verdict == retry.Suspect
+	}
+	usable := func(name string) bool {
+		return d.hasSlot(p, name, j.class, now) && (!suspect || d.suspects.MayRun(j.fp, name, now))
+	}
+	query := balance.Query{Pool: p.name, PrefixHash: j.req.PrefixHash, Usable: usable}
+	if len(j.tried) == 0 {
+		return d.bal.Pick(now, d.rng, query)
+	}
+	query.Usable = func(name string) bool { return !j.hasTried(name) && usable(name) }
+	if server, ok := d.bal.Pick(now, d.rng, query); ok {
+		return server, true
+	}
+	if !d.triedAll(p, j, now) {
+		return "", false
+	}
+	query.Usable = usable
+	return d.bal.Pick(now, d.rng, query)
+}
+
+func (j *job) hasTried(server string) bool {
+	for _, t := range j.tried {
+		if t == server {
+			return true
+		}
+	}
+	return false
+}
+
+// triedAll reports whether every available server of the pool failed for the
+// job, so that a failed one may be tried again.
+func (d *Dispatcher) triedAll(p *poolState, j *job, now time.Time) bool {
+	return len(j.tried) >= d.bal.Pool(now, p.name).Available
+}
+
+// hasSlot reports whether a server has a slot for one more request. Online
+// work may use the host's part of the slots in any case, and beyond it what
+// the load report shows as free; batch work of this host gives way to it.
+// Batch work needs a free slot beyond the headroom.
+func (d *Dispatcher) hasSlot(p *poolState, server string, class schedule.Class, now time.Time) bool {
+	limit := d.bal.Limit(server)
+	load := d.bal.Load(now, server)
+	batch := p.batchAt[server]
+	if class == schedule.Batch {
+		limit -= schedule.Headroom(server, limit)
+		return load < float64(limit) && batch < p.division.Slots(server, limit, schedule.Batch)
+	}
+	if d.baseline() {
+		return true
+	}
+	own := d.bal.InFlight(server)
+	if !d.opts.NoPreempt {
+		own -= batch
+		load -= float64(batch)
+	}
+	if own >= limit {
+		return false
+	}
+	return load < float64(limit) || own < p.division.Slots(server, limit, schedule.Online)
+}
+
+func (d *Dispatcher) baseline() bool {
+	switch balance.Policy(d.opts.Policy) {
+	case balance.RoundRobin, balance.LeastOutstanding, balance.Random:
+		return true
+	}
+	return false
+}
+
+// begin occupies a slot. The caller holds mu.
+func (d *Dispatcher) begin(p *poolState, j *job, server string, now time.Time) *run {
+	r := &run{job: j, pool: p, server: server, started: now}
+	if j.class == schedule.Online && !d.baseline() {
+		d.makeRoom(p, server, now)
+	}
+	if d.suspects.Known() {
+		if verdict, _ := d.suspects.Check(j.fp, now); verdict == retry.Suspect {
+			r.suspect = d.suspects.Start(j.fp, server)
+			d.suspectsDirty = true
+		}
+	}
+	r.ticket = d.bal.Sent(now, server)
+	r.ctx, r.cancel = context.WithCancelCause(context.Background())
+	p.runs[r] = struct{}{}
+	key := flowKey{j.req.Workspace, j.class}
+	sum := p.running[key]
+	p.running[key] = schedule.Amount{Tokens: sum.Tokens + j.cost, Items: sum.Items + 1}
+	if j.class == schedule.Batch {
+		p.batchAt[server]++
+	}
+	return r
+}
+
+// end frees a run's slot. Calls after the first have no effect. The caller
+// holds mu.
+func (d *Dispatcher) end(r *run, outcome balance.Outcome, actual float64, now time.Time) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	p, j := r.pool, r.job
+	delete(p.runs, r)
+	d.release(p, r)
+	if r.suspect {
+		d.suspects.End(j.fp)
+		d.suspectsDirty = true
+	}
+	switch d.bal.Finished(now, r.ticket, outcome, actual) {
+	case balance.Ejected:
+		d.ejected(r.server, "failed requests")
+	case balance.Restored:
+		d.restored(r.server)
+	}
+	// Failed and preempted attempts are refunded: they gave the workspace no
+	// service.
+	p.queue.Correct(j.class, j.req.Workspace, actual-j.cost)
+	d.schedule(p, now)
+}
+
+func (d *Dispatcher) release(p *poolState, r *run) {
+	j := r.job
+	key := flowKey{j.req.Workspace, j.class}
+	sum := p.running[key]
+	sum = schedule.Amount{Tokens: sum.Tokens - j.cost, Items: sum.Items - 1}
+	invariant.Check(sum.Items >= 0, "slots", "free slot", r.server, "workspace", j.req.Workspace)
+	if sum.Items <= 0 {
+		delete(p.running, key)
+	} else {
+		p.running[key] = sum
+	}
+	if j.class != schedule.Batch {
+		return
+	}
+	p.batchAt[r.server]--
+	invariant.Check(p.batchAt[r.server] >= 0, "slots", "free batch slot", r.server)
+	if p.batchAt[r.server] <= 0 {
+		delete(p.batchAt, r.server)
+	}
+}
+
+// refuseHopeless ends the wait of requests that cannot start: quarantined
+// ones, and online ones whose pool has had no usable server for a while. The
+// caller holds mu.
+func (d *Dispatcher) refuseHopeless(p *poolState, now time.Time) {
+	usable := d.bal.Pool(now, p.name).Available > 0
+	switch {
+	case usable:
+		p.unusableSince = time.Time{}
+	case p.unusableSince.IsZero():
+		p.unusableSince = now
+	}
+	hopeless := !usable && now.Sub(p.unusableSince) >= noServerWait
+	known := d.suspects.Known()
+	if !hopeless && !known {
+		return
+	}
+	for id, j := range p.waiting {
+		err := d.quarantineError(j, now)
+		if err == nil && hopeless && j.class == schedule.Online {
+			err = j.refuse(http.StatusServiceUnavailable, "no_server", "no server of the pool is usable", time.Second)
+		}
+		if err != nil && p.queue.Remove(id) {
+			delete(p.waiting, id)
+			j.ready <- grant{err: err}
+		}
+	}
+}
+
+// refuse returns a refusal that states truthfully whether the job ran.
+func (j *job) refuse(status int, code, message string, retryAfter time.Duration) *RefusedError {
+	executed := ExecutedNo
+	if j.sent {
+		executed = ExecutedUnknown
+	}
+	return &RefusedError{
+		Status: status, Code: code, Message: message, Executed: executed,
+		RetryAfter: retryAfter, Step: "dispatch to pool " + j.req.Pool,
+	}
+}
--- /dev/null
+++ b/internal/dispatch/quarantine.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ragwortstep/internal/core/retry"
+	"ragwortstep/internal/events"
+	"ragwortstep/internal/peer"
+)
+
+// fingerprint identifies requests with the same workspace, route, method,
+// path and body. Method and path tell apart requests without a body.
+func fingerprint(req *Request) retry.Fingerprint {
+	h := xxhash.New()
+	for _, part := range []string{req.Workspace, req.Route, req.Method, req.Path} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(req.Body)
+	return retry.Fingerprint(h.Sum64())
+}
+
+// quarantineError returns the refusal of a quarantined job, or nil. The
+// caller holds mu.
+func (d *Dispatcher) quarantineError(j *job, now time.Time) error {
+	if !d.suspects.Known() {
+		return nil
+	}
+	verdict, left := d.suspects.Check(j.fp, now)
+	if verdict != retry.Quarantined {
+		return nil
+	}
+	counters.Add("quarantine_refusals", 1)
+	return j.refuse(http.StatusUnprocessableEntity, "request_quarantined", "backend servers were lost twice while running this request", left)
+}
+
+// lost notes that a connection broke while a run was in flight, which makes
+// its request a suspect until the server is known to have survived. The
+// caller holds mu.
+func (d *Dispatcher) lost(r *run, now time.Time) {
+	counters.Add("lost_in_flight", 1)
+	d.suspects.Lost(r.job.fp, r.server, r.suspect, now)
+	d.suspectsDirty = true
+	d.client.PollNow(r.server)
+	go d.publish(now)
+}
+
+// succeeded clears the suspicion on a run's request, and those that rest on a
+// loss of its server while it went on running there. The caller holds mu.
+func (d *Dispatcher) succeeded(r *run, now time.Time) {
+	if !d.suspects.Known() {
+		return
+	}
+	cleared := d.suspects.Succeeded(r.job.fp, now)
+	survived := d.suspects.Survived(r.server, r.started)
+	if cleared || survived {
+		d.suspectsDirty = true
+	}
+}
+
+// quarantineReceived takes over a peer's suspects.
+func (d *Dispatcher) quarantineReceived(from peer.HostID, raw json.RawMessage) {
+	var report retry.Report
+	if err := json.Unmarshal(raw, &report); err != nil {
+		counters.Add("bad_sections", 1)
+		return
+	}
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, fp := range d.suspects.Merge(hostName(from), report, now) {
+		d.record(events.Event{Kind: "request.quarantined", Peer: hostName(from), Detail: strconv.FormatUint(uint64(fp), 16)})
+	}
+	for _, p := range d.pools {
+		d.schedule(p, now)
+	}
+}
