Guard scheduling against reentry and rounding to no slots

A preemption inside the scheduling loop frees a slot and would start other work before the online request for which it made room. A host whose part of a pool rounds to no slot runs one request at a time, because otherwise a workspace with little demand would wait for as long as the others are busy. The freshness lease is read once per tick outside the dispatcher's lock, since the fleet may call the dispatcher while it holds its own.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -7,9 +7,9 @@
 import "time"
 
 const (
-	budgetPart  = 0.1  // retries per request
-	budgetRate  = 3.0  // retries per second on top
-	budgetBurst = 30.0 // most saved-up retries
+	budgetPart  = 0.1   // retries per request
+	budgetRate  = 3.0   // retries per second on top
+	budgetBurst = 100.0 // most saved-up retries, about the work in flight on a few lost servers
 )
 
 // Budget bounds the retries of a host to a part of its requests plus a small
--- a/internal/dispatch/body.go
+++ b/internal/dispatch/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,9 +34,9 @@
 	bad   bool // the status says nothing about the work done
 
 	stream bool
-	events int // ends of SSE events
-	bytes  int
-	tail   []byte // end of a JSON response, nil for other responses
+	events atomic.Int64 // ends of SSE events
+	cut    bool         // the last read ended with a line end
+	tail   []byte       // end of a JSON response, nil for other responses
 }
 
 // respond wraps a response for the caller.
@@ -61,9 +62,13 @@
 }
 
 func (b *body) count(p []byte) {
-	b.bytes += len(p)
 	if b.stream {
-		b.events += bytes.Count(p, eventEnd)
+		n := bytes.Count(p, eventEnd)
+		if b.cut && p[0] == '\n' {
+			n++
+		}
+		b.cut = p[len(p)-1] == '\n' && !bytes.HasSuffix(p, eventEnd)
+		b.events.Add(int64(n))
 		return
 	}
 	if b.tail == nil {
@@ -78,11 +83,15 @@
 	b.tail = append(b.tail, p...)
 }
 
-// cost returns the work actually done in tokens.
-func (b *body) cost() float64 {
+// cost returns the work actually done in tokens. Only a complete response
+// that is not a stream has its usage at the end.
+func (b *body) cost(complete bool) float64 {
 	j := b.run.job
 	if b.stream {
-		return EstimateCost(len(j.req.Body), b.events)
+		return EstimateCost(len(j.req.Body), int(b.events.Load()))
+	}
+	if !complete {
+		return j.cost
 	}
 	if tokens, ok := usage(b.tail); ok {
 		return max(1, tokens)
@@ -132,7 +141,7 @@
 	switch {
 	case err == io.EOF:
 		d.succeeded(r, now)
-		cost := b.cost()
+		cost := b.cost(true)
 		if b.bad {
 			cost = 0
 		}
@@ -144,7 +153,7 @@
 		}
 		d.end(r, balance.Failed, 0, now)
 	default:
-		d.end(r, balance.Neutral, b.cost(), now)
+		d.end(r, balance.Neutral, b.cost(false), now)
 	}
 	d.active--
 	d.signalIdle()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -65,8 +65,10 @@
 	nextID   uint64
 	active   int // calls of Do whose response body is not closed yet
 	draining bool
-	idle     chan struct{} // closed when draining and active is 0
-	leaving  leavingServers
+	// batchAllowed is whether the freshness lease held at the last tick.
+	batchAllowed bool
+	idle         chan struct{} // closed when draining and active is 0
+	leaving      leavingServers
 	// publishedAt and suspectsDirty pace the sections sent to peers.
 	publishedAt   time.Time
 	suspectsDirty bool
@@ -104,6 +106,7 @@
 func (d *Dispatcher) Start(ctx context.Context) {
 	d.viewChanged(d.opts.Fleet.View())
 	d.configChanged(d.opts.Fleet.Config())
+	d.tick(time.Now())
 	go d.client.Run(ctx, observer{d})
 	go d.run(ctx)
 	if d.opts.Store != nil {
@@ -127,7 +130,9 @@
 
 // tick refreshes divisions, refuses what waits in vain and publishes sections.
 func (d *Dispatcher) tick(now time.Time) {
+	fresh := d.opts.Fleet.MayAdmit(now) == nil
 	d.mu.Lock()
+	d.batchAllowed = fresh
 	for _, p := range d.pools {
 		d.divide(p, now)
 		d.refuseHopeless(p, now)
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -207,6 +207,10 @@
 	preempted := r.preempted()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	crashed := failure.Cause == backend.Broken && failure.Stage != backend.NotSent
+	if crashed && preempted == nil {
+		d.lost(r, now)
+	}
 	d.end(r, outcomeOf(failure), 0, now)
 	r.cancel(nil)
 	if preempted != nil {
@@ -218,9 +222,6 @@
 	if failure.Cause == backend.Malformed && failure.Stage == backend.NotSent {
 		return j.refuse(http.StatusBadRequest, "bad_request", failure.Error(), 0)
 	}
-	if failure.Cause == backend.Broken && failure.Stage != backend.NotSent {
-		d.lost(r, now)
-	}
 	j.tried = append(j.tried, r.server)
 	if d.mayRepeat(j, failure.Stage == backend.NotSent, now) {
 		counters.Add("retries", 1)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -31,10 +31,14 @@
 	runs     map[*run]struct{}
 	batchAt  map[string]int // batch work in flight by server
 	running  map[flowKey]schedule.Amount
+	inFlight [2]int // by class
 	division schedule.Division
 	divided  time.Time
 	dirty    bool
-	peers    map[peer.HostID]peerDemand
+	// scheduling guards against a nested call of schedule, which a preemption
+	// in the middle of one would cause.
+	scheduling bool
+	peers      map[peer.HostID]peerDemand
 	// holdUntil is until when no batch work starts.
 	holdUntil time.Time
 	pressedAt time.Time // when an online request last found no free slot
@@ -105,9 +109,11 @@
 // schedule gives free slots to waiting requests: to online ones first, and to
 // batch items only when no online request waits. The caller holds mu.
 func (d *Dispatcher) schedule(p *poolState, now time.Time) {
-	if p.queue.Len(schedule.Online)+p.queue.Len(schedule.Batch) == 0 {
+	if p.scheduling || p.queue.Len(schedule.Online)+p.queue.Len(schedule.Batch) == 0 {
 		return
 	}
+	p.scheduling = true
+	defer func() { p.scheduling = false }()
 	if p.dirty && now.Sub(p.divided) >= divideInterval {
 		d.divide(p, now)
 	}
@@ -117,7 +123,7 @@
 		d.press(p, now)
 		return
 	}
-	if now.Before(p.holdUntil) || d.opts.Fleet.MayAdmit(now) != nil {
+	if now.Before(p.holdUntil) || !d.batchAllowed {
 		return
 	}
 	for d.startNext(p, schedule.Batch, now) {
@@ -191,14 +197,15 @@
 // hasSlot reports whether a server has a slot for one more request. Online
 // work may use the host's part of the slots in any case, and beyond it what
 // the load report shows as free; batch work of this host gives way to it.
-// Batch work needs a free slot beyond the headroom.
+// Batch work needs a free slot beyond the headroom. A host whose part of the
+// pool rounds to nothing still runs one request at a time.
 func (d *Dispatcher) hasSlot(p *poolState, server string, class schedule.Class, now time.Time) bool {
 	limit := d.bal.Limit(server)
 	load := d.bal.Load(now, server)
 	batch := p.batchAt[server]
 	if class == schedule.Batch {
 		limit -= schedule.Headroom(server, limit)
-		return load < float64(limit) && batch < p.division.Slots(server, limit, schedule.Batch)
+		return load < float64(limit) && (p.inFlight[class] == 0 || batch < p.division.Slots(server, limit, class))
 	}
 	if d.baseline() {
 		return true
@@ -211,7 +218,7 @@
 	if own >= limit {
 		return false
 	}
-	return load < float64(limit) || own < p.division.Slots(server, limit, schedule.Online)
+	return load < float64(limit) || p.inFlight[class] == 0 || own < p.division.Slots(server, limit, class)
 }
 
 func (d *Dispatcher) baseline() bool {
@@ -237,6 +244,7 @@
 	r.ticket = d.bal.Sent(now, server)
 	r.ctx, r.cancel = context.WithCancelCause(context.Background())
 	p.runs[r] = struct{}{}
+	p.inFlight[j.class]++
 	key := flowKey{j.req.Workspace, j.class}
 	sum := p.running[key]
 	p.running[key] = schedule.Amount{Tokens: sum.Tokens + j.cost, Items: sum.Items + 1}
@@ -277,7 +285,8 @@
 	key := flowKey{j.req.Workspace, j.class}
 	sum := p.running[key]
 	sum = schedule.Amount{Tokens: sum.Tokens - j.cost, Items: sum.Items - 1}
-	invariant.Check(sum.Items >= 0, "slots", "free slot", r.server, "workspace", j.req.Workspace)
+	p.inFlight[j.class]--
+	invariant.Check(sum.Items >= 0 && p.inFlight[j.class] >= 0, "slots", "free slot", r.server, "workspace", j.req.Workspace)
 	if sum.Items <= 0 {
 		delete(p.running, key)
 	} else {
