--- a/internal/core/config/table.go
+++ b/internal/core/config/table.go
@@ -112,6 +112,7 @@
 
 type tableParser struct {
 	file   string
+	width  int // columns of the header, with empty ones at its end
 	rows   []Workspace
 	rowOf  map[string]int // row of each workspace seen
 	faults Faults
@@ -172,6 +173,7 @@
 			return false
 		}
 	}
+	p.width = len(record)
 	record = trimEmptyEnd(record, len(Columns))
 	if len(record) != len(Columns) {
 		p.add(Fault{Row: row, Value: line, Problem: fmt.Sprintf("%d columns in the header", len(record)), Allowed: header})
@@ -195,9 +197,14 @@
 	return record
 }
 
+// record reads one row. Spreadsheets write all rows as wide as the header; a
+// wider row has an unquoted decimal comma, even when its last cell is empty.
 func (p *tableParser) record(row int, record []string) {
-	record = trimEmptyEnd(record, len(Columns))
-	if len(record) != len(Columns) {
+	wider := len(record) > p.width
+	if !wider {
+		record = trimEmptyEnd(record, len(Columns))
+	}
+	if wider || len(record) != len(Columns) {
 		p.add(columnFault(row, record))
 		return
 	}
