--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -100,14 +100,16 @@
 	}
 }
 
-// describePlatform maps errors of the platform. An unknown outcome is told
-// apart, because the change may be in force.
+// describePlatform maps errors of the platform. None of them states that
+// nothing was changed: an update that failed at last with "unavailable" may
+// have lost the answer of an earlier attempt.
 func describePlatform(err error) (int, ErrorDetail) {
 	switch {
-	case errors.Is(err, platform.ErrUnknownOutcome):
-		return http.StatusServiceUnavailable, ErrorDetail{Code: "outcome_unknown", Message: "the platform's answer was lost; read the configuration to see whether the change was applied"}
-	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited, context.DeadlineExceeded):
-		return http.StatusServiceUnavailable, ErrorDetail{Code: "platform_unavailable", Message: "the platform does not answer; nothing was changed"}
+	case errors.IsAny(err, platform.ErrUnknownOutcome, platform.ErrUnavailable, platform.ErrRateLimited, context.DeadlineExceeded, context.Canceled):
+		return http.StatusServiceUnavailable, ErrorDetail{
+			Code:    "platform_unavailable",
+			Message: "the platform does not answer; read the configuration to see whether the change was applied",
+		}
 	case errors.Is(err, platform.ErrTooLarge):
 		return http.StatusRequestEntityTooLarge, ErrorDetail{Code: "configuration_too_large", Message: "the configuration does not fit into the platform"}
 	default:
--- a/internal/admin/write.go
+++ b/internal/admin/write.go
@@ -37,6 +37,10 @@
 	Operator  bool   `json:"operator,omitempty"`
 }
 
+// writeTimeout bounds a write, so that an operator is told of a platform outage
+// before the command line's own timeout of 10 s.
+const writeTimeout = 8 * time.Second
+
 // change applies mutate as one conditional update with the request's If-Match,
 // author and note, and returns the new snapshot and its changes.
 func (s *server) change(r *http.Request, op operator, mutate func(*config.Snapshot) error) (WriteResult, error) {
@@ -52,8 +56,10 @@
 	if err != nil {
 		return WriteResult{}, err
 	}
-	var before *config.Snapshot
-	next, err := s.Writer.Write(r.Context(), expected, op.id, note, func(c *config.Snapshot) error {
+	ctx, cancel := context.WithTimeout(r.Context(), writeTimeout)
+	defer cancel()
+	before := config.Empty()
+	next, err := s.Writer.Write(ctx, expected, op.id, note, func(c *config.Snapshot) error {
 		before = c.Clone()
 		if err := mutate(c); err != nil {
 			return err
