--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -21,7 +20,7 @@
 	modeFlags := func(more ...cli.Flag) []cli.Flag {
 		return append(more,
 			&cli.StringFlag{Name: "mode", Usage: "merge keeps workspaces that the table lacks, replace removes them", Value: string(config.ModeMerge), Validator: validMode},
-			&cli.StringFlag{Name: "base", Usage: "earlier export; only rows that differ from it are applied"},
+			&cli.StringFlag{Name: "base", Usage: "export that the table was edited from; only rows that differ from it are applied, unless somebody else changed them"},
 			&cli.BoolFlag{Name: "revoke-keys", Usage: "with --mode replace, revoke the keys of removed workspaces"},
 		)
 	}
@@ -79,108 +78,6 @@
 	})
 }
 
-func readTable(name string) ([]config.Workspace, error) {
-	data, err := os.ReadFile(name)
-	if err != nil {
-		return nil, withCode(ExitInvalid, err)
-	}
-	rows, err := config.ParseTable(name, data)
-	return rows, withCode(ExitInvalid, err)
-}
-
-// readRows returns the rows to apply: all, or with --base only those that differ from it.
-func readRows(c *cli.Command) ([]config.Workspace, error) {
-	name, err := oneArg(c, "table")
-	if err != nil {
-		return nil, err
-	}
-	rows, err := readTable(name)
-	if err != nil || c.String("base") == "" {
-		return rows, err
-	}
-	if c.String("mode") == string(config.ModeReplace) {
-		return nil, usageError("--base works with --mode merge only")
-	}
-	base, err := readTable(c.String("base"))
-	if err != nil {
-		return nil, err
-	}
-	return changedRows(base, rows), nil
-}
-
-func changedRows(base, rows []config.Workspace) []config.Workspace {
-	before := map[string]config.Workspace{}
-	for _, row := range base {
-		before[row.Name] = row
-	}
-	changed := []config.Workspace{}
-	for _, row := range rows {
-		if before[row.Name] != row {
-			changed = append(changed, row)
-		}
-	}
-	return changed
-}
-
-func snapshotOf(rows []config.Workspace) *config.Snapshot {
-	s := config.Empty()
-	for _, row := range rows {
-		s.Workspaces[row.Name] = row
-	}
-	return s
-}
-
-func (a *app) configDiff(ctx context.Context, c *cli.Command) error {
-	rows, err := readRows(c)
-	if err != nil {
-		return err
-	}
-	api, err := operatorClient(c)
-	if err != nil {
-		return err
-	}
-	current, err := list[config.Workspace](ctx, api, "/workspaces")
-	if err != nil {
-		return err
-	}
-	old := snapshotOf(current)
-	next := old.Clone()
-	if err := next.ApplyTable(rows, config.TableMode(c.String("mode")), true); err != nil {
-		return err
-	}
-	changes := config.Diff(old, next)
-	return a.print(c, changes, func(w io.Writer) {
-		for _, change := range changes {
-			fmt.Fprintln(w, change)
-		}
-		if len(changes) == 0 {
-			fmt.Fprintln(w, "no change")
-		}
-	})
-}
-
-func (a *app) configApply(ctx context.Context, c *cli.Command) error {
-	rows, err := readRows(c)
-	if err != nil {
-		return err
-	}
-	api, err := operatorClient(c)
-	if err != nil {
-		return err
-	}
-	query := writeQuery(c)
-	query.Set("mode", c.String("mode"))
-	query.Set("file", c.Args().First())
-	query.Set("revoke_keys", strconv.FormatBool(c.Bool("revoke-keys")))
-	result, err := writeAtRevision(ctx, c, api, request{
-		method: http.MethodPut, path: admin.Prefix + "/table", query: query, body: config.FormatTable(snapshotOf(rows)),
-	})
-	if err != nil {
-		return err
-	}
-	return a.report(c, result)
-}
-
 func (a *app) configExport(ctx context.Context, c *cli.Command) error {
 	api, err := operatorClient(c)
 	if err != nil {
