--- a/cmd/ragwortstep/main.go
+++ b/cmd/ragwortstep/main.go
@@ -6,11 +6,12 @@
 	"os"
 
 	"ragwortstep/internal/cli"
+	"ragwortstep/internal/host"
 )
 
 // version is set by the linker: -ldflags "-X main.version=1.2.3".
 var version = "dev"
 
 func main() {
-	os.Exit(cli.Run(context.Background(), os.Args, cli.Options{Version: version}))
+	os.Exit(cli.Run(context.Background(), os.Args, cli.Options{Version: version, Serve: host.Serve}))
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -16,7 +16,7 @@
 
 func settingsFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: "settings", Usage: "settings file", Value: "ragwortstep.yaml", Sources: cli.EnvVars("RAGWORTSTEP_SETTINGS")},
+		&cli.StringFlag{Name: "settings", Aliases: []string{"config"}, Usage: "settings file", Value: "ragwortstep.yaml", Sources: cli.EnvVars("RAGWORTSTEP_SETTINGS")},
 		&cli.StringSliceFlag{Name: "set", Usage: "override one setting, for example --set host.name=h1; repeatable"},
 	}
 }
--- a/internal/host/configwriter.go
+++ b/internal/host/configwriter.go
@@ -29,7 +29,7 @@
 	writer *platform.Writer
 	now    func() time.Time
 	// committed takes a new revision into force at this host without waiting for a poll.
-	committed func(*config.Snapshot)
+	committed func()
 }
 
 // Write implements admin.ConfigWriter. The history entry is stored before the
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w.committed(next)
+	w.committed()
 	return next, nil
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sort"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ragwortstep/internal/admin"
-	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/core/limit"
 	"ragwortstep/internal/dedupe"
 	"ragwortstep/internal/dispatch"
 	"ragwortstep/internal/events"
@@ -87,7 +88,7 @@
 	}
 	h.fleet = fleet.New(h.fleetOptions())
 	h.limiter = limiter.New(limiter.Options{
-		Fleet: h.fleet, Peers: h.peers, Policy: s.Limits.Policy, Wait: s.Limits.Wait, Logger: logger,
+		Fleet: h.fleet, Peers: h.peers, Policy: limit.Policy(s.Limits.Policy), Wait: limitWait(s.Limits.Wait), Incarnation: h.incarn,
 	})
 	h.dispatcher = dispatch.New(dispatch.Options{
 		Fleet: h.fleet, Recorder: h.events, Logger: logger,
@@ -111,7 +112,7 @@
 		Self: fleet.Member{
 			Host: h.id, Incarnation: h.incarn, PeerAddress: s.Listen.Peers, Zone: s.Host.Zone, Size: s.Host.Size,
 		},
-		Peers: h.peers, Store: h.store, Writer: h.writer, Events: h.events, Logger: h.logger,
+		Peers: h.peers, Store: h.store, Recorder: h.events, Logger: h.logger,
 		Seeds: s.Peers.Seeds, Heartbeat: s.Peers.Beat, Lease: s.Peers.Lease, Poll: s.Platform.Poll,
 	}
 }
@@ -270,7 +271,7 @@
 func (h *Host) adminHandler() http.Handler {
 	return admin.New(admin.Options{
 		Config: h.fleet,
-		Writer: &configWriter{store: h.store, writer: h.writer, now: time.Now, committed: h.fleet.Adopt},
+		Writer: &configWriter{store: h.store, writer: h.writer, now: time.Now, committed: h.fleet.Refresh},
 		Status: statusSource{h.fleet}, Events: h.events,
 		Orders:      orders.NewDesired(h.store, h.writer),
 		OperatorKey: h.settings.Admin.Key, Logger: h.logger,
@@ -292,8 +293,8 @@
 	}
 	h.logErr("drain requests", h.dispatcher.Drain(drain))
 	h.events.Record(events.Event{Kind: "host.stopped"})
-	h.fleet.Close()
-	h.peers.Close()
+	h.logErr("stop the fleet", h.fleet.Close())
+	h.logErr("stop peers", h.peers.Close())
 	h.closeSink()
 	h.logger.Info("host stopped")
 }
@@ -307,10 +308,30 @@
 // statusSource translates the fleet's status for the operators' API.
 type statusSource struct{ fleet *fleet.Fleet }
 
-// Config returns an empty snapshot before the first one is known.
-func orEmpty(s *config.Snapshot) *config.Snapshot {
-	if s == nil {
-		return config.Empty()
+// Status implements admin.StatusSource.
+func (s statusSource) Status() []admin.HostStatus {
+	status := s.fleet.Status()
+	self := hostStatus(status.Self)
+	self.LeaseHeld, self.LeaseLeftMS = status.Fresh, status.LeaseRemaining.Milliseconds()
+	out := []admin.HostStatus{self}
+	for _, h := range status.Hosts {
+		out = append(out, hostStatus(h))
 	}
-	return s
+	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
+	return out
+}
+
+func hostStatus(h fleet.HostStatus) admin.HostStatus {
+	return admin.HostStatus{
+		Host: string(h.Host), Zone: h.Zone, Incarnation: h.Incarnation, Alive: h.Alive,
+		Leaving: h.Leaving, Revision: h.Revision, Epoch: h.Epoch,
+	}
+}
+
+// limitWait passes a wait of zero as none, which the limiter takes as its default.
+func limitWait(wait time.Duration) time.Duration {
+	if wait == 0 {
+		return -1
+	}
+	return wait
 }
