--- a/internal/admin/keys.go
+++ b/internal/admin/keys.go
@@ -61,10 +61,8 @@
 // addKey stores the hash of a new key and shows the raw key once.
 func (s *server) addKey(w http.ResponseWriter, r *http.Request, op operator, workspace string, isOperator bool) error {
 	var body keyRequest
-	if r.ContentLength != 0 {
-		if err := s.readJSON(w, r, &body); err != nil {
-			return err
-		}
+	if err := s.readOptionalJSON(w, r, &body); err != nil {
+		return err
 	}
 	random := make([]byte, config.KeyBytes)
 	if _, err := io.ReadFull(s.Random, random); err != nil {
--- a/internal/admin/request.go
+++ b/internal/admin/request.go
@@ -110,6 +110,20 @@
 	if err != nil {
 		return err
 	}
+	return decodeStrict(body, into)
+}
+
+// readOptionalJSON is readJSON for requests whose body may be empty, also
+// when its length was not announced.
+func (s *server) readOptionalJSON(w http.ResponseWriter, r *http.Request, into any) error {
+	body, err := readBody(w, r, s.MaxBody)
+	if err != nil || len(body) == 0 {
+		return err
+	}
+	return decodeStrict(body, into)
+}
+
+func decodeStrict(body []byte, into any) error {
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(into); err != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -122,7 +122,7 @@
 	return jobs.Options{
 		Host: h.id, Incarnation: h.incarn, Store: h.store, Fleet: h.fleet, Peers: h.peers,
 		Dispatcher: h.dispatcher, Limiter: h.limiter, Events: h.events, DataFolder: s.Host.DataFolder,
-		IsPreempted: func(err error) bool { return errors.Is(err, dispatch.ErrPreempted) },
+		IsPreempted: isPreempted,
 		Workers:     s.Batch.Workers, Retention: s.Batch.Retention,
 	}
 }
@@ -161,7 +161,7 @@
 // start runs the parts in the order of their dependencies. Waiting for the
 // first configuration and epoch ends with ctx.
 func (h *Host) start(ctx, parts context.Context) error {
-	if err := h.peers.Start(parts); err != nil {
+	if err := h.peers.Start(); err != nil {
 		return errors.Wrap(err, "start peers")
 	}
 	if err := h.fleet.Start(ctx); err != nil {
@@ -335,3 +335,8 @@
 	}
 	return wait
 }
+
+func isPreempted(err error) bool {
+	var preempted *dispatch.PreemptedError
+	return errors.As(err, &preempted)
+}
