fleet, limiter: add membership, configuration distribution and rate limits

core/membership steps on ticks and heartbeats and returns what to send: epochs with the list of earlier ones that may still be in force, the freshness lease and the activation of generations. fleet drives it with the platform's store and peers, and splits the configuration over 64 shards that the conditional update of config/head commits. core/limit holds token bucket shares, grants and demand; limiter drives it and borrows over limit.borrow.

--- /dev/null
+++ b/internal/core/limit/state.go
@@ -0,0 +1,327 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Options configures a State.
+type Options struct {
+	Self          Identity
+	Policy        Policy        // default Lending
+	GrantLifetime time.Duration // of borrowed tokens at the borrower, default 2s
+	GrantMargin   time.Duration // added to it at the lender, default 200ms
+	Rand          *rand.Rand    // breaks ties among lenders and numbers grants; required
+}
+
+// Defaults of Options.
+const (
+	DefaultGrantLifetime = 2 * time.Second
+	DefaultGrantMargin   = 200 * time.Millisecond
+)
+
+// predictionHorizon is how far ahead online demand is predicted when batch
+// items ask for tokens.
+const predictionHorizon = 500 * time.Millisecond
+
+// Generation is what decides the shares, as known to this host.
+type Generation struct {
+	Members       []Identity
+	Prior         [][]Identity       // members of earlier epochs that may still use shares
+	Limits        map[string]Limit   // by workspace
+	Earlier       map[string][]Limit // limits that hosts may still apply
+	LimitsUnknown bool               // not all earlier limits are known
+	EpochSettled  bool               // Prior does not matter
+	Settled       bool               // nor do Earlier and LimitsUnknown
+	Lapses        uint64             // how often the freshness lease ended
+}
+
+// workspace is the state of one workspace's limit.
+type workspace struct {
+	name    string
+	limit   Limit
+	exists  bool // in the current configuration
+	ranking ranking
+	prior   []ranking
+
+	bucket    bucket
+	target    Share     // share of the settled generation
+	raise     bool      // bucket.share is to become target at notBefore
+	shrunk    bool      // some other process loses a share in the pending change
+	notBefore time.Time // grants of shares that others lost may be unspent until then
+
+	borrowed []borrowed
+	lenders  map[Identity]*lenderState
+	asked    Waiting // tokens in requests to lenders that are under way
+	online   demand  // asked for here, by callers
+	batch    demand
+	lentOut  demand // online tokens taken from the bucket or asked for by borrowers
+	touched  time.Time
+}
+
+// State is one host's part in all limits. It is not safe for concurrent use.
+type State struct {
+	opts       Options
+	generation Generation
+	workspaces map[string]*workspace
+	active     map[string]*workspace // with demand, waiting requests or borrowed tokens
+	nextGrant  uint64
+	reports    map[Identity][]report // closed grants to be reported to their lender
+}
+
+// New returns a state without limits.
+func New(opts Options) *State {
+	if opts.Policy == "" {
+		opts.Policy = Lending
+	}
+	if opts.GrantLifetime == 0 {
+		opts.GrantLifetime = DefaultGrantLifetime
+	}
+	if opts.GrantMargin == 0 {
+		opts.GrantMargin = DefaultGrantMargin
+	}
+	return &State{
+		opts:       opts,
+		workspaces: map[string]*workspace{},
+		active:     map[string]*workspace{},
+		nextGrant:  opts.Rand.Uint64(),
+		reports:    map[Identity][]report{},
+	}
+}
+
+// Apply takes over a generation. Smaller shares apply at once; larger ones
+// when the generation is settled and no grant from a lost share is unspent.
+func (s *State) Apply(now time.Time, g Generation) {
+	former := s.generation
+	s.generation = g
+	if g.Lapses != former.Lapses {
+		s.emptyAll(now)
+	}
+	sameMembers := slices.Equal(g.Members, former.Members)
+	samePrior := slices.EqualFunc(g.Prior, former.Prior, slices.Equal[[]Identity])
+	for name, limit := range g.Limits {
+		w := s.workspaces[name]
+		if w == nil {
+			w = &workspace{name: name, lenders: map[Identity]*lenderState{}}
+			w.bucket.last = now
+			s.workspaces[name] = w
+		}
+		if !sameMembers || !w.exists {
+			w.ranking = newRanking(s.opts.Policy, name, g.Members)
+			w.forgetLenders()
+		}
+		if !samePrior || !w.exists {
+			w.prior = s.priorRankings(name)
+		}
+		w.limit, w.exists = limit, true
+		s.applyTo(now, w)
+	}
+	s.dropRemoved(now)
+}
+
+func (s *State) priorRankings(name string) []ranking {
+	var out []ranking
+	for _, members := range s.generation.Prior {
+		out = append(out, newRanking(s.opts.Policy, name, members))
+	}
+	return out
+}
+
+// dropRemoved takes the shares of workspaces that are no longer configured,
+// and forgets them when nothing is outstanding.
+func (s *State) dropRemoved(now time.Time) {
+	for name, w := range s.workspaces {
+		if _, ok := s.generation.Limits[name]; ok {
+			continue
+		}
+		s.advance(now, w)
+		w.exists, w.limit, w.raise = false, Limit{}, false
+		w.bucket.setShare(now, Share{})
+		if len(w.bucket.grants) == 0 {
+			delete(s.workspaces, name)
+			delete(s.active, name)
+		}
+	}
+}
+
+// settledFor reports whether all hosts apply the workspace's current limit and
+// holders, or none at all.
+func (s *State) settledFor(w *workspace) bool {
+	g := s.generation
+	return g.EpochSettled && (g.Settled || !g.LimitsUnknown && len(g.Earlier[w.name]) == 0)
+}
+
+// applyTo recomputes this host's share of a workspace.
+func (s *State) applyTo(now time.Time, w *workspace) {
+	s.advance(now, w)
+	w.target = w.ranking.share(s.opts.Policy, w.limit, s.opts.Self)
+	if !s.settledFor(w) {
+		w.raise = false
+		least, shrunk := s.pending(w)
+		w.shrunk = w.shrunk || shrunk
+		w.bucket.setShare(now, w.bucket.share.min(least))
+		return
+	}
+	if w.shrunk {
+		w.notBefore = now.Add(s.opts.GrantLifetime + s.opts.GrantMargin)
+		w.shrunk = false
+	}
+	w.bucket.setShare(now, w.bucket.share.min(w.target))
+	w.raise = true
+	s.advance(now, w)
+}
+
+// pending returns the least share of this process over all generations that
+// may be in force, and whether another process loses a share.
+func (s *State) pending(w *workspace) (Share, bool) {
+	if s.generation.LimitsUnknown {
+		return Share{}, true
+	}
+	rankings := []ranking{w.ranking}
+	if !s.generation.EpochSettled {
+		rankings = append(rankings, w.prior...)
+	}
+	limits := append([]Limit{w.limit}, s.generation.Earlier[w.name]...)
+	least, shrunk := w.target, false
+	for _, r := range rankings {
+		for _, l := range limits {
+			least = least.min(r.share(s.opts.Policy, l, s.opts.Self))
+			shrunk = shrunk || s.othersLose(w, r, l)
+		}
+	}
+	return least, shrunk
+}
+
+// othersLose reports whether a process other than this has a larger share by
+// the earlier ranking and limit than by the current.
+func (s *State) othersLose(w *workspace, r ranking, l Limit) bool {
+	for _, id := range r.holders(s.opts.Policy, l) {
+		if id != s.opts.Self && r.share(s.opts.Policy, l, id).exceeds(w.ranking.share(s.opts.Policy, w.limit, id)) {
+			return true
+		}
+	}
+	return false
+}
+
+// advance brings the bucket to now, including a raise that fell due meanwhile.
+func (s *State) advance(now time.Time, w *workspace) {
+	if w.raise && !now.Before(w.notBefore) {
+		w.bucket.setShare(later(w.notBefore, w.bucket.last), w.target)
+		w.raise = false
+	}
+	w.bucket.refill(now)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// emptyAll drops all tokens after a gap in the freshness lease.
+func (s *State) emptyAll(now time.Time) {
+	for _, w := range s.workspaces {
+		s.advance(now, w)
+		w.bucket.empty(now)
+		for _, b := range w.borrowed {
+			s.closeBorrowed(now, w, b)
+		}
+		w.borrowed = nil
+	}
+}
+
+// Limit returns the workspace's configured limit.
+func (s *State) Limit(name string) (Limit, bool) {
+	w := s.workspaces[name]
+	if w == nil || !w.exists {
+		return Limit{}, false
+	}
+	return w.limit, true
+}
+
+// Ask counts n tokens asked for by a caller, which drives prefetching.
+func (s *State) Ask(now time.Time, name string, n float64, batch bool) {
+	w := s.workspaces[name]
+	if w == nil {
+		return
+	}
+	w.touched = now
+	s.active[name] = w
+	if batch {
+		w.batch.add(now, n)
+		return
+	}
+	w.online.add(now, n)
+}
+
+// Take consumes n tokens or none. Batch items take tokens of the bucket only
+// when the predicted online demand leaves them.
+func (s *State) Take(now time.Time, name string, n float64, batch bool) bool {
+	w := s.workspaces[name]
+	if w == nil || !w.exists {
+		return false
+	}
+	s.advance(now, w)
+	s.expireBorrowed(now, w)
+	fromBorrowed := min(n, w.borrowedFor(batch))
+	fromBucket := n - fromBorrowed
+	if fromBucket > w.bucket.level || batch && fromBucket > 0 && !w.spares(now, fromBucket) {
+		return false
+	}
+	w.bucket.level -= fromBucket
+	s.spendBorrowed(now, w, fromBorrowed, batch)
+	if !batch && fromBucket > 0 {
+		w.lentOut.add(now, fromBucket)
+	}
+	return true
+}
+
+// spares reports whether the bucket can give n tokens to batch items and still
+// cover the online demand predicted for the horizon.
+func (w *workspace) spares(now time.Time, n float64) bool {
+	horizon := predictionHorizon.Seconds()
+	return w.bucket.level-n+(w.bucket.share.Rate-w.lentOut.at(now))*horizon >= 0
+}
+
+// Tokens returns the tokens in this host's bucket, those it lent, and those it
+// borrowed. It is for metrics and tests.
+func (s *State) Tokens(now time.Time, name string) (level, lent, borrowed float64) {
+	w := s.workspaces[name]
+	if w == nil {
+		return 0, 0, 0
+	}
+	s.advance(now, w)
+	s.expireBorrowed(now, w)
+	return w.bucket.level, w.bucket.lent, w.borrowedFor(true)
+}
+
+// Share returns this host's share in force.
+func (s *State) Share(now time.Time, name string) Share {
+	w := s.workspaces[name]
+	if w == nil {
+		return Share{}
+	}
+	s.advance(now, w)
+	return w.bucket.share
+}
+
+// roundingSlack absorbs the rounding of sums of tokens.
+const roundingSlack = 1e-6
+
+// Consistent reports whether the tokens of the workspace that this host
+// answers for are within its share of the burst. Tokens lent before the share
+// became smaller are exempt.
+func (s *State) Consistent(name string) bool {
+	w := s.workspaces[name]
+	if w == nil {
+		return true
+	}
+	b := w.bucket
+	return b.level >= 0 && b.lent >= 0 && b.level <= max(0, b.share.Cap-b.lent)+roundingSlack
+}
+
+// Active reports whether any workspace has recent demand or borrowed tokens,
+// or any report is to be sent, so that Plan should be called often.
+func (s *State) Active() bool { return len(s.active)+len(s.reports) > 0 }
--- /dev/null
+++ b/internal/fleet/confstore.go
@@ -0,0 +1,243 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/platform"
+)
+
+const (
+	// AnyRevision makes WriteSnapshot apply to whatever revision is current.
+	AnyRevision int64 = -1
+
+	shardCalls    = 8 // parallel reads or writes of shards
+	readAttempts  = 5
+	writeAttempts = 8
+	retryDelay    = 50 * time.Millisecond
+)
+
+// ConflictError reports that the configuration is not at the revision on
+// which a change was based.
+type ConflictError struct {
+	Expected int64 // revision on which the change was based
+	Actual   int64 // revision in the platform
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("configuration is at revision %d, not %d", e.Actual, e.Expected)
+}
+
+// ReadSnapshot reads the configuration from the platform. Without one it
+// returns an empty snapshot of revision 0.
+func ReadSnapshot(ctx context.Context, store platform.Store) (*config.Snapshot, error) {
+	state, _, err := readState(ctx, store, emptyState())
+	if err != nil {
+		return nil, err
+	}
+	return state.snapshot, nil
+}
+
+// WriteSnapshot applies mutate to a copy of the current configuration and
+// commits it as the next revision by a conditional update of config/head. It
+// fails with *ConflictError when the current revision is not expectedRevision,
+// which may be AnyRevision, or when another change is committed meanwhile. An
+// error of mutate is returned as is. A lost answer of the platform is resolved
+// by reading back, so an error means that the change was not committed, unless
+// it wraps platform.ErrUnknownOutcome.
+func WriteSnapshot(ctx context.Context, store platform.Store, writer *platform.Writer, expectedRevision int64, mutate func(*config.Snapshot) error) (*config.Snapshot, error) {
+	base, _, err := readState(ctx, store, emptyState())
+	if err != nil {
+		return nil, err
+	}
+	if expectedRevision != AnyRevision && base.head.Revision != expectedRevision {
+		return nil, &ConflictError{Expected: expectedRevision, Actual: base.head.Revision}
+	}
+	next, err := prepare(base, mutate)
+	if err != nil {
+		return nil, err
+	}
+	if err := writeShards(ctx, store, base, next); err != nil {
+		return nil, err
+	}
+	if err := commitHead(ctx, store, writer, base, next); err != nil {
+		return nil, err
+	}
+	collectShards(ctx, store, base, next)
+	return next.snapshot, nil
+}
+
+// prepare computes the next state without writing it.
+func prepare(base *configState, mutate func(*config.Snapshot) error) (*configState, error) {
+	changed := clone(base.snapshot)
+	if err := mutate(changed); err != nil {
+		return nil, err
+	}
+	changed.Revision = base.head.Revision + 1
+	next := &configState{parts: split(changed), raw: make([][]byte, shardCount), snapshot: changed}
+	next.head = head{Revision: changed.Revision, Shards: make([]string, shardCount)}
+	for i, p := range next.parts {
+		raw, err := encodeShard(p)
+		if err != nil {
+			return nil, err
+		}
+		next.raw[i] = raw
+		switch {
+		case raw == nil:
+		case string(raw) == string(base.raw[i]):
+			next.head.Shards[i] = base.head.Shards[i]
+		default:
+			next.head.Shards[i] = shardKey(i, changed.Revision, raw)
+		}
+	}
+	recent := append(append([]edit(nil), base.head.Recent...), describe(base.snapshot, changed, uuid.NewString()))
+	next.head.Recent = recent[max(0, len(recent)-recentEdits):]
+	return next, nil
+}
+
+func clone(s *config.Snapshot) *config.Snapshot {
+	out := *s
+	out.Workspaces = maps.Clone(s.Workspaces)
+	out.Keys = maps.Clone(s.Keys)
+	out.Routes = maps.Clone(s.Routes)
+	out.Servers = maps.Clone(s.Servers)
+	return &out
+}
+
+// writeShards stores the shards that the next head refers to and the base's
+// does not. They are invisible until the head is committed.
+func writeShards(ctx context.Context, store platform.Store, base, next *configState) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(shardCalls)
+	for _, i := range next.head.missing(base) {
+		group.Go(func() error {
+			return retry(ctx, writeAttempts, func() error {
+				_, err := store.Put(ctx, next.head.Shards[i], next.raw[i], 0)
+				if errors.Is(err, platform.ErrConflict) {
+					return nil // written by an earlier attempt; the key contains the content's hash
+				}
+				return errors.Wrapf(err, "platform put %s", next.head.Shards[i])
+			})
+		})
+	}
+	return group.Wait()
+}
+
+// commitHead updates the head if it is still the base's.
+func commitHead(ctx context.Context, store platform.Store, writer *platform.Writer, base, next *configState) error {
+	raw, err := json.Marshal(next.head)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration head")
+	}
+	token := next.head.Recent[len(next.head.Recent)-1].Token
+	_, _, err = platform.Update(ctx, store, writer, headKey, func(current json.RawMessage, exists bool) (json.RawMessage, error) {
+		h, err := decodeHead(current, exists)
+		switch {
+		case err != nil:
+			return nil, err
+		case h.committed(token):
+			return nil, platform.ErrNoChange // applied, and followed by another change
+		case h.Revision != base.head.Revision:
+			return nil, &ConflictError{Expected: base.head.Revision, Actual: h.Revision}
+		}
+		return raw, nil
+	})
+	return err
+}
+
+// collectShards deletes the objects that the committed head replaced. A host
+// that still reads the former head finds them missing and reads the head again.
+func collectShards(ctx context.Context, store platform.Store, base, next *configState) {
+	for i, key := range base.head.Shards {
+		if key != "" && key != next.head.Shards[i] {
+			_ = store.Delete(ctx, key, platform.AnyVersion) // an object left over only costs space
+		}
+	}
+}
+
+func decodeHead(raw json.RawMessage, exists bool) (head, error) {
+	if !exists {
+		return emptyState().head, nil
+	}
+	var h head
+	if err := json.Unmarshal(raw, &h); err != nil {
+		return head{}, errors.Wrap(err, "decode configuration head")
+	}
+	return h, h.validate()
+}
+
+// readState reads head and changed shards. It returns base itself when the
+// head is not newer, and the version of the head's object.
+func readState(ctx context.Context, store platform.Store, base *configState) (*configState, int64, error) {
+	var state *configState
+	var version int64
+	err := retry(ctx, readAttempts, func() error {
+		obj, env, exists, err := platform.ReadEnvelope(ctx, store, headKey)
+		if err != nil {
+			return err
+		}
+		h, err := decodeHead(env.Data, exists)
+		if err != nil {
+			return err
+		}
+		version = obj.Version
+		state, err = loadState(ctx, store, base, h)
+		return err
+	})
+	return state, version, err
+}
+
+// loadState reads the shards of a head that base does not hold.
+func loadState(ctx context.Context, store platform.Store, base *configState, h head) (*configState, error) {
+	if h.Revision <= base.head.Revision {
+		return base, nil
+	}
+	var mu sync.Mutex
+	raw := map[int][]byte{}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(shardCalls)
+	for _, i := range h.missing(base) {
+		group.Go(func() error {
+			obj, err := store.Get(ctx, h.Shards[i])
+			if err != nil {
+				return errors.Wrapf(err, "platform get %s", h.Shards[i])
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			raw[i] = obj.Value
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return assemble(h, base, raw)
+}
+
+// retry repeats fn while the platform fails in a way that may pass. A missing
+// shard counts, because a newer head may have replaced it.
+func retry(ctx context.Context, attempts int, fn func() error) error {
+	var err error
+	for range attempts {
+		err = fn()
+		if err == nil || !errors.IsAny(err, platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrRateLimited, platform.ErrNotFound) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return errors.CombineErrors(err, ctx.Err())
+		case <-time.After(retryDelay):
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,240 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/core/membership"
+	"ragwortstep/internal/peer"
+	"ragwortstep/internal/platform"
+)
+
+// Fleet implements Service. It is safe for concurrent use.
+//
+// Callbacks registered with OnConfig and OnView run one at a time, before
+// peers learn that this host has adopted the change and before a renewed lease
+// takes effect. They must return quickly, and may call all methods of Service
+// except OnConfig and OnView.
+type Fleet struct {
+	opts   Options
+	writer *platform.Writer
+
+	// Published state, read without locks.
+	view       atomic.Pointer[View]
+	config     atomic.Pointer[configState]
+	leaseUntil atomic.Pointer[time.Time]
+
+	mu            sync.Mutex // guards the machine and what follows
+	machine       *membership.Machine
+	earlier       map[string][]Limit // see View.EarlierLimits
+	limitsUnknown bool
+	onConfig      []func(*config.Snapshot)
+	onView        []func(View)
+	gone          map[string]time.Time // since when the platform's list lacks a host
+
+	sections sections
+	nudge    chan struct{}
+	pollNow  chan struct{}
+	versions objectVersions
+
+	fetchingEpoch, fetchingConfig, proposing atomic.Bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+var _ Service = (*Fleet)(nil)
+
+// New returns a fleet that is not started, and registers its methods with
+// opts.Peers, whose Start must come later.
+func New(opts Options) *Fleet {
+	opts = opts.withDefaults()
+	f := &Fleet{
+		opts:          opts,
+		writer:        platform.NewWriter(string(opts.Self.Host) + "/" + opts.Self.Incarnation),
+		earlier:       map[string][]Limit{},
+		limitsUnknown: true,
+		gone:          map[string]time.Time{},
+		nudge:         make(chan struct{}, 1),
+		pollNow:       make(chan struct{}, 1),
+	}
+	f.machine = membership.New(membership.Options{
+		Self:        toCore(opts.Self),
+		Interval:    opts.Heartbeat,
+		Lease:       opts.Lease,
+		Margin:      opts.Margin,
+		SilentAfter: opts.SilentAfter,
+		Poll:        opts.Poll,
+	}, opts.Now())
+	f.sections.init()
+	f.view.Store(&View{Self: opts.Self.Host, LimitsUnknown: true})
+	f.leaseUntil.Store(&time.Time{})
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.registerHandlers()
+	return f
+}
+
+// Start returns when a configuration and an epoch are known, from the platform
+// or, when it is down, from a seed. Without an epoch in the platform it
+// proposes the first. It fails only when ctx ends first.
+func (f *Fleet) Start(ctx context.Context) error {
+	for !f.known() {
+		if err := f.bootstrap(ctx); err != nil && ctx.Err() != nil {
+			return errors.Wrapf(err, "fleet start of %s: no configuration and epoch known", f.opts.Self.Host)
+		}
+	}
+	f.spawn(f.run)
+	f.spawn(f.pollLoop)
+	f.spawn(func() { f.watchLoop(headKey, &f.versions.head) })
+	f.spawn(func() { f.watchLoop(epochKey, &f.versions.epoch) })
+	return nil
+}
+
+func (f *Fleet) known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config.Load() != nil && f.machine.Epoch().Number > 0
+}
+
+// Close stops the fleet without leaving the epoch; the host counts as silent.
+func (f *Fleet) Close() error {
+	f.mu.Lock() // steps start goroutines under the lock, so none starts after this
+	f.cancel()
+	f.mu.Unlock()
+	f.wg.Wait()
+	return nil
+}
+
+// spawn runs fn on a goroutine that Close waits for.
+func (f *Fleet) spawn(fn func()) {
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		fn()
+	}()
+}
+
+// Incarnation returns the identity of this process among those of its host.
+func (f *Fleet) Incarnation() string { return f.opts.Self.Incarnation }
+
+// Writer returns the writer for conditional updates of this process.
+func (f *Fleet) Writer() *platform.Writer { return f.writer }
+
+// View implements Service. The maps and slices of the result must not be changed.
+func (f *Fleet) View() View { return *f.view.Load() }
+
+// Config implements Service.
+func (f *Fleet) Config() *config.Snapshot {
+	state := f.config.Load()
+	if state == nil {
+		return nil
+	}
+	return state.snapshot
+}
+
+// MayAdmit implements Service. The error wraps ErrNotFresh.
+func (f *Fleet) MayAdmit(now time.Time) error {
+	until := *f.leaseUntil.Load()
+	if now.Before(until) {
+		return nil
+	}
+	if until.IsZero() {
+		return errors.Wrap(ErrNotFresh, "never confirmed")
+	}
+	return errors.Wrapf(ErrNotFresh, "ended %s ago", now.Sub(until))
+}
+
+// OnConfig implements Service. A configuration already in force is passed at once.
+func (f *Fleet) OnConfig(fn func(*config.Snapshot)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.onConfig = append(f.onConfig, fn)
+	if state := f.config.Load(); state != nil {
+		fn(state.snapshot)
+	}
+}
+
+// OnView implements Service. A view already known is passed at once.
+func (f *Fleet) OnView(fn func(View)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.onView = append(f.onView, fn)
+	if v := f.View(); v.Epoch > 0 {
+		fn(v)
+	}
+}
+
+// Publish implements Service. A value that cannot be encoded is logged and
+// ignored; nil removes the section.
+func (f *Fleet) Publish(section string, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		f.opts.Logger.Error("fleet: section not encoded", "section", section, "error", err)
+		return
+	}
+	f.sections.publish(section, raw)
+}
+
+// Subscribe implements Service.
+func (f *Fleet) Subscribe(section string, fn func(from peer.HostID, raw json.RawMessage)) {
+	f.sections.subscribe(section, fn)
+}
+
+// Nudge implements Service.
+func (f *Fleet) Nudge() {
+	select {
+	case f.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Leave removes this host from the epoch before it stops, so that the other
+// hosts take over its shares without waiting for its lease. It returns when
+// the epoch without it is activated, or with an error when ctx ends first.
+// The host may go on serving, as one that holds no shares.
+func (f *Fleet) Leave(ctx context.Context) error {
+	f.mu.Lock()
+	f.machine.Leave()
+	f.mu.Unlock()
+	ticker := time.NewTicker(f.opts.tick())
+	defer ticker.Stop()
+	for attempt := 0; ; attempt++ {
+		if f.hasLeft() {
+			return nil
+		}
+		if attempt%ticksPerInterval == 0 && f.isMember() {
+			f.propose(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "leave of %s", f.opts.Self.Host)
+		case <-f.ctx.Done():
+			return errors.Wrapf(f.ctx.Err(), "leave of %s", f.opts.Self.Host)
+		case <-ticker.C:
+		}
+	}
+}
+
+func (f *Fleet) isMember() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machine.IsMember()
+}
+
+// hasLeft reports whether the epoch without this host is activated, or whether
+// no other host could take over.
+func (f *Fleet) hasLeft() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.machine.IsMember() {
+		return f.machine.EpochSettled()
+	}
+	return len(f.machine.Epoch().Members) == 1
+}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/core/membership"
 	"ragwortstep/internal/peer"
 )
 
@@ -29,6 +30,28 @@
 	// Settled is true when the generation (Epoch, Revision) is activated, so
 	// that larger shares and taken-over roles may be used.
 	Settled bool
+	// EpochSettled is true when the epoch is activated, whatever the revision.
+	EpochSettled bool
+	// Prior lists the members of earlier epochs that may still use shares;
+	// it matters until EpochSettled.
+	Prior [][]Identity
+	// EarlierLimits holds, per workspace whose limit changed, the limits that
+	// hosts may still apply; it is empty once Settled.
+	EarlierLimits map[string][]Limit
+	// LimitsUnknown is true when this host does not know all limits that may
+	// still be applied, for example after its start; it is false once Settled.
+	LimitsUnknown bool
+	// Lapses counts how often this host's freshness lease ended.
+	Lapses uint64
+}
+
+// Identity tells the processes of one host apart.
+type Identity = membership.Identity
+
+// Limit is a workspace's rate in requests per second and burst in requests.
+type Limit struct {
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
 }
 
 // Service is what other packages use of the fleet. Fleet implements it;
--- /dev/null
+++ b/internal/limiter/limiter.go
@@ -0,0 +1,247 @@
+package limiter
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/core/limit"
+	"ragwortstep/internal/fleet"
+	"ragwortstep/internal/invariant"
+)
+
+// minRetryAfter keeps refused callers from resending at once.
+const minRetryAfter = 50 * time.Millisecond
+
+// Limiter admits requests within the limits of all hosts together. It is safe
+// for concurrent use.
+type Limiter struct {
+	opts Options
+	self limit.Identity
+	kick chan struct{}
+
+	mu       sync.Mutex
+	state    *limit.State
+	applied  appliedView
+	queues   map[string]*queue
+	waiting  int
+	inFlight map[limit.Identity]bool
+	lastSent map[limit.Identity]time.Time
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// appliedView holds the parts of a view that change shares.
+type appliedView struct {
+	epoch                 uint64
+	revision              int64
+	settled, epochSettled bool
+	limitsUnknown         bool
+	lapses                uint64
+}
+
+// New returns a limiter that is not started, and registers limit.borrow with
+// opts.Peers, whose Start must come later.
+func New(opts Options) *Limiter {
+	opts = opts.withDefaults()
+	l := &Limiter{
+		opts:     opts,
+		self:     limit.Identity{Host: string(opts.Fleet.View().Self), Incarnation: opts.Incarnation},
+		kick:     make(chan struct{}, 1),
+		queues:   map[string]*queue{},
+		inFlight: map[limit.Identity]bool{},
+		lastSent: map[limit.Identity]time.Time{},
+	}
+	l.state = limit.New(limit.Options{
+		Self: l.self, Policy: opts.Policy, Rand: opts.Rand,
+		GrantLifetime: opts.GrantLifetime, GrantMargin: opts.GrantMargin,
+	})
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	opts.Peers.Handle(methodBorrow, l.serveBorrow)
+	return l
+}
+
+// Start follows the fleet's view and begins borrowing. It returns at once;
+// the limiter runs until Close or until ctx ends.
+func (l *Limiter) Start(ctx context.Context) {
+	l.opts.Fleet.OnView(l.applyView)
+	context.AfterFunc(ctx, l.cancel)
+	l.wg.Add(1)
+	go func() {
+		defer l.wg.Done()
+		l.run()
+	}()
+}
+
+// Close stops the limiter. Waiting requests are refused.
+func (l *Limiter) Close() error {
+	l.mu.Lock() // goroutines are started under the lock, so none starts after this
+	l.cancel()
+	l.mu.Unlock()
+	l.wg.Wait()
+	return nil
+}
+
+// applyView takes over the shares that follow from a view. The configuration
+// belongs to the view, because the fleet publishes both before this callback.
+func (l *Limiter) applyView(v fleet.View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	applied := appliedView{v.Epoch, v.Revision, v.Settled, v.EpochSettled, v.LimitsUnknown, v.Lapses}
+	if applied == l.applied || v.Epoch == 0 {
+		return
+	}
+	l.applied = applied
+	g := limit.Generation{
+		Members: make([]limit.Identity, len(v.Members)), Prior: v.Prior,
+		Limits: map[string]limit.Limit{}, Earlier: map[string][]limit.Limit{},
+		LimitsUnknown: v.LimitsUnknown, EpochSettled: v.EpochSettled, Settled: v.Settled, Lapses: v.Lapses,
+	}
+	for i, m := range v.Members {
+		g.Members[i] = limit.Identity{Host: string(m.Host), Incarnation: m.Incarnation}
+	}
+	for name, earlier := range v.EarlierLimits {
+		for _, e := range earlier {
+			g.Earlier[name] = append(g.Earlier[name], limit.Limit(e))
+		}
+	}
+	if snapshot := l.opts.Fleet.Config(); snapshot != nil {
+		for name, w := range snapshot.Workspaces {
+			g.Limits[name] = limit.Limit{Rate: w.Rate, Burst: w.Burst}
+		}
+	}
+	l.state.Apply(l.opts.Now(), g)
+}
+
+// Acquire takes n tokens of the workspace. An online request waits at most
+// Options.Wait and then fails with *RefusedError; a batch item waits until ctx
+// ends. Without a freshness lease an online request fails with the error of
+// fleet.Service.MayAdmit, and an unknown workspace with ErrUnknownWorkspace.
+func (l *Limiter) Acquire(ctx context.Context, workspace string, n float64, class Class) error {
+	w, err := l.enter(workspace, n, class)
+	if w == nil {
+		return err
+	}
+	stats.Add("waited", 1)
+	var expired <-chan time.Time
+	if class == Online {
+		timer := time.NewTimer(l.opts.Wait)
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-expired:
+		return l.abandon(workspace, w, nil)
+	case <-ctx.Done():
+		return l.abandon(workspace, w, ctx.Err())
+	case <-l.ctx.Done():
+		return l.abandon(workspace, w, errors.Wrap(l.ctx.Err(), "limiter closed"))
+	}
+}
+
+// enter admits or refuses at once, or returns a waiter in the queue.
+func (l *Limiter) enter(workspace string, n float64, class Class) (*waiter, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.opts.Now()
+	fresh := l.opts.Fleet.MayAdmit(now)
+	if fresh != nil && class == Online {
+		stats.Add("not_fresh", 1)
+		return nil, fresh
+	}
+	lim, ok := l.state.Limit(workspace)
+	if !ok {
+		return nil, errors.Wrap(ErrUnknownWorkspace, workspace)
+	}
+	if !(n > 0) || math.IsInf(n, 0) {
+		return nil, errors.Newf("acquire of %v tokens", n)
+	}
+	l.state.Ask(now, workspace, n, class == Batch)
+	q := l.queue(workspace)
+	if fresh == nil && q.emptyFor(class) && l.take(now, workspace, n, class) {
+		return nil, nil
+	}
+	if class == Online && l.hopeless(lim, q, n) {
+		return nil, l.refused(workspace, lim, q, n)
+	}
+	w := q.push(n, class)
+	l.waiting++
+	l.wake()
+	return w, nil
+}
+
+// hopeless reports whether a request cannot get its tokens within the wait,
+// even if this host received the whole rate.
+func (l *Limiter) hopeless(lim limit.Limit, q *queue, n float64) bool {
+	if n > lim.Burst || lim.Rate <= 0 {
+		return true
+	}
+	return q.tokens[Online]+n > lim.Burst+lim.Rate*l.opts.Wait.Seconds()
+}
+
+func (l *Limiter) refused(workspace string, lim limit.Limit, q *queue, n float64) error {
+	stats.Add("refused", 1)
+	retry := l.opts.Wait
+	if lim.Rate > 0 {
+		retry = time.Duration((q.tokens[Online] + n) / lim.Rate * float64(time.Second))
+	}
+	return &RefusedError{Workspace: workspace, RetryAfter: max(retry, minRetryAfter)}
+}
+
+// take consumes tokens and counts the admission. The caller holds mu and has
+// checked the freshness lease at now.
+func (l *Limiter) take(now time.Time, workspace string, n float64, class Class) bool {
+	if !l.state.Take(now, workspace, n, class == Batch) {
+		return false
+	}
+	invariant.Check(l.state.Consistent(workspace), "I7", "take tokens", l.self.Host, "workspace", workspace)
+	if class == Batch {
+		stats.Add("admitted_batch", 1)
+	} else {
+		stats.Add("admitted", 1)
+	}
+	return true
+}
+
+// abandon removes a waiter. It may have been admitted a moment ago. A nil
+// cause stands for the end of the wait.
+func (l *Limiter) abandon(workspace string, w *waiter, cause error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case err := <-w.done:
+		return err
+	default:
+	}
+	q := l.queue(workspace)
+	q.remove(w)
+	l.waiting--
+	if cause != nil {
+		return cause
+	}
+	lim, _ := l.state.Limit(workspace)
+	return l.refused(workspace, lim, q, w.n)
+}
+
+func (l *Limiter) queue(workspace string) *queue {
+	q := l.queues[workspace]
+	if q == nil {
+		q = &queue{}
+		l.queues[workspace] = q
+	}
+	return q
+}
+
+func (l *Limiter) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
