--- a/test/harness/host.go
+++ b/test/harness/host.go
@@ -123,7 +123,7 @@
 		Process: &Process{
 			Name:    spec.Name,
 			LogPath: filepath.Join(d.Dir, spec.Name+".log"),
-			args:    []string{d.opts.Binaries.Ragwortstep, "serve", "--config", path},
+			args:    []string{d.opts.Binaries.Ragwortstep, "serve", "--settings", path},
 			env:     d.opts.HostEnv,
 		},
 		Spec: spec, Settings: s,
