--- a/internal/core/balance/knee.go
+++ b/internal/core/balance/knee.go
@@ -14,7 +14,11 @@
 	// the limit falls. Continuous batching roughly doubles the time per token
 	// between an idle and a full engine.
 	kneeTolerance = 2.0
-	kneeMinDrift  = 0.01 // part of the distance that the minimum rises per window
+	// kneeMinDrift is the part of the distance to the window's mean that the
+	// minimum rises. It rises only at low load or at the lowest limit: if it
+	// rose under load, the limit would follow its own latency upwards.
+	kneeMinDrift  = 0.05
+	kneeIdle      = 0.5 // part of the limit below which a window is at low load
 	kneeSmoothing = 0.2
 	kneeRange     = 4.0 // the limit stays within the first value times or divided by this
 	// kneeBusy is the part of the limit that must have been in use for a
@@ -66,7 +70,9 @@
 	if k.minimum == 0 || mean < k.minimum {
 		k.minimum = mean
 	}
-	k.minimum += kneeMinDrift * (mean - k.minimum)
+	if k.peak < kneeIdle*k.limit || k.limit <= k.lowest() {
+		k.minimum += kneeMinDrift * (mean - k.minimum)
+	}
 	if k.peak < kneeBusy*k.limit {
 		return
 	}
@@ -84,6 +90,8 @@
 }
 
 func (k *knee) set(limit float64) {
-	low := max(1, k.first/kneeRange)
-	k.limit = min(k.first*kneeRange, max(low, limit))
+	k.limit = min(k.first*kneeRange, max(k.lowest(), limit))
 }
+
+// lowest is the lower bound of the limit.
+func (k *knee) lowest() float64 { return max(1, k.first/kneeRange) }
--- a/internal/core/retry/exchange.go
+++ b/internal/core/retry/exchange.go
@@ -14,9 +14,9 @@
 // LossReport says that a server was lost while the fingerprint was in flight.
 type LossReport struct {
 	Fingerprint Fingerprint `json:"fp"`
-	Losses      int         `json:"losses"`
 	Server      string      `json:"server"`
 	AgeMS       int64       `json:"age_ms"`
+	Suspect     bool        `json:"suspect,omitempty"` // it ran as a suspect
 }
 
 // RunReport says that a suspect is in flight at a server.
@@ -42,8 +42,9 @@
 	s.bound(now)
 	var out Report
 	for _, fp := range sortedKeys(s.own) {
-		l := s.own[fp]
-		out.Losses = append(out.Losses, LossReport{fp, l.count, l.server, now.Sub(l.at).Milliseconds()})
+		for _, l := range s.own[fp] {
+			out.Losses = append(out.Losses, LossReport{fp, l.server, now.Sub(l.at).Milliseconds(), l.suspect})
+		}
 	}
 	for _, fp := range sortedKeys(s.runs) {
 		out.Running = append(out.Running, RunReport{fp, s.runs[fp]})
@@ -62,9 +63,9 @@
 // Merge replaces what is known from a peer by its latest report. It returns
 // the fingerprints that are quarantined by it and were not before.
 func (s *Suspects) Merge(host string, r Report, now time.Time) []Fingerprint {
-	p := remote{losses: map[Fingerprint]loss{}, runs: map[Fingerprint]string{}, seen: now}
+	p := remote{losses: map[Fingerprint][]loss{}, runs: map[Fingerprint]string{}, seen: now}
 	for _, l := range r.Losses {
-		p.losses[l.Fingerprint] = loss{l.Losses, l.Server, ago(now, l.AgeMS)}
+		p.losses[l.Fingerprint] = append(p.losses[l.Fingerprint], loss{l.Server, ago(now, l.AgeMS), l.Suspect})
 	}
 	for _, run := range r.Running {
 		p.runs[run.Fingerprint] = run.Server
--- a/internal/core/retry/suspects.go
+++ b/internal/core/retry/suspects.go
@@ -29,6 +29,8 @@
 	peerExpiry = 3 * time.Second
 	// maxRecords bounds the remembered and the published fingerprints.
 	maxRecords = 1024
+	// maxLosses bounds the remembered losses of one fingerprint.
+	maxLosses = 4
 )
 
 // Verdict is what is known of a fingerprint.
@@ -41,16 +43,16 @@
 	Quarantined
 )
 
-// loss is what one host observed of one fingerprint.
+// loss is one loss of a server with a fingerprint in flight.
 type loss struct {
-	count  int // server losses
-	server string
-	at     time.Time // of the last loss
+	server  string
+	at      time.Time
+	suspect bool // it ran as the only suspect of its host on that server
 }
 
 // remote is a peer's published knowledge.
 type remote struct {
-	losses map[Fingerprint]loss
+	losses map[Fingerprint][]loss
 	runs   map[Fingerprint]string
 	seen   time.Time
 }
@@ -59,7 +61,7 @@
 // broke. It combines the host's own observations with those of its peers. It
 // is not safe for concurrent use.
 type Suspects struct {
-	own         map[Fingerprint]loss
+	own         map[Fingerprint][]loss
 	runs        map[Fingerprint]string // suspects in flight here, by server
 	peers       map[string]remote
 	quarantined map[Fingerprint]time.Time // until
@@ -69,7 +71,7 @@
 // NewSuspects returns an empty set.
 func NewSuspects() *Suspects {
 	return &Suspects{
-		own:         map[Fingerprint]loss{},
+		own:         map[Fingerprint][]loss{},
 		runs:        map[Fingerprint]string{},
 		peers:       map[string]remote{},
 		quarantined: map[Fingerprint]time.Time{},
@@ -95,31 +97,25 @@
 
 // losses counts the server losses that all hosts observed with the
 // fingerprint since its last success. One server's loss that several hosts
-// observed counts once.
+// observed counts once, and one that involved another suspect not at all.
 func (s *Suspects) losses(fp Fingerprint, now time.Time) int {
-	var seen []loss
-	add := func(l loss, ok bool) {
-		if ok && now.Sub(l.at) < suspectFor && l.at.After(s.cleared[fp]) {
-			seen = append(seen, l)
+	var counted []loss
+	add := func(list []loss) {
+		for _, l := range list {
+			expired := now.Sub(l.at) >= suspectFor || !l.at.After(s.cleared[fp])
+			if !expired && !slices.ContainsFunc(counted, l.same) && !s.shared(fp, l) {
+				counted = append(counted, l)
+			}
 		}
 	}
-	l, ok := s.own[fp]
-	add(l, ok)
+	add(s.own[fp])
 	for _, p := range s.peers {
-		l, ok := p.losses[fp]
-		add(l, ok)
+		add(p.losses[fp])
 	}
-	total := 0
-	for i, l := range seen {
-		total += l.count
-		if s.shared(fp, l) || slices.ContainsFunc(seen[:i], l.same) {
-			total--
-		}
-	}
-	return total
+	return len(counted)
 }
 
-// same reports whether two hosts observed the same loss of a server.
+// same reports whether two observations are of the same loss of a server.
 func (l loss) same(o loss) bool {
 	return l.server == o.server && l.at.Sub(o.at).Abs() < ambiguousWithin
 }
@@ -128,7 +124,7 @@
 // server. This happens when two hosts send a suspect to one server before
 // they learn of each other; then the loss identifies neither.
 func (s *Suspects) shared(fp Fingerprint, l loss) bool {
-	if l.count < quarantineLosses {
+	if !l.suspect {
 		return false
 	}
 	if sharedIn(s.own, fp, l) {
@@ -142,9 +138,12 @@
 	return false
 }
 
-func sharedIn(m map[Fingerprint]loss, fp Fingerprint, l loss) bool {
-	for other, o := range m {
-		if other != fp && o.count >= quarantineLosses && o.same(l) {
+func sharedIn(m map[Fingerprint][]loss, fp Fingerprint, l loss) bool {
+	for other, list := range m {
+		if other == fp {
+			continue
+		}
+		if slices.ContainsFunc(list, func(o loss) bool { return o.suspect && o.same(l) }) {
 			return true
 		}
 	}
@@ -154,8 +153,8 @@
 // confirmed reports whether the peers had time to report that the last loss
 // involved another suspect.
 func (s *Suspects) confirmed(fp Fingerprint, now time.Time) bool {
-	l, ok := s.own[fp]
-	return !ok || now.Sub(l.at) >= confirmAfter
+	list := s.own[fp]
+	return len(list) == 0 || now.Sub(list[len(list)-1].at) >= confirmAfter
 }
 
 // MayRun reports whether a suspect may be sent to a server: no other suspect
@@ -207,11 +206,8 @@
 	if before > 0 && !asSuspect {
 		return Suspect
 	}
-	l := s.own[fp]
-	if !l.at.After(s.cleared[fp]) || now.Sub(l.at) >= suspectFor {
-		l.count = 0
-	}
-	s.own[fp] = loss{l.count + 1, server, now}
+	list := append(s.own[fp], loss{server, now, asSuspect})
+	s.own[fp] = list[max(0, len(list)-maxLosses):]
 	s.bound(now)
 	verdict, _ := s.Check(fp, now)
 	return verdict
@@ -233,17 +229,16 @@
 // for it.
 func (s *Suspects) Survived(server string, since time.Time) bool {
 	changed := false
-	for fp, l := range s.own {
-		if l.server != server || l.at.Before(since) {
+	for fp, list := range s.own {
+		kept := slices.DeleteFunc(list, func(l loss) bool { return l.server == server && !l.at.Before(since) })
+		if len(kept) == len(list) {
 			continue
 		}
 		changed = true
-		if l.count--; l.count == 0 {
+		s.own[fp] = kept
+		if len(kept) == 0 {
 			delete(s.own, fp)
-			continue
 		}
-		l.server = ""
-		s.own[fp] = l
 	}
 	return changed
 }
@@ -264,8 +259,8 @@
 
 // bound drops expired records and, above maxRecords, the oldest.
 func (s *Suspects) bound(now time.Time) {
-	for fp, r := range s.own {
-		if now.Sub(r.at) >= suspectFor {
+	for fp, list := range s.own {
+		if now.Sub(list[len(list)-1].at) >= suspectFor {
 			delete(s.own, fp)
 		}
 	}
@@ -284,12 +279,12 @@
 	}
 }
 
-func oldest(m map[Fingerprint]loss) Fingerprint {
+func oldest(m map[Fingerprint][]loss) Fingerprint {
 	var out Fingerprint
 	var at time.Time
-	for fp, r := range m {
-		if at.IsZero() || r.at.Before(at) {
-			out, at = fp, r.at
+	for fp, list := range m {
+		if last := list[len(list)-1].at; at.IsZero() || last.Before(at) {
+			out, at = fp, last
 		}
 	}
 	return out
--- a/internal/core/schedule/division.go
+++ b/internal/core/schedule/division.go
@@ -68,6 +68,10 @@
 	Weights [classes]map[string]float64
 }
 
+// minBatchPart is the least part of the capacity that is divided among batch
+// work, so that its proportions are known when online work takes all slots.
+const minBatchPart = 0.05
+
 // span is a host's interval on a line on which all hosts' parts follow one
 // another from 0 to 1.
 type span struct{ low, high float64 }
@@ -85,10 +89,8 @@
 	capacity := float64(slots) * total.meanCost()
 	d := Division{OnlineItems: total.online.Items}
 	online := entitlements(capacity, weights, total.byWorkspace, Online)
-	for _, tokens := range online {
-		capacity -= tokens
-	}
-	batch := entitlements(capacity, weights, total.byWorkspace, Batch)
+	left := max(capacity-total.online.Tokens, minBatchPart*capacity)
+	batch := entitlements(left, weights, total.byWorkspace, Batch)
 	d.online, d.Weights[Online] = part(self, hosts, weights, total.byWorkspace, online, Online)
 	d.batch, d.Weights[Batch] = part(self, hosts, weights, total.byWorkspace, batch, Batch)
 	return d
