--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -34,8 +34,6 @@
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
-	// closeTimeout bounds each step of the shutdown after draining.
-	closeTimeout = 5 * time.Second
 	// maxHeaderBytes bounds a request's header.
 	maxHeaderBytes = 64 << 10
 )
@@ -284,14 +282,17 @@
 	h.events.Record(events.Event{Kind: "host.draining"})
 	h.logger.Info("host draining")
 	h.gateway.StartDraining()
-	time.Sleep(h.settings.Gateway.Unready)
-	drain, cancel := context.WithTimeout(context.Background(), h.settings.Gateway.Drain)
+	drain, cancel := context.WithTimeout(context.Background(), h.settings.Gateway.Unready+h.settings.Gateway.Drain)
 	defer cancel()
+	left := make(chan error, 1)
+	go func() { left <- h.fleet.Leave(drain) }() // hands over shares and roles while the balancer reacts
+	time.Sleep(h.settings.Gateway.Unready)
 	h.logErr("hand back batch work", h.jobs.Close(drain))
 	for _, srv := range servers {
 		h.logErr("drain "+srv.name, srv.server.Shutdown(drain))
 	}
 	h.logErr("drain requests", h.dispatcher.Drain(drain))
+	h.logErr("leave the epoch", <-left)
 	h.events.Record(events.Event{Kind: "host.stopped"})
 	h.logErr("stop the fleet", h.fleet.Close())
 	h.logErr("stop peers", h.peers.Close())
--- /dev/null
+++ b/test/integration/main_test.go
@@ -0,0 +1,83 @@
+// Package integration tests whole deployments as real processes behind the
+// fault relay. The stand-ins' ledgers are the witness, not the hosts' own claims.
+package integration
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"ragwortstep/test/harness"
+)
+
+// binaries are built once for all tests.
+var binaries harness.Binaries
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "ragwortstep-bin")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "integration:", err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binaries, err = harness.Build(context.Background(), dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "integration:", err)
+		return 1
+	}
+	return m.Run()
+}
+
+// startOptions change a deployment before its start.
+type startOptions func(*harness.Options)
+
+func withHosts(n int) startOptions {
+	return func(o *harness.Options) { o.Layout.SetHosts(n) }
+}
+
+// start runs a deployment until the test ends. Hosts exit on a violated
+// invariant, which the test then reports.
+func start(t *testing.T, name string, options ...startOptions) (context.Context, *harness.Deployment) {
+	t.Helper()
+	layout, err := harness.LayoutOf(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	opts := harness.Options{Layout: layout, Binaries: binaries, Seed: 1, HostEnv: []string{"RAGWORTSTEP_INVARIANT=exit"}}
+	for _, change := range options {
+		change(&opts)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
+	d, err := harness.Start(ctx, opts)
+	if err != nil {
+		cancel()
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("settings and logs are kept in %s", d.KeepDir())
+		}
+		reportExits(t, d)
+		d.Close()
+		cancel()
+	})
+	return ctx, d
+}
+
+// invariantStatus is the exit status of a host that violated an invariant.
+const invariantStatus = "exit status 70"
+
+func reportExits(t *testing.T, d *harness.Deployment) {
+	t.Helper()
+	for _, h := range d.Hosts {
+		if !h.Running() && h.Status() != nil && h.Status().Error() == invariantStatus {
+			t.Errorf("host %s violated an invariant:\n%s", h.Name, h.LogTail(2000))
+		}
+	}
+}
