--- a/internal/core/limit/lend.go
+++ b/internal/core/limit/lend.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"ragwortstep/internal/core/membership"
 )
 
 // Want is a borrower's request for tokens of one workspace.
@@ -19,6 +21,8 @@
 	ID     uint64  `json:"id,omitempty"`
 	Amount float64 `json:"n,omitempty"`
 	Left   float64 `json:"l,omitempty"` // tokens that remain in the lender's bucket
+	// Lifetime is set when it is shorter than the borrower's GrantLifetime.
+	Lifetime time.Duration `json:"t,omitempty"`
 }
 
 // Report tells a lender what became of a grant. It may be repeated.
@@ -45,10 +49,10 @@
 }
 
 // Lend answers a borrower's wants, and takes in its reports first.
-func (s *State) Lend(now time.Time, borrower Identity, wants []Want, reports []Report) []Grant {
+func (s *State) Lend(now time.Time, borrower Identity, wants []Want, reports []Report) Answer {
 	for _, r := range reports {
 		if w := s.workspaces[r.Workspace]; w != nil {
-			s.advance(now, w)
+			s.refill(now, w)
 			w.bucket.settle(r.ID, borrower, r.Returned)
 		}
 	}
@@ -56,7 +60,7 @@
 	for i, want := range wants {
 		out[i] = s.lendOne(now, borrower, want)
 	}
-	return out
+	return Answer{Generation: s.generation.Number, Grants: out}
 }
 
 func (s *State) lendOne(now time.Time, borrower Identity, want Want) Grant {
@@ -64,7 +68,7 @@
 	if w == nil || !w.exists || s.opts.Policy == Static || !(want.Amount > 0) {
 		return Grant{}
 	}
-	s.advance(now, w)
+	s.refill(now, w)
 	amount := lendable(want.Amount, w.bucket.level)
 	if want.Batch {
 		amount = lendable(amount, w.bucket.level+(w.bucket.share.Rate-w.lentOut.at(now))*predictionHorizon.Seconds())
@@ -75,11 +79,15 @@
 		return Grant{Left: w.bucket.level}
 	}
 	s.nextGrant++
-	w.bucket.lend(s.nextGrant, grant{
-		borrower: borrower, amount: amount,
-		expires: now.Add(s.opts.GrantLifetime + s.opts.GrantMargin),
-	})
-	return Grant{ID: s.nextGrant, Amount: amount, Left: w.bucket.level}
+	out := Grant{ID: s.nextGrant, Amount: amount}
+	lifetime := s.opts.GrantLifetime
+	if !slices.Contains(s.generation.Members, borrower) {
+		lifetime = min(lifetime, s.opts.OutsiderLifetime)
+		out.Lifetime = lifetime
+	}
+	w.bucket.lend(out.ID, grant{borrower: borrower, amount: amount, expires: now.Add(lifetime + s.opts.GrantMargin)})
+	out.Left = w.bucket.level
+	return out
 }
 
 // lendable returns how much of a want to lend from what there is: the whole
@@ -91,12 +99,22 @@
 	return max(0, math.Floor(have))
 }
 
-// Receive takes in the answer to wants that were sent to a lender at sentAt,
-// and forgets the reports that it acknowledges.
-func (s *State) Receive(now, sentAt time.Time, lender Identity, wants []Want, reports []Report, grants []Grant) {
-	s.acknowledge(lender, reports)
+// Answer is a lender's answer to a Request.
+type Answer struct {
+	Generation membership.Generation `json:"generation"` // applied at the lender
+	Grants     []Grant               `json:"grants,omitempty"`
+}
+
+// Receive takes in the answer to a request that was sent at sentAt, and
+// forgets the reports that it acknowledges. Tokens granted at an earlier
+// generation than the one applied here are given up, because their lender may
+// have lost its share.
+func (s *State) Receive(now, sentAt time.Time, r Request, answer Answer) {
+	lender, wants := r.Lender, r.Wants
+	s.acknowledge(lender, r.Reports)
 	s.answered(wants)
-	for i, g := range grants[:min(len(grants), len(wants))] {
+	current := answer.Generation.Covers(s.generation.Number)
+	for i, g := range answer.Grants[:min(len(answer.Grants), len(wants))] {
 		w := s.workspaces[wants[i].Workspace]
 		if w == nil {
 			continue
@@ -105,10 +123,19 @@
 		if g.Amount <= 0 {
 			continue
 		}
-		w.borrowed = append(w.borrowed, borrowed{
+		lifetime := s.opts.GrantLifetime
+		if g.Lifetime > 0 {
+			lifetime = min(lifetime, g.Lifetime)
+		}
+		b := borrowed{
 			id: g.ID, lender: lender, batch: wants[i].Batch, left: g.Amount,
-			expires: sentAt.Add(s.opts.GrantLifetime),
-		})
+			expires: sentAt.Add(lifetime),
+		}
+		if !current || !w.exists {
+			s.closeBorrowed(now, w, b)
+			continue
+		}
+		w.borrowed = append(w.borrowed, b)
 		s.active[w.name] = w
 		s.expireBorrowed(now, w)
 	}
--- a/internal/core/limit/plan.go
+++ b/internal/core/limit/plan.go
@@ -84,7 +84,7 @@
 	s.dropReports(now)
 	requests := map[Identity]*Request{}
 	for name, w := range s.active {
-		s.advance(now, w)
+		s.refill(now, w)
 		s.expireBorrowed(now, w)
 		s.returnSurplus(now, w)
 		if s.idle(now, w, waiting[name]) {
--- a/internal/core/limit/state.go
+++ b/internal/core/limit/state.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"ragwortstep/internal/core/membership"
 )
 
 // Options configures a State.
@@ -12,13 +14,18 @@
 	Policy        Policy        // default Lending
 	GrantLifetime time.Duration // of borrowed tokens at the borrower, default 2s
 	GrantMargin   time.Duration // added to it at the lender, default 200ms
-	Rand          *rand.Rand    // breaks ties among lenders and numbers grants; required
+	// OutsiderLifetime is the lifetime of tokens lent to a process that is no
+	// member, default 300ms. The activation of a generation does not wait for
+	// such processes, so larger shares apply this time plus the margin after it.
+	OutsiderLifetime time.Duration
+	Rand             *rand.Rand // breaks ties among lenders and numbers grants; required
 }
 
 // Defaults of Options.
 const (
-	DefaultGrantLifetime = 2 * time.Second
-	DefaultGrantMargin   = 200 * time.Millisecond
+	DefaultGrantLifetime    = 2 * time.Second
+	DefaultGrantMargin      = 200 * time.Millisecond
+	DefaultOutsiderLifetime = 300 * time.Millisecond
 )
 
 // predictionHorizon is how far ahead online demand is predicted when batch
@@ -27,6 +34,7 @@
 
 // Generation is what decides the shares, as known to this host.
 type Generation struct {
+	Number        membership.Generation
 	Members       []Identity
 	Prior         [][]Identity       // members of earlier epochs that may still use shares
 	Limits        map[string]Limit   // by workspace
@@ -45,12 +53,9 @@
 	ranking ranking
 	prior   []ranking
 
-	bucket    bucket
-	target    Share     // share of the settled generation
-	raise     bool      // bucket.share is to become target at notBefore
-	shrunk    bool      // some other process loses a share in the pending change
-	notBefore time.Time // grants of shares that others lost may be unspent until then
-
+	bucket   bucket
+	target   Share     // share of the settled generation, in force from raiseAt
+	raiseAt  time.Time // zero when no larger share is pending
 	borrowed []borrowed
 	lenders  map[Identity]*lenderState
 	asked    Waiting // tokens in requests to lenders that are under way
@@ -81,6 +86,9 @@
 	if opts.GrantMargin == 0 {
 		opts.GrantMargin = DefaultGrantMargin
 	}
+	if opts.OutsiderLifetime == 0 {
+		opts.OutsiderLifetime = DefaultOutsiderLifetime
+	}
 	return &State{
 		opts:       opts,
 		workspaces: map[string]*workspace{},
@@ -90,8 +98,9 @@
 	}
 }
 
-// Apply takes over a generation. Smaller shares apply at once; larger ones
-// when the generation is settled and no grant from a lost share is unspent.
+// Apply takes over a generation. Smaller shares apply at once, larger ones when
+// the generation is settled and tokens lent to outsiders before are expired. Borrowed tokens whose lender loses a share are
+// given up, so that none is left once all hosts have applied the generation.
 func (s *State) Apply(now time.Time, g Generation) {
 	former := s.generation
 	s.generation = g
@@ -101,12 +110,8 @@
 	sameMembers := slices.Equal(g.Members, former.Members)
 	samePrior := slices.EqualFunc(g.Prior, former.Prior, slices.Equal[[]Identity])
 	for name, limit := range g.Limits {
-		w := s.workspaces[name]
-		if w == nil {
-			w = &workspace{name: name, lenders: map[Identity]*lenderState{}}
-			w.bucket.last = now
-			s.workspaces[name] = w
-		}
+		w := s.workspace(now, name)
+		formerRanking, formerLimit := w.ranking, w.limit
 		if !sameMembers || !w.exists {
 			w.ranking = newRanking(s.opts.Policy, name, g.Members)
 			w.forgetLenders()
@@ -115,11 +120,35 @@
 			w.prior = s.priorRankings(name)
 		}
 		w.limit, w.exists = limit, true
+		s.giveUpStale(now, w, formerRanking, formerLimit)
 		s.applyTo(now, w)
 	}
 	s.dropRemoved(now)
 }
 
+// workspace returns the state of a workspace, which begins empty.
+func (s *State) workspace(now time.Time, name string) *workspace {
+	w := s.workspaces[name]
+	if w == nil {
+		w = &workspace{name: name, lenders: map[Identity]*lenderState{}}
+		w.bucket.last = now
+		s.workspaces[name] = w
+	}
+	return w
+}
+
+// giveUpStale gives up the tokens of lenders whose share became smaller.
+func (s *State) giveUpStale(now time.Time, w *workspace, formerRanking ranking, formerLimit Limit) {
+	w.borrowed = slices.DeleteFunc(w.borrowed, func(b borrowed) bool {
+		before := formerRanking.share(s.opts.Policy, formerLimit, b.lender)
+		if !before.exceeds(w.ranking.share(s.opts.Policy, w.limit, b.lender)) {
+			return false
+		}
+		s.closeBorrowed(now, w, b)
+		return true
+	})
+}
+
 func (s *State) priorRankings(name string) []ranking {
 	var out []ranking
 	for _, members := range s.generation.Prior {
@@ -135,9 +164,12 @@
 		if _, ok := s.generation.Limits[name]; ok {
 			continue
 		}
-		s.advance(now, w)
-		w.exists, w.limit, w.raise = false, Limit{}, false
+		w.exists, w.limit, w.raiseAt = false, Limit{}, time.Time{}
 		w.bucket.setShare(now, Share{})
+		for _, b := range w.borrowed {
+			s.closeBorrowed(now, w, b)
+		}
+		w.borrowed = nil
 		if len(w.bucket.grants) == 0 {
 			delete(s.workspaces, name)
 			delete(s.active, name)
@@ -154,76 +186,52 @@
 
 // applyTo recomputes this host's share of a workspace.
 func (s *State) applyTo(now time.Time, w *workspace) {
-	s.advance(now, w)
-	w.target = w.ranking.share(s.opts.Policy, w.limit, s.opts.Self)
+	target := w.ranking.share(s.opts.Policy, w.limit, s.opts.Self)
+	s.refill(now, w)
 	if !s.settledFor(w) {
-		w.raise = false
-		least, shrunk := s.pending(w)
-		w.shrunk = w.shrunk || shrunk
-		w.bucket.setShare(now, w.bucket.share.min(least))
+		w.raiseAt = time.Time{}
+		w.bucket.setShare(now, w.bucket.share.min(s.least(w, target)))
 		return
 	}
-	if w.shrunk {
-		w.notBefore = now.Add(s.opts.GrantLifetime + s.opts.GrantMargin)
-		w.shrunk = false
+	w.bucket.setShare(now, w.bucket.share.min(target))
+	if target != w.bucket.share && (w.raiseAt.IsZero() || target != w.target) {
+		w.raiseAt = now.Add(s.opts.OutsiderLifetime + s.opts.GrantMargin)
 	}
-	w.bucket.setShare(now, w.bucket.share.min(w.target))
-	w.raise = true
-	s.advance(now, w)
+	w.target = target
 }
 
-// pending returns the least share of this process over all generations that
-// may be in force, and whether another process loses a share.
-func (s *State) pending(w *workspace) (Share, bool) {
+// refill brings the bucket to now, including a raise that fell due meanwhile.
+func (s *State) refill(now time.Time, w *workspace) {
+	if !w.raiseAt.IsZero() && !now.Before(w.raiseAt) {
+		w.bucket.setShare(w.raiseAt, w.target)
+		w.raiseAt = time.Time{}
+	}
+	w.bucket.refill(now)
+}
+
+// least returns the smallest share of this process over all generations that
+// may be in force somewhere.
+func (s *State) least(w *workspace, target Share) Share {
 	if s.generation.LimitsUnknown {
-		return Share{}, true
+		return Share{}
 	}
 	rankings := []ranking{w.ranking}
 	if !s.generation.EpochSettled {
 		rankings = append(rankings, w.prior...)
 	}
 	limits := append([]Limit{w.limit}, s.generation.Earlier[w.name]...)
-	least, shrunk := w.target, false
 	for _, r := range rankings {
 		for _, l := range limits {
-			least = least.min(r.share(s.opts.Policy, l, s.opts.Self))
-			shrunk = shrunk || s.othersLose(w, r, l)
-		}
-	}
-	return least, shrunk
-}
-
-// othersLose reports whether a process other than this has a larger share by
-// the earlier ranking and limit than by the current.
-func (s *State) othersLose(w *workspace, r ranking, l Limit) bool {
-	for _, id := range r.holders(s.opts.Policy, l) {
-		if id != s.opts.Self && r.share(s.opts.Policy, l, id).exceeds(w.ranking.share(s.opts.Policy, w.limit, id)) {
-			return true
+			target = target.min(r.share(s.opts.Policy, l, s.opts.Self))
 		}
 	}
-	return false
-}
-
-// advance brings the bucket to now, including a raise that fell due meanwhile.
-func (s *State) advance(now time.Time, w *workspace) {
-	if w.raise && !now.Before(w.notBefore) {
-		w.bucket.setShare(later(w.notBefore, w.bucket.last), w.target)
-		w.raise = false
-	}
-	w.bucket.refill(now)
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
+	return target
 }
 
 // emptyAll drops all tokens after a gap in the freshness lease.
 func (s *State) emptyAll(now time.Time) {
 	for _, w := range s.workspaces {
-		s.advance(now, w)
+		s.refill(now, w)
 		w.bucket.empty(now)
 		for _, b := range w.borrowed {
 			s.closeBorrowed(now, w, b)
@@ -263,7 +271,7 @@
 	if w == nil || !w.exists {
 		return false
 	}
-	s.advance(now, w)
+	s.refill(now, w)
 	s.expireBorrowed(now, w)
 	fromBorrowed := min(n, w.borrowedFor(batch))
 	fromBucket := n - fromBorrowed
@@ -292,7 +300,7 @@
 	if w == nil {
 		return 0, 0, 0
 	}
-	s.advance(now, w)
+	s.refill(now, w)
 	s.expireBorrowed(now, w)
 	return w.bucket.level, w.bucket.lent, w.borrowedFor(true)
 }
@@ -303,7 +311,7 @@
 	if w == nil {
 		return Share{}
 	}
-	s.advance(now, w)
+	s.refill(now, w)
 	return w.bucket.share
 }
 
--- a/internal/limiter/borrow.go
+++ b/internal/limiter/borrow.go
@@ -25,8 +25,8 @@
 
 // borrowReply answers each want.
 type borrowReply struct {
-	Incarnation string        `json:"incarnation"`
-	Grants      []limit.Grant `json:"grants,omitempty"`
+	Incarnation string `json:"incarnation"`
+	limit.Answer
 }
 
 // run serves waiting requests and borrows until Close.
@@ -157,7 +157,7 @@
 	for _, g := range reply.Grants {
 		stats.AddFloat("tokens_borrowed", g.Amount)
 	}
-	l.state.Receive(now, sentAt, r.Lender, r.Wants, r.Reports, reply.Grants)
+	l.state.Receive(now, sentAt, r, reply.Answer)
 	l.serveQueues(now)
 	if l.waiting > 0 {
 		l.wake()
@@ -181,11 +181,11 @@
 		return nil, err
 	}
 	borrower := limit.Identity{Host: string(from), Incarnation: in.From}
-	grants := l.state.Lend(now, borrower, in.Wants, in.Reports)
-	for i, g := range grants {
+	answer := l.state.Lend(now, borrower, in.Wants, in.Reports)
+	for i, g := range answer.Grants {
 		stats.AddFloat("tokens_lent", g.Amount)
 		invariant.Check(l.state.Consistent(in.Wants[i].Workspace), "I7", "lend tokens", string(from), "workspace", in.Wants[i].Workspace)
 	}
 	stats.Add("lend_calls", 1)
-	return borrowReply{Incarnation: l.self.Incarnation, Grants: grants}, nil
+	return borrowReply{Incarnation: l.self.Incarnation, Answer: answer}, nil
 }
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/core/limit"
+	"ragwortstep/internal/core/membership"
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/invariant"
 )
@@ -98,6 +100,7 @@
 	}
 	l.applied = applied
 	g := limit.Generation{
+		Number:  membership.Generation{Epoch: v.Epoch, Revision: v.Revision},
 		Members: make([]limit.Identity, len(v.Members)), Prior: v.Prior,
 		Limits: map[string]limit.Limit{}, Earlier: map[string][]limit.Limit{},
 		LimitsUnknown: v.LimitsUnknown, EpochSettled: v.EpochSettled, Settled: v.Settled, Lapses: v.Lapses,
@@ -115,7 +118,9 @@
 			g.Limits[name] = limit.Limit{Rate: w.Rate, Burst: w.Burst}
 		}
 	}
-	l.state.Apply(l.opts.Now(), g)
+	now := l.opts.Now()
+	maps.DeleteFunc(l.lastSent, func(_ limit.Identity, at time.Time) bool { return now.Sub(at) > time.Minute })
+	l.state.Apply(now, g)
 }
 
 // Acquire takes n tokens of the workspace. An online request waits at most
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -94,7 +94,7 @@
 func TestBorrowingServesEveryHost(t *testing.T) {
 	is := is.New(t)
 	g := newGroup(t, limit.Lending, 200, 40, "a", "b", "c", "d")
-	time.Sleep(250 * time.Millisecond) // the buckets fill
+	time.Sleep(750 * time.Millisecond) // 500ms until the shares apply, then the buckets fill
 	for i := range 40 {
 		is.NoErr(g.limiters[i%4].Acquire(context.Background(), "w", 1, Online))
 		time.Sleep(6 * time.Millisecond)
@@ -106,7 +106,7 @@
 func TestSlowWorkspaceOverManyHosts(t *testing.T) {
 	is := is.New(t)
 	g := newGroup(t, limit.Lending, 2, 1, "a", "b", "c", "d", "e", "f", "g", "h")
-	time.Sleep(600 * time.Millisecond)
+	time.Sleep(1100 * time.Millisecond) // 500ms until the share applies, 500ms for one token
 	var admitted atomic.Int64
 	var wg sync.WaitGroup
 	for _, l := range g.limiters {
