--- a/internal/fleet/confstore.go
+++ b/internal/fleet/confstore.go
@@ -41,7 +41,7 @@
 // ReadSnapshot reads the configuration from the platform. Without one it
 // returns an empty snapshot of revision 0.
 func ReadSnapshot(ctx context.Context, store platform.Store) (*config.Snapshot, error) {
-	state, _, err := readState(ctx, store, emptyState())
+	state, err := readState(ctx, store, emptyState())
 	if err != nil {
 		return nil, err
 	}
@@ -56,7 +56,32 @@
 // by reading back, so an error means that the change was not committed, unless
 // it wraps platform.ErrUnknownOutcome.
 func WriteSnapshot(ctx context.Context, store platform.Store, writer *platform.Writer, expectedRevision int64, mutate func(*config.Snapshot) error) (*config.Snapshot, error) {
-	base, _, err := readState(ctx, store, emptyState())
+	next, err := writeState(ctx, store, writer, emptyState(), expectedRevision, mutate)
+	if err != nil {
+		return nil, err
+	}
+	return next.snapshot, nil
+}
+
+// WriteSnapshot is the function of the same name on this host's platform. It
+// reads only the shards that this host does not hold, and the result is in
+// force at this host when it returns.
+func (f *Fleet) WriteSnapshot(ctx context.Context, expectedRevision int64, mutate func(*config.Snapshot) error) (*config.Snapshot, error) {
+	known := f.config.Load()
+	if known == nil {
+		known = emptyState()
+	}
+	next, err := writeState(ctx, f.opts.Store, f.writer, known, expectedRevision, mutate)
+	if err != nil {
+		return nil, err
+	}
+	f.adoptConfig(next)
+	f.Nudge()
+	return next.snapshot, nil
+}
+
+func writeState(ctx context.Context, store platform.Store, writer *platform.Writer, known *configState, expectedRevision int64, mutate func(*config.Snapshot) error) (*configState, error) {
+	base, err := readState(ctx, store, known)
 	if err != nil {
 		return nil, err
 	}
@@ -74,7 +99,7 @@
 		return nil, err
 	}
 	collectShards(ctx, store, base, next)
-	return next.snapshot, nil
+	return next, nil
 }
 
 // prepare computes the next state without writing it.
@@ -177,12 +202,11 @@
 }
 
 // readState reads head and changed shards. It returns base itself when the
-// head is not newer, and the version of the head's object.
-func readState(ctx context.Context, store platform.Store, base *configState) (*configState, int64, error) {
+// head is not newer.
+func readState(ctx context.Context, store platform.Store, base *configState) (*configState, error) {
 	var state *configState
-	var version int64
 	err := retry(ctx, readAttempts, func() error {
-		obj, env, exists, err := platform.ReadEnvelope(ctx, store, headKey)
+		_, env, exists, err := platform.ReadEnvelope(ctx, store, headKey)
 		if err != nil {
 			return err
 		}
@@ -190,11 +214,10 @@
 		if err != nil {
 			return err
 		}
-		version = obj.Version
 		state, err = loadState(ctx, store, base, h)
 		return err
 	})
-	return state, version, err
+	return state, err
 }
 
 // loadState reads the shards of a head that base does not hold.
--- /dev/null
+++ b/internal/fleet/confstore_test.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/platform"
+	"ragwortstep/internal/platform/platformtest"
+)
+
+func addWorkspace(name string) func(*config.Snapshot) error {
+	return func(s *config.Snapshot) error {
+		s.Workspaces[name] = config.Workspace{Name: name, Weight: 1, Rate: 1, Burst: 4}
+		return nil
+	}
+}
+
+// Guards against a configuration at full size that does not fit the
+// platform's objects, and against an edit of one row that rewrites all of it.
+func TestFullSizeConfigurationFits(t *testing.T) {
+	is := is.New(t)
+	ctx, store, w := context.Background(), platformtest.New(), platform.NewWriter("t")
+	_, err := WriteSnapshot(ctx, store, w, 0, func(s *config.Snapshot) error {
+		for i := range 6600 {
+			name := fmt.Sprintf("workspace-%04d", i)
+			s.Workspaces[name] = config.Workspace{Name: name, Weight: 1.5, Rate: 12.5, Burst: 50, MaxQueue: 100, Note: "a note of some length"}
+			for k := range 2 {
+				id := fmt.Sprintf("%s-key-%d", name, k)
+				s.Keys[id] = config.Key{ID: id, Workspace: name, Hash: strings.Repeat("ab", 32), CreatedAt: 1_700_000_000}
+			}
+		}
+		for i := range 11000 {
+			name := fmt.Sprintf("server-%05d", i)
+			s.Servers[name] = config.Server{Name: name, Pool: "pool-of-model", Address: "10.200.100.200:8000", Zone: "zone-a", Concurrency: 64, Speed: 1}
+		}
+		return nil
+	})
+	is.NoErr(err)
+	largest, total := 0, 0
+	page, err := store.List(ctx, "config/", "", 1000)
+	is.NoErr(err)
+	for _, obj := range page.Objects {
+		largest, total = max(largest, len(obj.Value)), total+len(obj.Value)
+	}
+	t.Logf("%d objects, %d bytes, largest %d", len(page.Objects), total, largest)
+	is.True(largest < platform.MaxValueBytes/4)
+
+	before := store.Calls("put")
+	s, err := WriteSnapshot(ctx, store, w, 1, addWorkspace("one-more"))
+	is.NoErr(err)
+	is.Equal(store.Calls("put")-before, 2) // a shard and the head
+	read, err := ReadSnapshot(ctx, store)
+	is.NoErr(err)
+	is.Equal(read, s)
+	page, err = store.List(ctx, shardPrefix, "", 1000)
+	is.NoErr(err)
+	is.Equal(len(page.Objects), shardCount) // the replaced shard was deleted
+}
+
+// Guards against edits that are lost, applied twice or reported as failed when
+// the platform loses answers, and against one of two writers overwriting the other.
+func TestConcurrentWritersWithLostAnswers(t *testing.T) {
+	is := is.New(t)
+	ctx, store := context.Background(), platformtest.New()
+	const writers, edits = 4, 12
+	var applied, conflicts atomic.Int64
+	var wg sync.WaitGroup
+	for i := range writers {
+		wg.Go(func() {
+			w := platform.NewWriter(fmt.Sprint("writer/", i))
+			for n := 0; n < edits; {
+				store.LoseAnswers(1)
+				_, err := WriteSnapshot(ctx, store, w, AnyRevision, addWorkspace(fmt.Sprintf("w%d-%d", i, n)))
+				var conflict *ConflictError
+				switch {
+				case err == nil:
+					applied.Add(1)
+					n++
+				case errors.As(err, &conflict) && conflict.Actual > conflict.Expected:
+					conflicts.Add(1)
+				default:
+					t.Errorf("unexpected error %v", err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	s, err := ReadSnapshot(ctx, store)
+	is.NoErr(err)
+	is.Equal(len(s.Workspaces), writers*edits)
+	is.Equal(s.Revision, applied.Load()) // every success is one revision, every failure none
+	t.Logf("%d conflicts", conflicts.Load())
+}
+
+// Guards against a change that is based on a state its author has not seen.
+func TestConflictNamesBothRevisions(t *testing.T) {
+	is := is.New(t)
+	ctx, store, w := context.Background(), platformtest.New(), platform.NewWriter("t")
+	for range 3 {
+		_, err := WriteSnapshot(ctx, store, w, AnyRevision, addWorkspace("x"))
+		is.NoErr(err)
+	}
+	_, err := WriteSnapshot(ctx, store, w, 2, addWorkspace("y"))
+	var conflict *ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(*conflict, ConflictError{Expected: 2, Actual: 3})
+	refused := errors.New("weight must be positive")
+	_, err = WriteSnapshot(ctx, store, w, 3, func(*config.Snapshot) error { return refused })
+	is.True(errors.Is(err, refused))
+	store.SetDown(true)
+	_, err = WriteSnapshot(ctx, store, w, 3, addWorkspace("y"))
+	is.True(errors.Is(err, platform.ErrUnavailable))
+}
+
+// Guards against a larger limit that is used while some host may still apply
+// one that this host never saw.
+func TestSkippedRevisionsExtendEarlierLimits(t *testing.T) {
+	is := is.New(t)
+	limits := []Limit{{Rate: 10, Burst: 8}, {Rate: 3, Burst: 2}, {Rate: 20, Burst: 40}}
+	states := []*configState{emptyState()}
+	for _, l := range limits {
+		next, err := prepare(states[len(states)-1], func(s *config.Snapshot) error {
+			s.Workspaces["w"] = config.Workspace{Name: "w", Rate: l.Rate, Burst: l.Burst}
+			return nil
+		})
+		is.NoErr(err)
+		states = append(states, next)
+	}
+	f := &Fleet{earlier: map[string][]Limit{}}
+	f.noteEarlierLimits(states[1], states[3])
+	is.Equal(f.earlier["w"], limits[:2])
+	is.True(!f.limitsUnknown)
+
+	last := states[3]
+	for range recentEdits + 1 {
+		next, err := prepare(last, addWorkspace("other"))
+		is.NoErr(err)
+		last = next
+	}
+	f.noteEarlierLimits(states[1], last)
+	is.True(f.limitsUnknown) // the edit of w is no longer described
+}
+
+// Guards against an edited row that is not in force at all hosts, fresh ones
+// at least, within the bound, and against one that reverts.
+func TestEditsReachAllHostsAndNeverRevert(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a1", "b2", "c3", "d4")
+	c.stores["e5"] = downStore{}
+	c.start("e5", "a1")
+	c.formed(5)
+	var reverted atomic.Bool
+	for _, h := range c.hosts {
+		last := int64(0)
+		h.OnConfig(func(s *config.Snapshot) {
+			if s.Revision < last {
+				reverted.Store(true)
+			}
+			last = s.Revision
+		})
+	}
+	names := []string{"a1", "b2", "c3", "d4"}
+	bound := testPoll + testBeat + testLease
+	worst := time.Duration(0)
+	for i := range 40 {
+		if i%4 == 0 {
+			c.store.LoseAnswers(1)
+		}
+		s, err := c.hosts[names[i%4]].WriteSnapshot(context.Background(), AnyRevision, addWorkspace(fmt.Sprint("w", i)))
+		is.NoErr(err)
+		begin := time.Now()
+		c.eventually("edit in force at every fresh host", 2*bound, func() bool {
+			return c.all(func(h *testHost) bool { return h.Config().Revision >= s.Revision || h.MayAdmit(time.Now()) != nil })
+		})
+		worst = max(worst, time.Since(begin))
+	}
+	is.True(!reverted.Load())
+	t.Logf("slowest of 40 edits in force after %s (bound %s)", worst, bound)
+	is.True(worst <= bound)
+}
