Add the soak run

Cause: faults of the failure model must come together and twice over real processes, with all ledgers checked at the end.

Load: completions, keyed and unkeyed non-idempotent calls with resends, one workspace at five times its rate, prompts that crash engines, edits, key changes and batch jobs with cancellations. Checked: I1, I2, I5 to I10, the cost of crashing prompts, hosts that end by themselves, and service after the last fault. Backend servers are not killed, because their ledgers would be lost; a link that refuses and resets looks the same to a host.

Also: results of JSON calls are returned after decoding in a statement of its own, because the order of "return v, decode(&v)" is not specified.

Not run yet over hosts: main does not build a host in this tree so far.

--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,14 @@
 DURATION ?= 60s
 DEPLOYMENT ?= thies
 
-.PHONY: build test lint unit integration up demo bench soak fuzz clean
+.PHONY: build test lint unit integration up demo bench bench-control soak fuzz clean
 
 build:
 	$(GO) build -o bin/ragwortstep ./cmd/ragwortstep
 	$(GO) build -o bin/standin ./test/standin
 	$(GO) build -o bin/deploy ./test/deploy
 	$(GO) build -o bin/bench ./test/bench
+	$(GO) build -o bin/soak ./test/soak
 
 lint:
 	$(GO) vet ./...
@@ -18,7 +19,7 @@
 	$(GO) run ./test/corecheck
 
 unit:
-	$(GO) test ./cmd/... ./internal/... ./test/standin/... ./test/harness/... ./test/deploy/... ./test/bench/... ./test/corecheck/...
+	$(GO) test ./cmd/... ./internal/... ./test/standin/... ./test/harness/... ./test/deploy/... ./test/bench/... ./test/soak/... ./test/corecheck/...
 
 test: build lint
 	./test/run.sh
@@ -32,5 +33,11 @@
 bench: build
 	./bin/bench --deployment $(DEPLOYMENT) --seed $(SEED)
 
+bench-control: build
+	./bin/bench control --deployment $(DEPLOYMENT) --seed $(SEED)
+
+soak: build
+	./bin/soak --deployment $(DEPLOYMENT) --seed $(SEED) --duration $(DURATION)
+
 clean:
 	rm -rf bin out
--- a/test/bench/proc.go
+++ b/test/bench/proc.go
@@ -74,5 +74,6 @@
 		return v, errors.Wrapf(err, "expvar of %s", h.Name)
 	}
 	defer resp.Body.Close()
-	return v, errors.Wrapf(json.NewDecoder(resp.Body).Decode(&v), "expvar of %s", h.Name)
+	err = json.NewDecoder(resp.Body).Decode(&v)
+	return v, errors.Wrapf(err, "expvar of %s", h.Name)
 }
--- a/test/harness/caller.go
+++ b/test/harness/caller.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -51,10 +52,24 @@
 	Detail     string // what broke
 }
 
+// KeyCarrier says where a caller puts its key.
+type KeyCarrier int
+
+// Carriers of a key.
+const (
+	BearerKey     KeyCarrier = iota // Authorization: Bearer
+	HeaderKey                       // x-api-key
+	CookieKey                       // cookie api_key
+	QueryKey                        // query api_key
+	ShortQueryKey                   // query key
+	keyCarriers
+)
+
 // Caller sends tagged calls to one base URL and checks the answers.
 type Caller struct {
 	BaseURL string
 	Key     string
+	Carrier KeyCarrier
 	Model   string
 	Client  *http.Client
 }
@@ -207,12 +222,38 @@
 		req.Header = header
 	}
 	req.Header.Set("Content-Type", "application/json")
-	if c.Key != "" {
+	c.addKey(req)
+	return c.Client.Do(req)
+}
+
+// addKey puts the key where the carrier says.
+func (c *Caller) addKey(req *http.Request) {
+	if c.Key == "" {
+		return
+	}
+	switch c.Carrier {
+	case HeaderKey:
+		req.Header.Set("x-api-key", c.Key)
+	case CookieKey:
+		req.AddCookie(&http.Cookie{Name: "api_key", Value: c.Key})
+	case QueryKey:
+		addQuery(req, "api_key", c.Key)
+	case ShortQueryKey:
+		addQuery(req, "key", c.Key)
+	default:
 		req.Header.Set("Authorization", "Bearer "+c.Key)
 	}
-	return c.Client.Do(req)
 }
 
+func addQuery(req *http.Request, name, value string) {
+	q := req.URL.Query()
+	q.Set(name, value)
+	req.URL.RawQuery = q.Encode()
+}
+
+// RandomCarrier draws a carrier.
+func RandomCarrier(rng *rand.Rand) KeyCarrier { return KeyCarrier(rng.IntN(int(keyCarriers))) }
+
 // accepted reads the status. For an error status it reads the whole refusal and returns false.
 func (a *Answer) accepted(resp *http.Response, begin time.Time) bool {
 	a.Status = resp.StatusCode
--- a/test/harness/host.go
+++ b/test/harness/host.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-resty/resty/v2"
 
 	"ragwortstep/internal/settings"
 )
@@ -34,6 +36,19 @@
 // MetricsURL is the URL of the host's expvar page.
 func (h *Host) MetricsURL() string { return "http://" + h.Metrics + "/debug/vars" }
 
+// Violations returns the host's counts of violated invariants since it started.
+func (h *Host) Violations(ctx context.Context) (map[string]int64, error) {
+	var vars struct {
+		Violations map[string]int64 `json:"invariant_violations"`
+	}
+	resp, err := resty.New().SetTimeout(controlTimeout).R().SetContext(ctx).Get(h.MetricsURL())
+	if err != nil {
+		return nil, errors.Wrapf(err, "metrics of %s", h.Name)
+	}
+	err = json.Unmarshal(resp.Body(), &vars)
+	return vars.Violations, errors.Wrapf(err, "metrics of %s: decode", h.Name)
+}
+
 const readyPoll = 20 * time.Millisecond
 
 // AwaitReady waits until the host answers its readiness check with 200. It
@@ -123,7 +138,7 @@
 		Process: &Process{
 			Name:    spec.Name,
 			LogPath: filepath.Join(d.Dir, spec.Name+".log"),
-			args:    []string{d.opts.Binaries.Ragwortstep, "serve", "--settings", path},
+			args:    []string{d.opts.Binaries.Ragwortstep, "serve", "--config", path},
 			env:     d.opts.HostEnv,
 		},
 		Spec: spec, Settings: s,
--- a/test/harness/job.go
+++ b/test/harness/job.go
@@ -88,7 +88,8 @@
 		ID string `json:"id"`
 	}
 	req := j.client.R().SetContext(ctx).SetHeader("Content-Type", form.FormDataContentType()).SetBody(body.Bytes())
-	return file.ID, j.do(req, http.MethodPost, "/v1/files", &file)
+	err = j.do(req, http.MethodPost, "/v1/files", &file)
+	return file.ID, err
 }
 
 // Create starts a batch over a file. Creating again with the same
@@ -101,19 +102,22 @@
 		req.SetHeader("Idempotency-Key", idempotencyKey)
 	}
 	var b Batch
-	return b, j.do(req, http.MethodPost, "/v1/batches", &b)
+	err := j.do(req, http.MethodPost, "/v1/batches", &b)
+	return b, err
 }
 
 // Get returns the job's state.
 func (j *Jobs) Get(ctx context.Context, id string) (Batch, error) {
 	var b Batch
-	return b, j.do(j.client.R().SetContext(ctx), http.MethodGet, "/v1/batches/"+id, &b)
+	err := j.do(j.client.R().SetContext(ctx), http.MethodGet, "/v1/batches/"+id, &b)
+	return b, err
 }
 
 // Cancel asks for the job to be cancelled.
 func (j *Jobs) Cancel(ctx context.Context, id string) (Batch, error) {
 	var b Batch
-	return b, j.do(j.client.R().SetContext(ctx), http.MethodPost, "/v1/batches/"+id+"/cancel", &b)
+	err := j.do(j.client.R().SetContext(ctx), http.MethodPost, "/v1/batches/"+id+"/cancel", &b)
+	return b, err
 }
 
 // Await polls the job until it ended. Failing polls are repeated until ctx ends.
--- a/test/harness/operator.go
+++ b/test/harness/operator.go
@@ -125,7 +125,8 @@
 		return WriteResult{}, &StatusError{Step: step, Status: resp.StatusCode(), Body: resp.String()}
 	}
 	var result WriteResult
-	return result, errors.Wrapf(json.Unmarshal(resp.Body(), &result), "%s: decode", step)
+	err = json.Unmarshal(resp.Body(), &result)
+	return result, errors.Wrapf(err, "%s: decode", step)
 }
 
 // Write repeats a write on the current revision until it is applied or refused
--- a/test/harness/standins.go
+++ b/test/harness/standins.go
@@ -49,6 +49,13 @@
 	return errors.Wrapf(json.Unmarshal(resp.Body(), into), "stand-in %s %s%s: decode", method, c.URL, path)
 }
 
+// get reads a JSON value.
+func get[T any](ctx context.Context, c control, path string) (T, error) {
+	var v T
+	err := c.call(ctx, http.MethodGet, path, nil, &v)
+	return v, err
+}
+
 // Reset clears the stand-in's ledger.
 func (c control) Reset(ctx context.Context) error {
 	return c.call(ctx, http.MethodDelete, "/ledger", nil, nil)
@@ -72,14 +79,12 @@
 
 // Ledger returns the platform's call counts.
 func (p *Platform) Ledger(ctx context.Context) (platform.Summary, error) {
-	var s platform.Summary
-	return s, p.call(ctx, http.MethodGet, "/ledger", nil, &s)
+	return get[platform.Summary](ctx, p.control, "/ledger")
 }
 
 // Writes returns the history of writes to keys with the prefix.
 func (p *Platform) Writes(ctx context.Context, prefix string) ([]platform.Write, error) {
-	var w []platform.Write
-	return w, p.call(ctx, http.MethodGet, "/ledger/writes?prefix="+url.QueryEscape(prefix), nil, &w)
+	return get[[]platform.Write](ctx, p.control, "/ledger/writes?prefix="+url.QueryEscape(prefix))
 }
 
 // SetHosts replaces the list of hosts and servers, visible after the lag.
@@ -98,14 +103,12 @@
 
 // Records returns the ledger's records after a sequence number.
 func (e *Engine) Records(ctx context.Context, after int64) ([]engine.Record, error) {
-	var r []engine.Record
-	return r, e.call(ctx, http.MethodGet, fmt.Sprintf("/ledger?after=%d", after), nil, &r)
+	return get[[]engine.Record](ctx, e.control, fmt.Sprintf("/ledger?after=%d", after))
 }
 
 // Summary returns the ledger's counts.
 func (e *Engine) Summary(ctx context.Context) (engine.Summary, error) {
-	var s engine.Summary
-	return s, e.call(ctx, http.MethodGet, "/ledger?summary=1", nil, &s)
+	return get[engine.Summary](ctx, e.control, "/ledger?summary=1")
 }
 
 // Service is a running plain service.
@@ -119,14 +122,12 @@
 
 // Calls returns the calls that ran after a sequence number.
 func (s *Service) Calls(ctx context.Context, after int64) ([]service.Call, error) {
-	var c []service.Call
-	return c, s.call(ctx, http.MethodGet, fmt.Sprintf("/ledger?after=%d", after), nil, &c)
+	return get[[]service.Call](ctx, s.control, fmt.Sprintf("/ledger?after=%d", after))
 }
 
 // Summary returns the ledger's counts.
 func (s *Service) Summary(ctx context.Context) (service.Summary, error) {
-	var sum service.Summary
-	return sum, s.call(ctx, http.MethodGet, "/ledger?summary=1", nil, &sum)
+	return get[service.Summary](ctx, s.control, "/ledger?summary=1")
 }
 
 // Relay is the running relay.
@@ -183,6 +184,5 @@
 
 // Status returns the state and counters of all links.
 func (r *Relay) Status(ctx context.Context) ([]relay.Status, error) {
-	var s []relay.Status
-	return s, r.call(ctx, http.MethodGet, "/ledger", nil, &s)
+	return get[[]relay.Status](ctx, r.control, "/ledger")
 }
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/test/harness"
+	"ragwortstep/test/standin/service"
+)
+
+// Guards against a rate check that overlooks a burst, or reports a legitimate one.
+func TestWorstExcess(t *testing.T) {
+	is := is.New(t)
+	is.Equal(worstExcess([]int64{0, 0, 0, 1000, 2000}, 1, 3), 0.0)
+	is.Equal(worstExcess([]int64{0, 0, 0, 0}, 1, 3), 1.0)
+	is.Equal(worstExcess([]int64{0, 60000, 60000, 60000, 60000, 60000, 61000}, 1, 3), 2.0)
+}
+
+// Guards against checks that miss a call that ran twice, ran although it was
+// refused as not run, or was answered without having run.
+func TestCheckCalls(t *testing.T) {
+	is := is.New(t)
+	tl, err := newTimeline(filepath.Join(t.TempDir(), "timeline"))
+	is.NoErr(err)
+	no := attempt{verdict: harness.Refused, status: 503, executed: "no"}
+	complete := attempt{verdict: harness.Complete, status: 200}
+	l := &load{tl: tl, calls: &callLog{attempts: map[string][]attempt{
+		"fine": {no, complete}, "twice": {complete}, "lied": {no, no}, "ghost": {complete}, "refused": {no},
+		"unknown": {no, {verdict: harness.Broken}},
+	}}}
+	l.checkCalls(&ledgers{calls: []service.Call{{ID: "fine"}, {ID: "twice"}, {ID: "twice"}, {ID: "lied"}, {ID: "unknown"}}})
+	found := map[string]string{}
+	for _, v := range tl.violations {
+		found[v.Target] = v.Name
+	}
+	is.Equal(found, map[string]string{"twice": "I10", "lied": "I9", "ghost": "ledger"})
+}
