Order events of all hosts in one time line

Clocks of hosts differ, so events cannot be sorted by time.

Sequence numbers start at the recorder's start time, because a restarted host repeated the numbers of its earlier run. Observe lets a heartbeat's sequence number become the cause of the next event.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -19,6 +19,7 @@
 
 	"ragwortstep/internal/admin"
 	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/events"
 	"ragwortstep/internal/settings"
 )
 
@@ -317,3 +318,32 @@
 	code, _, _ = job("watch", "b1")
 	is.Equal(code, ExitJobFailed)
 }
+
+func TestTimelineCommand(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	sink, err := events.NewFileSink(events.FileOptions{Folder: folder})
+	is.NoErr(err)
+	events.NewRecorder("h1", sink.Record).Record(events.Event{Kind: "job.cancelled", Job: "j1"})
+	sink.Close()
+	recorder := events.NewRecorder("h2", nil)
+	for range 2500 { // more than two pages
+		recorder.Record(events.Event{Kind: "config.adopted"})
+	}
+	fleet := &fakeFleet{snap: config.Empty()}
+	server := httptest.NewServer(admin.New(admin.Options{Config: fleet, Writer: fleet, Status: fleet, Events: recorder, OperatorKey: operatorKey}))
+	defer server.Close()
+	f := &fixture{t, fleet, server.URL}
+	out := f.expect(ExitOK, "", "timeline")
+	is.Equal(strings.Count(out, "config.adopted"), 2500)
+	out = f.expect(ExitOK, "events missing", "timeline", "--host-endpoint", server.URL, "--host-endpoint", "http://127.0.0.1:1", "--folder", folder, "--kind", "job.*")
+	is.True(strings.Contains(out, "job.cancelled  job=j1"))
+	is.Equal(strings.Count(out, "\n"), 1)
+	f.expect(ExitUnavailable, "no host answered", "timeline", "--host-endpoint", "http://127.0.0.1:1")
+	f.expect(ExitUsage, "--from", "timeline", "--from", "yesterday")
+	file := filepath.Join(folder, "page.html")
+	f.expect(ExitOK, "", "timeline", "--folder", folder, "--format", "html", "--file", file)
+	page, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.True(bytes.Contains(page, []byte("job.cancelled")))
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -4,6 +4,7 @@
 package events
 
 import (
+	"sort"
 	"sync"
 	"time"
 )
@@ -29,24 +30,39 @@
 // ringCapacity is how many events a host keeps in memory.
 const ringCapacity = 16384
 
+// seqPerMillisecond is how many sequence numbers each millisecond since 1970
+// has room for. A recorder starts at its start time, so that the numbers of a
+// restarted host continue above those of its earlier run. Numbers stay below
+// 2^53, which JSON readers keep exactly, until the year 2039.
+const seqPerMillisecond = 1 << 12
+
 // Recorder keeps the latest events of one host. It is safe for concurrent use.
 type Recorder struct {
 	host string
 	now  func() time.Time
 
-	mu   sync.Mutex
-	seq  uint64
-	ring []Event
-	sink func(Event)
+	mu       sync.Mutex
+	seq      uint64
+	ring     []Event
+	sink     func(Event)
+	observed map[string]uint64 // latest sequence number seen of each peer
+	cause    string            // peer whose number advanced since the last event
 }
 
 // NewRecorder returns a recorder for the host. sink, when not nil, receives
 // each event in order; it must not block for long.
 func NewRecorder(host string, sink func(Event)) *Recorder {
-	return &Recorder{host: host, now: time.Now, sink: sink}
+	return newRecorder(host, sink, time.Now)
+}
+
+func newRecorder(host string, sink func(Event), now func() time.Time) *Recorder {
+	first := uint64(now().UnixMilli()) * seqPerMillisecond
+	return &Recorder{host: host, now: now, sink: sink, seq: first, observed: map[string]uint64{}}
 }
 
-// Record stores the event after setting its host, sequence and, when zero, its time.
+// Record stores the event after setting its host, sequence and, when zero, its
+// time. An event without a cause gets the peer that was observed last, if any
+// since the event before.
 func (r *Recorder) Record(e Event) Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -55,6 +71,10 @@
 	if e.Time.IsZero() {
 		e.Time = r.now()
 	}
+	if e.CauseHost == "" && r.cause != "" {
+		e.CauseHost, e.CauseSeq = r.cause, r.observed[r.cause]
+	}
+	r.cause = ""
 	r.ring = append(r.ring, e)
 	if len(r.ring) > 2*ringCapacity {
 		r.ring = append([]Event(nil), r.ring[len(r.ring)-ringCapacity:]...)
@@ -65,15 +85,29 @@
 	return e
 }
 
+// Last returns the sequence number of the latest event, for messages to peers.
+func (r *Recorder) Last() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seq
+}
+
+// Observe notes that a message of the peer arrived that was sent after the
+// peer's event seq. The next event of this host is then ordered after it.
+func (r *Recorder) Observe(peer string, seq uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if peer != r.host && seq > r.observed[peer] {
+		r.observed[peer] = seq
+		r.cause = peer
+	}
+}
+
 // After returns up to limit events with a sequence larger than seq, oldest first.
 func (r *Recorder) After(seq uint64, limit int) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []Event
-	for _, e := range r.ring {
-		if e.Seq > seq && len(out) < limit {
-			out = append(out, e)
-		}
-	}
-	return out
+	from := sort.Search(len(r.ring), func(i int) bool { return r.ring[i].Seq > seq })
+	to := min(len(r.ring), from+limit)
+	return append([]Event(nil), r.ring[from:to]...)
 }
