--- /dev/null
+++ b/internal/core/lease/lease_test.go
@@ -0,0 +1,173 @@
+package lease
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// candidate is one process of the simulation. A call to the platform takes
+// effect and is answered at later steps, and a paused process runs no step.
+type candidate struct {
+	role     *Role
+	paused   time.Time
+	inFlight bool
+	answer   func(now time.Time)
+	answerAt time.Time
+	epoch    uint64
+}
+
+// object is the platform's object.
+type object struct {
+	record  Record
+	version int64
+}
+
+// Guards against two processes that hold a role at once, and against orders of
+// a former holder that take effect after those of its successor, on servers
+// that ignore fencing numbers: with pauses, lost answers and outages.
+func TestOneHolderAtATime(t *testing.T) {
+	takeovers := 0
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		n := rapid.IntRange(2, 4).Draw(t, "processes")
+		pauses := rapid.IntRange(0, 60).Draw(t, "pauses per 10,000 steps")
+		losses := rapid.IntRange(0, 30).Draw(t, "lost answers per 100")
+		now := time.Unix(1000, 0)
+		var obj object
+		all := make([]*candidate, n)
+		for i := range all {
+			all[i] = &candidate{role: New(Options{Self: fmt.Sprint("p", i)})}
+		}
+		down := now
+		var lastOrderEffect time.Time
+		var lastOrderEpoch uint64
+		for range 12_000 {
+			now = now.Add(10 * time.Millisecond)
+			if rng.IntN(3000) == 0 {
+				down = now.Add(time.Duration(rng.IntN(20_000)) * time.Millisecond)
+			}
+			holders := 0
+			for _, c := range all {
+				if rng.IntN(10_000) < pauses {
+					c.paused = now.Add(time.Duration(rng.IntN(20_000)) * time.Millisecond)
+				}
+				if now.After(c.paused) {
+					c.step(now, rng, &obj, now.Before(down), losses)
+				}
+				epoch, held := c.role.Held(now)
+				if !held {
+					continue
+				}
+				holders++
+				if epoch > c.epoch {
+					c.epoch = epoch
+					takeovers++
+				}
+				// An order sent now may take effect until the order timeout.
+				if now.After(c.paused) && c.role.MayOrder(now, false) {
+					if epoch < lastOrderEpoch {
+						t.Fatalf("%v: order of epoch %d after one of %d", now, epoch, lastOrderEpoch)
+					}
+					if epoch > lastOrderEpoch && now.Before(lastOrderEffect) {
+						t.Fatalf("%v: first order of epoch %d while one of %d may take effect until %v", now, epoch, lastOrderEpoch, lastOrderEffect)
+					}
+					lastOrderEpoch, lastOrderEffect = epoch, now.Add(DefaultOrderTimeout)
+				}
+			}
+			if holders > 1 {
+				t.Fatalf("%v: %d holders", now, holders)
+			}
+		}
+	})
+	if takeovers < 100 {
+		t.Fatalf("only %d takeovers in all runs", takeovers)
+	}
+}
+
+// step carries out what the role asks for.
+func (c *candidate) step(now time.Time, rng *rand.Rand, obj *object, down bool, losses int) {
+	if c.inFlight {
+		if !now.Before(c.answerAt) {
+			c.inFlight = false
+			c.answer(now)
+		}
+		return
+	}
+	s := c.role.Next(now)
+	if s.Action == Wait {
+		return
+	}
+	c.inFlight = true
+	c.answerAt = now.Add(time.Duration(10+rng.IntN(400)) * time.Millisecond)
+	lost := rng.IntN(100) < losses
+	switch {
+	case down:
+		c.answer = c.role.Failed
+	case s.Action == Read:
+		seen := *obj
+		c.answer = func(now time.Time) { c.role.Observed(now, seen.record, seen.version) }
+	case obj.version != s.Version:
+		c.answer = c.role.Failed
+	default:
+		obj.version++
+		obj.record = s.Record
+		version := obj.version
+		c.answer = func(now time.Time) { c.role.Written(now, version) }
+		if lost {
+			c.answer = c.role.Failed
+		}
+	}
+}
+
+// Guards against a role that nobody takes over after its holder resigned, and
+// against a wait where nobody held the role before.
+func TestResignHandsOverAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a, b := New(Options{Self: "a"}), New(Options{Self: "b"})
+	is.Equal(a.Next(now).Action, Read)
+	a.Observed(now, Record{}, 0)
+	step := a.Next(now)
+	is.Equal(step.Action, Write)
+	a.Written(now, 1)
+	is.True(a.MayOrder(now, false))
+
+	b.Observed(now, step.Record, 1)
+	is.Equal(b.Next(now).Action, Wait)
+	a.Resign()
+	now = now.Add(time.Second)
+	step = a.Next(now)
+	is.Equal(step.Record.Holder, "")
+	a.Written(now, 2)
+	_, held := a.Held(now)
+	is.True(!held)
+
+	now = now.Add(DefaultRenew)
+	is.Equal(b.Next(now).Action, Read)
+	b.Observed(now, step.Record, 2)
+	step = b.Next(now)
+	is.Equal(step.Record, Record{Holder: "b", Epoch: 2, Duration: DefaultDuration})
+	b.Written(now, 3)
+	is.True(b.MayOrder(now, true))
+	is.True(!b.MayOrder(now, false)) // orders of a may still take effect
+	is.True(b.MayOrder(now.Add(DefaultOrderTimeout), false))
+}
+
+// Guards against taking a role over from a holder that renews.
+func TestRenewedRoleIsNotTakenOver(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := New(Options{Self: "b"})
+	for version := int64(1); version < 20; version++ {
+		b.Observed(now, Record{Holder: "a", Epoch: 1, Duration: DefaultDuration}, version)
+		for range 3 {
+			now = now.Add(DefaultRenew)
+			is.True(b.Next(now).Action != Write)
+		}
+	}
+}
