--- a/internal/core/membership/settle.go
+++ b/internal/core/membership/settle.go
@@ -44,7 +44,7 @@
 // the confirming one. A process at this epoch and an earlier revision holds it
 // likewise by a majority of this epoch. So both lapse within L.
 func (m *Machine) evaluateSettled(now time.Time) Output {
-	if m.epoch.Number == 0 || m.Settled() {
+	if m.epoch.Number == 0 || m.Settled() || m.knowsLarger() {
 		return Output{}
 	}
 	wait := m.opts.Lease + m.opts.Margin
@@ -63,6 +63,17 @@
 	}
 }
 
+// knowsLarger reports whether some process has a larger epoch or revision. It
+// may be settled there already, without this process if that was no member.
+func (m *Machine) knowsLarger() bool {
+	for _, p := range m.peers {
+		if !m.Generation().Covers(p.gen) {
+			return true
+		}
+	}
+	return false
+}
+
 // epochConfirmed reports whether all old and new members have confirmed the
 // epoch, and whether a majority of each earlier epoch has.
 func (m *Machine) epochConfirmed() (all, majorities bool) {
