--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -7,10 +7,12 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/core/config"
@@ -221,3 +223,51 @@
 	is.True(entitled > 2000)
 	is.True(float64(refused) <= 0.001*float64(entitled))
 }
+
+// score is the host's place in the order of holders of workspace slow.
+func score(n *node) uint64 { return xxhash.Sum64String("slow\x00" + string(n.fleet.View().Self)) }
+
+// Guards against refusing workspaces within their rate after a host is lost
+// with its part of the tokens.
+func TestFewFalseRejectionsAfterLoss(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for 20s")
+	}
+	is := is.New(t)
+	store := platformtest.New()
+	limits := map[string]limit.Limit{
+		"slow": {Rate: 1, Burst: 5}, "small": {Rate: 10, Burst: 20}, "middle": {Rate: 100, Burst: 50}, "large": {Rate: 400, Burst: 400},
+	}
+	mustWrite(t, store, limits)
+	var nodes []*node
+	for i := range 8 {
+		nodes = append(nodes, startNode(t, store, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1}))
+	}
+	formed(t, nodes)
+	time.Sleep(5500 * time.Millisecond) // the slowest bucket fills
+	// The host that holds all of the smallest workspace's tokens.
+	lost := 0
+	for i, n := range nodes {
+		if score(n) > score(nodes[lost]) {
+			lost = i
+		}
+	}
+	nodes[lost].close()
+	alive := slices.Delete(slices.Clone(nodes), lost, lost+1)
+	var mu sync.Mutex
+	refused, entitled := 0, 0
+	var wg sync.WaitGroup
+	for name, l := range limits {
+		wg.Go(func() {
+			log := drive(alive, name, 0.8*l.Rate, 10*time.Second, uint64(l.Rate))
+			r, e := falseRejections(log, l)
+			mu.Lock()
+			defer mu.Unlock()
+			refused, entitled = refused+r, entitled+e
+			t.Logf("%s: %d of %d refused falsely", name, r, e)
+		})
+	}
+	wg.Wait()
+	is.True(entitled > 2000)
+	is.True(float64(refused) <= 0.01*float64(entitled))
+}
