limiter: test the window bound with real transports, kills and outages

membership: recompute the alive view and extend a held lease with ticks only. Both cost time in proportion to the members for each message received, which at n hosts is n squared per interval.

--- a/internal/core/membership/machine.go
+++ b/internal/core/membership/machine.go
@@ -129,7 +129,10 @@
 	if p != nil && m.Generation().Covers(hb.Generation) && sentAt.After(p.confirmed) {
 		p.confirmed = sentAt
 	}
-	out.merge(m.renew(now))
+	// A held lease is extended with the next tick, which is cheaper at many hosts.
+	if !m.lease.held {
+		out.merge(m.renew(now))
+	}
 	out.merge(m.evaluateSettled(now))
 	return out
 }
@@ -202,7 +205,10 @@
 	if hb.Revision > m.revision {
 		out.FetchConfig = hb.From.Host
 	}
-	out.merge(m.refreshAlive(now))
+	// The view is recomputed with every tick; only a return is noted at once.
+	if alive, member := m.alive[hb.From.Host]; member && !alive {
+		out.merge(m.refreshAlive(now))
+	}
 	return out
 }
 
--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/core/config"
@@ -198,7 +199,10 @@
 		nodes = append(nodes, startNode(t, store, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1}))
 	}
 	formed(t, nodes)
-	time.Sleep(5500 * time.Millisecond) // the slowest bucket fills
+	const filling = 5500 * time.Millisecond // of the slowest bucket
+	idle := counterOf("peer", "bytes_sent")
+	time.Sleep(filling)
+	t.Logf("idle, per host and second: %.0f bytes sent", float64(counterOf("peer", "bytes_sent")-idle)/float64(len(nodes))/filling.Seconds())
 	bytes, calls, borrows := counterOf("peer", "bytes_sent"), counterOf("peer", "calls"), counterOf("limiter", "borrow_calls")
 	polls := store.Calls("get")
 	const lasting = 6 * time.Second
@@ -271,3 +275,79 @@
 	is.True(entitled > 2000)
 	is.True(float64(refused) <= 0.01*float64(entitled))
 }
+
+// Guards against exceeding a limit with real transports and clocks: all hosts
+// take what they can get while hosts are killed and restarted, the platform
+// fails, and the limit is edited.
+func TestWindowBoundWithProcesses(t *testing.T) {
+	is := is.New(t)
+	store := platformtest.New()
+	l := limit.Limit{Rate: 40, Burst: 24}
+	mustWrite(t, store, map[string]limit.Limit{"w": l})
+	const hosts = 4
+	nodes := make([]*node, hosts)
+	start := func(i int) { nodes[i] = startNode(t, store, fmt.Sprintf("host-%d", i), nodeOptions{scale: 5}) }
+	for i := range hosts {
+		start(i)
+	}
+	formed(t, nodes)
+	ctx, cancel := context.WithCancel(context.Background())
+	var mu sync.Mutex
+	var log []time.Time
+	var wg sync.WaitGroup
+	load := func(n *node) {
+		for range 6 {
+			wg.Go(func() {
+				for ctx.Err() == nil && n.fleet.View().Epoch > 0 {
+					if err := n.limiter.Acquire(ctx, "w", 1, limiter.Online); err != nil {
+						time.Sleep(5 * time.Millisecond)
+						if errors.Is(err, context.Canceled) {
+							return
+						}
+						continue
+					}
+					mu.Lock()
+					log = append(log, time.Now())
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	for _, n := range nodes {
+		load(n)
+	}
+	for round := range 6 {
+		i := round % hosts
+		nodes[i].close()
+		time.Sleep(time.Duration(round) * 150 * time.Millisecond)
+		store.SetDown(round == 3)
+		time.Sleep(300 * time.Millisecond)
+		store.SetDown(false)
+		start(i)
+		load(nodes[i])
+		mustWrite(t, store, map[string]limit.Limit{"w": {Rate: l.Rate, Burst: l.Burst - float64(round%2)}})
+		time.Sleep(900 * time.Millisecond)
+	}
+	cancel()
+	wg.Wait()
+	t.Logf("%d admissions in %s", len(log), log[len(log)-1].Sub(log[0]))
+	is.True(len(log) > 100)
+	checkWindows(t, log, l)
+}
+
+// schedulingSlack is by how much an admission may be logged late on a busy machine.
+const schedulingSlack = 50 * time.Millisecond
+
+// checkWindows asserts the bound for every window between two admissions.
+func checkWindows(t *testing.T, log []time.Time, l limit.Limit) {
+	t.Helper()
+	slices.SortFunc(log, func(a, b time.Time) int { return a.Compare(b) })
+	for i := range log {
+		for j := i; j < len(log); j++ {
+			window := log[j].Sub(log[i]) + schedulingSlack
+			if bound := l.Burst + l.Rate*window.Seconds(); float64(j-i+1) > bound {
+				t.Fatalf("%d admissions in %s, bound %.1f", j-i+1, window, bound)
+			}
+		}
+	}
+}
