--- a/internal/core/limit/state.go
+++ b/internal/core/limit/state.go
@@ -310,7 +310,7 @@
 	}
 	s.refill(now, w)
 	s.expireBorrowed(now, w)
-	return w.bucket.level, w.bucket.lent, w.borrowedFor(true)
+	return w.bucket.level, w.bucket.lent, w.borrowedFor(false)
 }
 
 // Share returns this host's share in force.
