batch: Test jobs under kills, pauses, lost answers, outages and cancels

Cause: exactly-once, at-most-once and cancellation were only written, not shown. The tests run three hosts over one fake platform with random faults, kills at each platform call of a job's creation, and cancels with each way of telling hosts cut off. An audit of every accepted chunk update and the invariant counters fail the package.

Also detaches a finished chunk's contexts from the service's, which kept one callback per chunk for the life of the process, and answers unknown paths in the callers' error form.

--- /dev/null
+++ b/internal/core/batch/batch_test.go
@@ -0,0 +1,170 @@
+package batch
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// claimView is what an owner remembers of its claim, however old.
+type claimView struct {
+	epoch uint64
+	owner Owner
+}
+
+// Guards against a second result, a commit under an old epoch, a change of a
+// finished chunk and a lost result, under any order of claims, commits of
+// current and replaced owners, and sealing.
+func TestChunkUnderRandomOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		items := rapid.IntRange(1, 20).Draw(t, "items")
+		chunk := NewChunk(0, items)
+		results := map[int]bool{}
+		var claims []claimView
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			prev := chunk
+			switch rapid.IntRange(0, 9).Draw(t, "op") {
+			case 0, 1:
+				owner := Owner{Host: "h", Incarnation: fmt.Sprint(len(claims))}
+				next, err := chunk.Claim(owner)
+				if (err == nil) == chunk.Finished() {
+					t.Fatalf("claim of a chunk in state %s: %v", chunk.State, err)
+				}
+				if err == nil {
+					chunk = next
+					claims = append(claims, claimView{next.Epoch, owner})
+				}
+			case 2:
+				if rapid.IntRange(0, 5).Draw(t, "seal") == 0 {
+					chunk, _ = chunk.Seal()
+				}
+			default:
+				if len(claims) > 0 {
+					chunk = commitOne(t, chunk, rapid.SampledFrom(claims).Draw(t, "claim"), results)
+				}
+			}
+			if chunk.Results.Count() != len(results) || chunk.Completed+chunk.Failed != len(results) {
+				t.Fatalf("%d results recorded, %d accepted", chunk.Results.Count(), len(results))
+			}
+			if fmt.Sprint(prev) != fmt.Sprint(chunk) {
+				if err := CheckSuccessor(prev, chunk); err != nil {
+					t.Fatalf("successor: %v", err)
+				}
+			}
+		}
+	})
+}
+
+func commitOne(t *rapid.T, chunk Chunk, by claimView, results map[int]bool) Chunk {
+	item := rapid.IntRange(0, chunk.Items-1).Draw(t, "item")
+	update := Commit{Epoch: by.epoch, Owner: by.owner, Outcomes: []Outcome{{Item: item, Failed: item%2 == 0}}}
+	next, err := chunk.Apply(update)
+	allowed := by.epoch == chunk.Epoch && by.owner == chunk.Owner && !chunk.Finished() && !results[item]
+	if (err == nil) != allowed {
+		t.Fatalf("commit allowed %v, got %v", allowed, err)
+	}
+	if err == nil {
+		results[item] = true
+	}
+	return next
+}
+
+// Guards against a non-idempotent item that is offered to a new owner
+// although an earlier one may have sent it.
+func TestIntentionsAreNeverPendingAgain(t *testing.T) {
+	is := is.New(t)
+	chunk, err := NewChunk(0, 4).Claim(Owner{Host: "a"})
+	is.NoErr(err)
+	own := Commit{Epoch: 1, Owner: Owner{Host: "a"}}
+	own.Intend = []int{0, 1, 2}
+	chunk, err = chunk.Apply(own)
+	is.NoErr(err)
+	_, err = chunk.Apply(own)
+	is.True(errors.Is(err, ErrIntendedTwice))
+	own.Intend, own.Withdraw, own.Outcomes = nil, []int{2}, []Outcome{{Item: 0}}
+	chunk, err = chunk.Apply(own)
+	is.NoErr(err)
+	chunk, err = chunk.Claim(Owner{Host: "b"})
+	is.NoErr(err)
+	is.Equal(chunk.Unresolved(), []int{1})
+	is.Equal(chunk.Pending(3), []int{2, 3})
+}
+
+// Guards against an item that gets more attempts than allowed when its owners
+// are replaced.
+func TestAttemptsCountOverOwners(t *testing.T) {
+	is := is.New(t)
+	chunk := NewChunk(0, 2)
+	for n := range 3 {
+		owner := Owner{Host: "h", Incarnation: fmt.Sprint(n)}
+		var err error
+		chunk, err = chunk.Claim(owner)
+		is.NoErr(err)
+		chunk, err = chunk.Apply(Commit{Epoch: chunk.Epoch, Owner: owner, Attempts: []byte{byte(chunk.Attempt(0) + 1), 0}})
+		is.NoErr(err)
+	}
+	is.Equal(chunk.Exhausted(3), []int{0})
+	is.Equal(chunk.Pending(3), []int{1})
+}
+
+// Guards against counts that change after the end, and a job that ends early.
+func TestJobEnds(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1000)
+	job := Job{Status: StatusInProgress, Chunks: 2, Counts: Counts{Total: 10}}
+	_, err := job.End(Totals{Finished: 1}, now)
+	is.True(err != nil)
+	job, err = job.Cancel(now)
+	is.NoErr(err)
+	job, err = job.End(Totals{Finished: 2, Counts: Counts{Completed: 4}}, now)
+	is.NoErr(err)
+	is.Equal(job.Status, StatusCancelled)
+	_, err = job.End(Totals{Finished: 2, Counts: Counts{Completed: 5}}, now)
+	is.True(errors.Is(err, ErrCountsChanged))
+	done := Job{Status: StatusCompleted}
+	_, err = done.Cancel(now)
+	is.True(errors.Is(err, ErrNotCancellable))
+}
+
+// Guards against an assignment that ignores sizes, and one that moves chunks
+// between hosts that stay when another host leaves.
+func TestAssignment(t *testing.T) {
+	is := is.New(t)
+	hosts := []Host{{"a", 1}, {"b", 2}, {"c", 1}}
+	const chunks = 8000
+	count := map[string]int{}
+	for n := range chunks {
+		first := First("job", n, hosts)
+		is.Equal(first, Assign("job", n, hosts)[0])
+		count[first]++
+		if without := First("job", n, hosts[:2]); first != "c" && without != first {
+			t.Fatalf("chunk %d moved from %s to %s", n, first, without)
+		}
+	}
+	if share := float64(count["b"]) / chunks; math.Abs(share-0.5) > 0.03 {
+		t.Errorf("the host of size 2 of 4 has %.3f of the chunks", share)
+	}
+	is.Equal(First("job", 0, nil), "")
+}
+
+// Guards against a workspace with many early deadlines that keeps others from
+// getting any chunk, and against a wrong order inside a workspace.
+func TestOrderOfChunks(t *testing.T) {
+	is := is.New(t)
+	at := func(s int64) time.Time { return time.Unix(s, 0) }
+	candidates := []Candidate{
+		{Job: "late", Workspace: "a", Deadline: at(50)},
+		{Job: "early", Workspace: "a", Deadline: at(10)},
+		{Job: "other", Workspace: "b", Deadline: at(90)},
+	}
+	weight := func(string) float64 { return 1 }
+	is.Equal(Next(candidates, map[string]int{}, weight), 1)
+	is.Equal(Next(candidates, map[string]int{"a": 1}, weight), 2)
+	is.Equal(Next(candidates, map[string]int{"a": 1, "b": 1}, weight), 1)
+	is.Equal(Next(nil, nil, weight), -1)
+}
--- a/internal/jobs/chunkrun.go
+++ b/internal/jobs/chunkrun.go
@@ -44,6 +44,7 @@
 	ctx       context.Context // ends when running items must stop
 	cancel    context.CancelFunc
 	feedCtx   context.Context // ends when no further item may start
+	unlink    []func() bool   // detaches the contexts from the service's
 	changed   chan struct{}
 	commitNow chan struct{}
 
@@ -75,10 +76,9 @@
 		held: heldChunk{all: s.held},
 	}
 	r.ctx, r.cancel = context.WithCancel(job.ctx)
-	context.AfterFunc(s.items, r.cancel)
 	feedCtx, stopFeed := context.WithCancel(r.ctx)
-	context.AfterFunc(s.draining, stopFeed)
 	r.feedCtx = feedCtx
+	r.unlink = []func() bool{context.AfterFunc(s.items, r.cancel), context.AfterFunc(s.draining, stopFeed)}
 	return r
 }
 
@@ -95,7 +95,7 @@
 
 // run claims the chunk, runs its items and commits their results.
 func (r *chunkRun) run() {
-	defer r.cancel()
+	defer r.detach()
 	defer r.discardHeld()
 	if err := r.open(); err != nil {
 		r.notOpened(err)
@@ -111,6 +111,14 @@
 	r.finish()
 }
 
+// detach ends the run's contexts and frees what the service's contexts keep of them.
+func (r *chunkRun) detach() {
+	r.cancel()
+	for _, unlink := range r.unlink {
+		unlink()
+	}
+}
+
 // open claims the chunk and reads its items.
 func (r *chunkRun) open() error {
 	progress, version, err := r.s.claim(r.feedCtx, r.job, r.index)
--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -49,6 +49,7 @@
 	serve  func(id string) answer // behaviour of the backend servers
 	starts []time.Time
 	peers  bool // deliver peer calls
+	beats  bool // deliver heartbeat sections
 }
 
 type answer struct {
@@ -65,6 +66,7 @@
 	inc      string
 	handlers map[string]peer.HandlerFunc
 	mu       sync.Mutex
+	receive  func(peer.HostID, json.RawMessage)
 	paused   chan struct{} // closed on resume; nil when running
 	lapsed   bool
 	beforeOp func(op, key string) // called before and after each store call
@@ -73,7 +75,7 @@
 func newCluster(t *testing.T) *cluster {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	c := &cluster{t: t, store: platformtest.New(), ctx: ctx, nodes: map[peer.HostID]*node{}, runs: map[string]int{}, peers: true}
+	c := &cluster{t: t, store: platformtest.New(), ctx: ctx, nodes: map[peer.HostID]*node{}, runs: map[string]int{}, peers: true, beats: true}
 	c.audit = &audit{Store: c.store, chunks: map[string]batch.Chunk{}}
 	c.serve = func(string) answer { return answer{status: 200} }
 	t.Cleanup(func() {
@@ -172,10 +174,30 @@
 	return nil
 }
 
-func (n *node) Publish(string, any)                                  {}
-func (n *node) Subscribe(string, func(peer.HostID, json.RawMessage)) {}
-func (n *node) Nudge()                                               {}
-func (n *node) Handle(method string, fn peer.HandlerFunc)            { n.handlers[method] = fn }
+func (n *node) Nudge() {}
+
+// Subscribe keeps the receiver; Publish reaches all hosts at once.
+func (n *node) Subscribe(_ string, fn func(peer.HostID, json.RawMessage)) { n.receive = fn }
+
+func (n *node) Publish(_ string, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		n.c.t.Error(err)
+	}
+	n.c.mu.Lock()
+	var targets []*node
+	for _, m := range n.c.nodes {
+		if m != n && n.c.beats {
+			targets = append(targets, m)
+		}
+	}
+	n.c.mu.Unlock()
+	for _, m := range targets {
+		m.receive(n.id, raw)
+	}
+}
+
+func (n *node) Handle(method string, fn peer.HandlerFunc) { n.handlers[method] = fn }
 func (n *node) Call(ctx context.Context, to peer.HostID, method string, params, _ any) error {
 	n.c.mu.Lock()
 	target, ok := n.c.nodes[to]
--- a/internal/jobs/http.go
+++ b/internal/jobs/http.go
@@ -16,6 +16,9 @@
 // maxCreateBody bounds the body of POST /v1/batches in bytes.
 const maxCreateBody = 64 << 10
 
+// maxIdempotencyKey bounds the header Idempotency-Key in bytes.
+const maxIdempotencyKey = 256
+
 type workspaceKey struct{}
 
 // WithWorkspace returns a context that carries the authenticated workspace.
@@ -111,9 +114,16 @@
 	mux.HandleFunc("GET /v1/batches", s.serve(s.handleListJobs))
 	mux.HandleFunc("GET /v1/batches/{id}", s.serve(s.handleGetJob))
 	mux.HandleFunc("POST /v1/batches/{id}/cancel", s.serve(s.handleCancel))
+	mux.HandleFunc("/", s.serve(s.handleUnknown))
 	return mux
 }
 
+func (s *Service) handleUnknown(_ http.ResponseWriter, r *http.Request, _ string) error {
+	e := invalid("unknown_url", "", "no %s at %s", r.Method, r.URL.Path)
+	e.Status = http.StatusNotFound
+	return e
+}
+
 // handlerFunc serves one request of a workspace. A returned error is answered
 // in OpenAI's form, so nothing may have been written before.
 type handlerFunc func(w http.ResponseWriter, r *http.Request, workspace string) error
@@ -305,7 +315,11 @@
 	if err := dec.Decode(&req); err != nil {
 		return invalid("invalid_json", "", "malformed JSON at byte %d: %s", dec.InputOffset(), err.Error())
 	}
-	job, err := s.createJob(r.Context(), workspace, r.Header.Get("Idempotency-Key"), req)
+	key := r.Header.Get("Idempotency-Key")
+	if len(key) > maxIdempotencyKey {
+		return invalid("invalid_idempotency_key", "Idempotency-Key", "the key is longer than %d bytes", maxIdempotencyKey)
+	}
+	job, err := s.createJob(r.Context(), workspace, key, req)
 	if err != nil {
 		return err
 	}
