Test the dispatcher and fix shares, ramp and quarantine

The tests found four faults, fixed here. Suspects of different hosts met on one server, where a loss identifies neither; each host now has servers of its own for them.

A server counts as having survived only by a poll sent 20 ms after the loss or a response that ended 100 ms after it, since a dying server can still answer on another connection.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -22,8 +22,8 @@
 
 type nullObserver struct{}
 
-func (nullObserver) LoadReported(string, Load, bool, time.Time) {}
-func (nullObserver) PollFailed(string, error)                   {}
+func (nullObserver) LoadReported(string, Load, bool, time.Time, time.Time) {}
+func (nullObserver) PollFailed(string, error)                              {}
 
 // newClient returns a running client with one server named s.
 func newClient(t *testing.T, address string, opts Options) *Client {
--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -38,9 +38,9 @@
 // Observer receives the results of polls. Its methods must not block.
 type Observer interface {
 	// LoadReported receives a report that arrived now over a connection that
-	// was opened at opened. A server without load reports is alive but has no
-	// report: known is false.
-	LoadReported(server string, load Load, known bool, opened time.Time)
+	// was opened at opened, after a question sent at asked. A server without
+	// load reports is alive but has no report: known is false.
+	LoadReported(server string, load Load, known bool, opened, asked time.Time)
 	// PollFailed reports that the server did not answer on a new connection.
 	PollFailed(server string, err error)
 }
@@ -120,6 +120,7 @@
 	load   Load
 	known  bool
 	opened time.Time // when the connection was opened
+	asked  time.Time
 	err    error
 }
 
@@ -171,7 +172,7 @@
 	case r.err != nil:
 		observer.PollFailed(s.name, r.err)
 	default:
-		observer.LoadReported(s.name, r.load, r.known, r.opened)
+		observer.LoadReported(s.name, r.load, r.known, r.opened, r.asked)
 	}
 }
 
@@ -185,7 +186,7 @@
 
 // poll fetches the load report over one generation's poll connection.
 func (s *server) poll(ctx context.Context, gen *generation) pollResult {
-	var result pollResult
+	result := pollResult{asked: time.Now()}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*trackedConn); ok {
 			result.opened = conn.opened
--- a/internal/core/balance/observe.go
+++ b/internal/core/balance/observe.go
@@ -137,6 +137,38 @@
 	return st
 }
 
+// Names returns the servers of a pool that are not leaving, sorted.
+func (b *Balancer) Names(name string) []string {
+	var out []string
+	if p, ok := b.pools[name]; ok {
+		for _, s := range p.servers {
+			if !s.cfg.Leaving {
+				out = append(out, s.cfg.Name)
+			}
+		}
+	}
+	return out
+}
+
+// Available reports whether the server takes new work.
+func (b *Balancer) Available(now time.Time, name string) bool {
+	s, ok := b.servers[name]
+	return ok && s.available(now)
+}
+
+// Limits returns the learned limit of each available server of a pool.
+func (b *Balancer) Limits(now time.Time, name string) map[string]int {
+	out := map[string]int{}
+	if p, ok := b.pools[name]; ok {
+		for _, s := range p.servers {
+			if s.available(now) {
+				out[s.cfg.Name] = s.limit()
+			}
+		}
+	}
+	return out
+}
+
 // Pools returns the names of all pools with servers.
 func (b *Balancer) Pools() []string {
 	out := make([]string, 0, len(b.pools))
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -138,14 +138,43 @@
 	is := is.New(t)
 	s := NewSuspects()
 	s.Lost(1, "s1", false, epoch.Add(time.Second))
-	is.True(!s.Survived("s1", epoch.Add(2*time.Second))) // evidence from after the loss
-	is.True(!s.Survived("s2", epoch))
-	is.True(s.Survived("s1", epoch))
+	is.True(!s.Survived("s1", epoch.Add(2*time.Second), epoch.Add(3*time.Second))) // evidence from after the loss
+	is.True(!s.Survived("s1", epoch, epoch.Add(500*time.Millisecond)))             // evidence from before it
+	is.True(!s.Survived("s2", epoch, epoch.Add(2*time.Second)))
+	is.True(s.Survived("s1", epoch, epoch.Add(2*time.Second)))
 	verdict, _ := s.Check(1, epoch.Add(time.Second))
 	is.Equal(verdict, Innocent)
 	is.True(!s.Known())
 }
 
+// Guards against two hosts that may start suspects on one server at the same
+// time, and against a host that never may.
+func TestSuspectServersAreDisjoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := func(label string) []string {
+			return rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{3}"), 1, 9, rapid.ID[string]).Draw(t, label)
+		}
+		hosts, servers := names("hosts"), names("servers")
+		had := map[string]bool{}
+		for step := range 2 * 9 {
+			now := epoch.Add(time.Duration(step) * suspectSlice / 2)
+			owner := map[string]string{}
+			for _, h := range hosts {
+				for _, s := range SuspectServers(h, hosts, servers, now) {
+					if other, taken := owner[s]; taken {
+						t.Fatalf("%s and %s share %s", h, other, s)
+					}
+					owner[s] = h
+					had[h] = true
+				}
+			}
+		}
+		if len(had) != len(hosts) {
+			t.Fatalf("only %d of %d hosts had a server", len(had), len(hosts))
+		}
+	})
+}
+
 // Guards against unbounded memory with many different crashing requests.
 func TestSuspectsAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/retry/suspects.go
+++ b/internal/core/retry/suspects.go
@@ -224,13 +224,15 @@
 	return true
 }
 
-// Survived notes that the server went on running since a time before the
-// losses reported on it, so only connections broke and no request is suspect
-// for it.
-func (s *Suspects) Survived(server string, since time.Time) bool {
+// Survived notes that the server went on running from since to until, so the
+// connections that broke in between broke for another reason, and no request
+// is suspect for them.
+func (s *Suspects) Survived(server string, since, until time.Time) bool {
 	changed := false
 	for fp, list := range s.own {
-		kept := slices.DeleteFunc(list, func(l loss) bool { return l.server == server && !l.at.Before(since) })
+		kept := slices.DeleteFunc(list, func(l loss) bool {
+			return l.server == server && !l.at.Before(since) && l.at.Before(until)
+		})
 		if len(kept) == len(list) {
 			continue
 		}
--- a/internal/core/schedule/division.go
+++ b/internal/core/schedule/division.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -200,18 +201,58 @@
 	return defaultWeight
 }
 
-// Slots returns the host's part of one server's limit in a class. The parts
-// of all hosts add up to the limit exactly: each part is the number of whole
-// slots in the host's span after a shift that depends on the server only, so
-// rounding favours different hosts at different servers.
-func (d Division) Slots(server string, limit int, class Class) int {
+// ServerLimit is one server with the slots to divide.
+type ServerLimit struct {
+	Server string
+	Limit  int
+}
+
+// Parts returns the host's part of each server's limit in a class. The parts
+// of all hosts add up to each limit exactly: a part is the number of whole
+// slots in the host's span after a shift that depends on the server only. The
+// shifts are evenly spaced over servers with the same limit, so that the parts
+// in the whole pool are off by less than a slot; rotation, from 0 to 1 and the
+// same at all hosts, moves them so that this remainder goes round.
+func (d Division) Parts(servers []ServerLimit, class Class, rotation float64) map[string]int {
 	s := d.online
 	if class == Batch {
 		s = d.batch
 	}
-	shift := float64(xxhash.Sum64String(server)>>11) / (1 << 53)
-	n := float64(limit)
-	return int(math.Floor(s.high*n+shift) - math.Floor(s.low*n+shift))
+	servers = slices.Clone(servers)
+	slices.SortFunc(servers, func(a, b ServerLimit) int {
+		if a.Limit != b.Limit {
+			return a.Limit - b.Limit
+		}
+		return compare(a.Server, b.Server)
+	})
+	out := make(map[string]int, len(servers))
+	for i, server := range servers {
+		first, last := sameLimit(servers, i)
+		shift := (float64(i-first)+0.5)/float64(last-first) + rotation
+		shift -= math.Floor(shift)
+		n := float64(server.Limit)
+		out[server.Server] = int(math.Floor(s.high*n+shift) - math.Floor(s.low*n+shift))
+	}
+	return out
+}
+
+// sameLimit returns the range of servers with the limit of server i.
+func sameLimit(servers []ServerLimit, i int) (first, last int) {
+	limit := servers[i].Limit
+	first = sort.Search(len(servers), func(k int) bool { return servers[k].Limit >= limit })
+	last = sort.Search(len(servers), func(k int) bool { return servers[k].Limit > limit })
+	return first, last
+}
+
+// rotationPeriod is how long the remainders of a division stay where they are.
+const rotationPeriod = 2 * time.Second
+
+// Rotation returns the rotation of Parts at a time. Hosts whose clocks differ
+// disagree for that part of each period, by at most one slot per server.
+func Rotation(now time.Time) float64 {
+	const golden = 0.618033988749895 // successive multiples are spread evenly
+	x := float64(now.UnixNano()/int64(rotationPeriod)) * golden
+	return x - math.Floor(x)
 }
 
 // headroomPart is the part of the slots that batch work leaves free for the
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -185,7 +185,11 @@
 func TestPartsAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hosts, weights := drawDemand(t)
-		limit := rapid.IntRange(1, 40).Draw(t, "limit")
+		var servers []ServerLimit
+		for i, limit := range rapid.SliceOfN(rapid.IntRange(1, 12), 1, 8).Draw(t, "limits") {
+			servers = append(servers, ServerLimit{fmt.Sprint("s", i), limit})
+		}
+		rotation := rapid.Float64Range(0, 0.999).Draw(t, "rotation")
 		var demand int
 		for _, h := range hosts {
 			for _, w := range h.Workspaces {
@@ -193,17 +197,20 @@
 			}
 		}
 		for class := range classes {
-			sum := 0
+			sum := map[string]int{}
 			for _, h := range hosts {
 				d := Divide(h.Host, 100, weights, hosts)
-				n := d.Slots("server-1", limit, class)
-				if n < 0 {
-					t.Fatalf("host %s has %d slots", h.Host, n)
+				for server, n := range d.Parts(servers, class, rotation) {
+					if n < 0 {
+						t.Fatalf("host %s has %d slots", h.Host, n)
+					}
+					sum[server] += n
 				}
-				sum += n
 			}
-			if demand > 0 && sum != limit {
-				t.Fatalf("class %d: parts add up to %d of %d", class, sum, limit)
+			for _, s := range servers {
+				if demand > 0 && sum[s.Server] != s.Limit {
+					t.Fatalf("class %d: parts of %s add up to %d of %d", class, s.Server, sum[s.Server], s.Limit)
+				}
 			}
 		}
 	})
@@ -234,6 +241,26 @@
 	is.True(math.Abs(service["b"]-0.75) < 1e-9)
 }
 
+// Guards against rounding that takes more than a slot from a host over a pool
+// of equal servers.
+func TestPartsInPoolAreExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		low := rapid.Float64Range(0, 0.9).Draw(t, "low")
+		d := Division{online: span{low, rapid.Float64Range(low, 1).Draw(t, "high")}}
+		var servers []ServerLimit
+		for i := range rapid.IntRange(1, 30).Draw(t, "servers") {
+			servers = append(servers, ServerLimit{fmt.Sprint("s", i), 6})
+		}
+		sum := 0
+		for _, n := range d.Parts(servers, Online, rapid.Float64Range(0, 0.999).Draw(t, "rotation")) {
+			sum += n
+		}
+		if want := (d.online.high - d.online.low) * 6 * float64(len(servers)); math.Abs(float64(sum)-want) > 2 {
+			t.Fatalf("%d slots, want %.2f", sum, want)
+		}
+	})
+}
+
 // Guards against headroom that takes more of the pool from batch work than
 // intended.
 func TestHeadroomOverPool(t *testing.T) {
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -22,6 +22,10 @@
 // 500 ms, and at once after a nudge.
 const publishInterval = 200 * time.Millisecond
 
+// batchRamp is how long new batch work is divided as if all hosts had some:
+// a publication and a heartbeat.
+const batchRamp = publishInterval + 600*time.Millisecond
+
 // demandMessage is the section demand: the work of one host by pool.
 type demandMessage map[string]poolDemand
 
@@ -50,12 +54,14 @@
 // divide computes the host's parts of the pool's slots and the local weights
 // from the demand of all hosts. The caller holds mu.
 func (d *Dispatcher) divide(p *poolState, now time.Time) {
-	hosts := []schedule.HostDemand{p.ownDemand(d.self).forHost(d.self)}
+	own := p.ownDemand().forHost(d.self)
+	hosts := []schedule.HostDemand{own}
 	for host, peer := range p.peers {
 		if now.Sub(peer.at) < demandExpiry {
 			hosts = append(hosts, peer.forHost(hostName(host)))
 		}
 	}
+	hosts = append(hosts, d.assumedDemand(p, own, now)...)
 	slots := d.bal.Pool(now, p.name).Slots
 	p.division = schedule.Divide(d.self, slots, d.weights, hosts)
 	p.divided, p.dirty = now, false
@@ -64,6 +70,57 @@
 			p.queue.SetWeight(schedule.Class(class), workspace, weight)
 		}
 	}
+	p.parts = d.partsOf(p, now)
+}
+
+// partsOf computes the own part of each server's slots by class.
+func (d *Dispatcher) partsOf(p *poolState, now time.Time) [2]map[string]int {
+	rotation := schedule.Rotation(now)
+	limits := d.bal.Limits(now, p.name)
+	online := make([]schedule.ServerLimit, 0, len(limits))
+	batch := make([]schedule.ServerLimit, 0, len(limits))
+	for server, limit := range limits {
+		online = append(online, schedule.ServerLimit{Server: server, Limit: limit})
+		batch = append(batch, schedule.ServerLimit{Server: server, Limit: limit - schedule.Headroom(server, limit)})
+	}
+	return [2]map[string]int{
+		schedule.Online: p.division.Parts(online, schedule.Online, rotation),
+		schedule.Batch:  p.division.Parts(batch, schedule.Batch, rotation),
+	}
+}
+
+// assumedDemand is batch demand like the own one for hosts that have reported
+// none, while the own one is new. A job is announced to all hosts at once, and
+// without this each of them would fill the pool before it hears of the others.
+func (d *Dispatcher) assumedDemand(p *poolState, own schedule.HostDemand, now time.Time) []schedule.HostDemand {
+	var assumed []schedule.WorkspaceDemand
+	for _, w := range own.Workspaces {
+		if w.Batch.Items > 0 {
+			assumed = append(assumed, schedule.WorkspaceDemand{Workspace: w.Workspace, Batch: w.Batch})
+		}
+	}
+	if len(assumed) == 0 {
+		p.batchSince = time.Time{}
+		return nil
+	}
+	if p.batchSince.IsZero() {
+		p.batchSince = now
+	}
+	if now.Sub(p.batchSince) > batchRamp {
+		return nil
+	}
+	var out []schedule.HostDemand
+	for _, m := range d.view.Members {
+		if hostName(m.Host) == d.self || !d.view.Alive[m.Host] || p.peers[m.Host].hasBatch() {
+			continue
+		}
+		out = append(out, schedule.HostDemand{Host: hostName(m.Host), Workspaces: assumed})
+	}
+	return out
+}
+
+func (m poolDemand) hasBatch() bool {
+	return slices.ContainsFunc(m.Workspaces, func(w workspaceDemand) bool { return w.BatchItems > 0 })
 }
 
 func (m poolDemand) forHost(host string) schedule.HostDemand {
@@ -79,7 +136,7 @@
 }
 
 // ownDemand adds up the host's waiting and running work, sorted by workspace.
-func (p *poolState) ownDemand(string) poolDemand {
+func (p *poolState) ownDemand() poolDemand {
 	byName := map[string]workspaceDemand{}
 	add := func(workspace string, class schedule.Class, tokens float64, items int) {
 		w := byName[workspace]
@@ -140,7 +197,7 @@
 	d.publishedAt = now
 	out := demandMessage{}
 	for name, p := range d.pools {
-		own := p.ownDemand(d.self)
+		own := p.ownDemand()
 		own.Pressed = now.Sub(p.pressedAt) <= pressFor
 		if own.Pressed || len(own.Workspaces) > 0 {
 			out[name] = own
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -252,7 +252,7 @@
 type observer struct{ d *Dispatcher }
 
 // LoadReported implements backend.Observer.
-func (o observer) LoadReported(server string, load backend.Load, known bool, opened time.Time) {
+func (o observer) LoadReported(server string, load backend.Load, known bool, opened, asked time.Time) {
 	d := o.d
 	now := time.Now()
 	d.mu.Lock()
@@ -264,7 +264,7 @@
 	} else {
 		d.bal.Polled(now, server, true)
 	}
-	if !opened.IsZero() && d.suspects.Survived(server, opened) {
+	if !opened.IsZero() && d.suspects.Survived(server, opened, asked.Add(-pollMargin)) {
 		d.suspectsDirty = true
 	}
 	if s, ok := d.cfg.Servers[server]; ok {
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,435 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/peer"
+	"ragwortstep/internal/platform"
+	"ragwortstep/internal/platform/platformtest"
+)
+
+func engines(t *testing.T, n, slots int, handle func(*engine, http.ResponseWriter, *http.Request, []byte)) []*engine {
+	var out []*engine
+	for i := range n {
+		out = append(out, newEngine(t, fmt.Sprintf("s%d", i), slots, handle))
+	}
+	return out
+}
+
+// refusal returns the refusal in an error, or fails the test.
+func refusal(t *testing.T, err error) *RefusedError {
+	t.Helper()
+	var refused *RefusedError
+	if !errors.As(err, &refused) {
+		t.Fatalf("not a refusal: %v", err)
+	}
+	return refused
+}
+
+// Guards against service that does not follow the weights when the hosts
+// receive unequal parts of the traffic: each workspace gets at least 0.9 of
+// its entitled work in a short run.
+func TestSharesOverHosts(t *testing.T) {
+	is := is.New(t)
+	list := engines(t, 3, 4, work(20*time.Millisecond))
+	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1, "b": 3}), "h1", "h2")
+	hosts := map[peer.HostID]*Dispatcher{}
+	for host := range n.hosts {
+		hosts[host] = n.start(t, host, Options{})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	measureFrom := time.Now().Add(2 * time.Second)
+	var served [2]atomic.Int64
+	var group sync.WaitGroup
+	client := func(host peer.HostID, workspace string, count *atomic.Int64) {
+		for ctx.Err() == nil {
+			_, err := call(ctx, hosts[host], &Request{Workspace: workspace, Idempotent: true, Cost: 100})
+			if err == nil && time.Now().After(measureFrom) {
+				count.Add(1)
+			}
+		}
+	}
+	for range 36 {
+		group.Go(func() { client("h1", "a", &served[0]) })
+		group.Go(func() { client("h2", "b", &served[1]) })
+	}
+	for range 8 {
+		group.Go(func() { client("h2", "a", &served[0]) })
+		group.Go(func() { client("h1", "b", &served[1]) })
+	}
+	group.Wait()
+	a, b := float64(served[0].Load()), float64(served[1].Load())
+	t.Logf("served a %.0f, b %.0f; part of the entitled work: a %.3f, b %.3f", a, b, a/((a+b)/4), b/((a+b)*3/4))
+	is.True(a >= 0.9*(a+b)/4)
+	is.True(b >= 0.9*(a+b)*3/4)
+	for _, e := range list {
+		is.True(e.peak.Load() <= 8) // the engines' own queues stay short
+	}
+}
+
+// Guards against online requests that wait behind batch work of their own or
+// of another host, and against batch items that are lost when they yield.
+func TestBatchYieldsToOnline(t *testing.T) {
+	is := is.New(t)
+	list := engines(t, 2, 4, func(e *engine, w http.ResponseWriter, r *http.Request, body []byte) {
+		d := 10 * time.Millisecond
+		if string(body) == "batch" {
+			d = 5 * time.Second
+		}
+		work(d)(e, w, r, body)
+	})
+	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1", "h2")
+	d1, d2 := n.start(t, "h1", Options{}), n.start(t, "h2", Options{})
+	ctx, cancel := context.WithCancel(context.Background())
+	var preempted atomic.Int64
+	var group sync.WaitGroup
+	for i := range 24 {
+		d := d1
+		if i >= 12 {
+			d = d2
+		}
+		group.Go(func() {
+			for ctx.Err() == nil {
+				_, err := call(ctx, d, &Request{Workspace: "a", Class: Batch, Idempotent: true, Body: []byte("batch")})
+				var yielded *PreemptedError
+				switch {
+				case errors.As(err, &yielded):
+					preempted.Add(1)
+				case ctx.Err() == nil:
+					t.Errorf("batch item: %v", err)
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	running := list[0].running.Load() + list[1].running.Load()
+	is.True(running >= 6) // batch fills what online leaves
+	var worst atomic.Int64
+	var online sync.WaitGroup
+	for range 8 { // as many as there are slots, on one host
+		online.Go(func() {
+			start := time.Now()
+			_, err := call(ctx, d1, &Request{Workspace: "a", Idempotent: true, Body: []byte("online")})
+			if err != nil {
+				t.Errorf("online request: %v", err)
+			}
+			took := time.Since(start).Milliseconds()
+			for w := worst.Load(); took > w && !worst.CompareAndSwap(w, took); w = worst.Load() {
+			}
+		})
+	}
+	online.Wait()
+	t.Logf("batch running %d, preempted %d, slowest online request %d ms", running, preempted.Load(), worst.Load())
+	is.True(preempted.Load() > 0)
+	is.True(worst.Load() < 500)
+	cancel()
+	group.Wait()
+}
+
+// Guards against repeated non-idempotent calls and false statements about
+// their execution while servers crash and connections are cut.
+func TestNonIdempotentCallsRunOnce(t *testing.T) {
+	is := is.New(t)
+	list := engines(t, 4, 8, func(e *engine, w http.ResponseWriter, r *http.Request, body []byte) {
+		switch rand.IntN(60) {
+		case 0:
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			conn.Close()
+			return
+		case 1:
+			w.Header().Set("Content-Length", "100")
+			return // truncated
+		}
+		work(time.Millisecond)(e, w, r, body)
+	})
+	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1")
+	d := n.start(t, "h1", Options{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(400 * time.Millisecond)
+			list[rand.IntN(len(list))].crash()
+		}
+	}()
+	const calls = 3000
+	var group sync.WaitGroup
+	var refusedNo sync.Map
+	var failed, completed atomic.Int64
+	for c := range 30 {
+		group.Go(func() {
+			for i := range calls / 30 {
+				id := fmt.Sprintf("call-%d-%d", c, i)
+				out, err := call(ctx, d, &Request{ID: id, Workspace: "a", Body: []byte(id), Deadline: time.Now().Add(5 * time.Second)})
+				var refused *RefusedError
+				switch {
+				case err == nil && out == "did "+id:
+					completed.Add(1)
+				case err == nil:
+					t.Errorf("call %s got %q", id, out)
+				case errors.As(err, &refused) && refused.Executed == ExecutedNo:
+					refusedNo.Store(id, true)
+				default:
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	ran := map[string]int64{}
+	for _, e := range list {
+		e.ran.Range(func(id, n any) bool {
+			ran[id.(string)] += n.(*atomic.Int64).Load()
+			return true
+		})
+	}
+	no := 0
+	refusedNo.Range(func(id, _ any) bool {
+		no++
+		is.Equal(ran[id.(string)], int64(0)) // refused with Executed no, but ran
+		return true
+	})
+	for id, times := range ran {
+		if times > 1 {
+			t.Errorf("call %s ran %d times", id, times)
+		}
+	}
+	t.Logf("completed %d, outcome unknown %d, refused unsent %d", completed.Load(), failed.Load(), no)
+	is.True(completed.Load() > calls/2)
+	is.True(failed.Load() > 0)
+}
+
+// Guards against idempotent requests that fail when one server crashes.
+func TestIdempotentRequestsSurviveCrash(t *testing.T) {
+	is := is.New(t)
+	list := engines(t, 4, 8, work(50*time.Millisecond))
+	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1")
+	d := n.start(t, "h1", Options{})
+	time.AfterFunc(300*time.Millisecond, list[0].crash)
+	var group sync.WaitGroup
+	for c := range 24 {
+		group.Go(func() {
+			for i := range 20 {
+				id := fmt.Sprintf("%d-%d", c, i)
+				out, err := call(context.Background(), d, &Request{ID: id, Workspace: "a", Idempotent: true, Body: []byte(id)})
+				if err != nil || out != "did "+id {
+					t.Errorf("request %s: %q, %v", id, out, err)
+				}
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(list[0].crashes.Load(), int64(1))
+}
+
+// Guards against a crashing request that keeps taking servers down when it is
+// sent again to all hosts, and against refusals of the requests beside it.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	list := engines(t, 6, 8, func(e *engine, w http.ResponseWriter, r *http.Request, body []byte) {
+		if string(body) == "poison" {
+			e.crash()
+			return
+		}
+		work(30*time.Millisecond)(e, w, r, body)
+	})
+	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1, "b": 1}), "h1", "h2", "h3")
+	var hosts []*Dispatcher
+	for _, host := range []peer.HostID{"h1", "h2", "h3"} {
+		hosts = append(hosts, n.start(t, host, Options{}))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var neighbours sync.WaitGroup
+	var served atomic.Int64
+	for c := range 18 {
+		neighbours.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				id := fmt.Sprintf("%d-%d", c, i)
+				if _, err := call(context.Background(), hosts[c%3], &Request{ID: id, Workspace: "b", Idempotent: true, Body: []byte(id)}); err != nil {
+					t.Errorf("neighbour %s: %v", id, err)
+				}
+				served.Add(1)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	refused := 0
+	for i := range 50 {
+		_, err := call(context.Background(), hosts[i%3], &Request{ID: fmt.Sprint("poison-", i), Workspace: "a", Idempotent: i%2 == 0, Body: []byte("poison")})
+		if refusal(t, err).Status == http.StatusUnprocessableEntity {
+			refused++
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(500 * time.Millisecond)
+	cancel()
+	neighbours.Wait()
+	var crashes int64
+	for _, e := range list {
+		crashes += e.crashes.Load()
+	}
+	t.Logf("server losses %d, quarantine refusals %d, neighbours served %d", crashes, refused, served.Load())
+	is.True(crashes <= 3)
+	is.True(refused >= 45)
+}
+
+// Guards against refusals without the right status and statement, and against
+// waits past the deadline.
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	list := engines(t, 1, 1, work(400*time.Millisecond))
+	cfg := snapshot(list, map[string]float64{"a": 1})
+	w := cfg.Workspaces["a"]
+	w.MaxQueue = 1
+	cfg.Workspaces["a"] = w
+	n := newNetwork(t, cfg, "h1")
+	d := n.start(t, "h1", Options{})
+	ctx := context.Background()
+	_, err := call(ctx, d, &Request{Method: "GET", Path: "/", Pool: "none"})
+	is.Equal(refusal(t, err).Code, "no_server")
+	var group sync.WaitGroup
+	group.Go(func() { _, _ = call(ctx, d, &Request{Workspace: "a"}) })
+	time.Sleep(50 * time.Millisecond)
+	group.Go(func() {
+		start := time.Now()
+		_, err := call(ctx, d, &Request{Workspace: "a", Deadline: start.Add(100 * time.Millisecond)})
+		refused := refusal(t, err)
+		is.Equal(refused.Status, http.StatusGatewayTimeout)
+		is.Equal(refused.Executed, ExecutedNo) // it never left the queue
+		is.True(time.Since(start) < 300*time.Millisecond)
+	})
+	time.Sleep(50 * time.Millisecond)
+	_, err = call(ctx, d, &Request{Workspace: "a"})
+	refused := refusal(t, err)
+	is.Equal(refused.Status, http.StatusTooManyRequests)
+	is.Equal(refused.Executed, ExecutedNo)
+	is.True(refused.RetryAfter > 0)
+	group.Wait()
+	_, err = call(ctx, d, &Request{Workspace: "a", Deadline: time.Now().Add(100 * time.Millisecond)})
+	is.Equal(refusal(t, err).Executed, ExecutedUnknown) // it ran into its deadline at the server
+	list[0].down = time.Hour
+	list[0].crash()
+	start := time.Now()
+	_, err = call(ctx, d, &Request{Workspace: "a", Deadline: start.Add(10 * time.Second)})
+	is.Equal(refusal(t, err).Code, "no_server")
+	is.Equal(refusal(t, err).Executed, ExecutedNo)
+	is.True(time.Since(start) < 8*time.Second)
+}
+
+// Guards against new work for a server that the platform lists as leaving.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	list := engines(t, 2, 4, work(time.Millisecond))
+	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1", "h2", "h3")
+	store := platformtest.New()
+	d := n.start(t, "h3", Options{Store: store}) // not a watcher itself
+	n.start(t, "h1", Options{Store: store})
+	store.SetHosts([]platform.HostEntry{{Name: "s0", Kind: "server", State: "leaving"}})
+	time.Sleep(4 * time.Second)
+	before := list[0].running.Load()
+	for range 50 {
+		_, err := call(context.Background(), d, &Request{Workspace: "a"})
+		is.NoErr(err)
+	}
+	count := 0
+	list[0].ran.Range(func(any, any) bool { count++; return true })
+	is.Equal(before, int64(0))
+	is.Equal(count, 0)
+}
+
+// Guards against a drain that ends before the open responses, and against
+// batch items that start during it.
+func TestDrainWaitsForOpenResponses(t *testing.T) {
+	is := is.New(t)
+	list := engines(t, 1, 4, work(50*time.Millisecond))
+	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1")
+	d := n.start(t, "h1", Options{})
+	resp, err := d.Do(context.Background(), &Request{Method: "GET", Path: "/", Pool: "p", Workspace: "a"})
+	is.NoErr(err)
+	short, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	is.True(d.Drain(short) != nil) // a response is open
+	_, err = call(context.Background(), d, &Request{Workspace: "a", Class: Batch, Idempotent: true})
+	is.Equal(refusal(t, err).Executed, ExecutedNo)
+	_, err = io.ReadAll(resp.Body)
+	is.NoErr(err)
+	resp.Body.Close()
+	is.NoErr(d.Drain(context.Background()))
+}
+
+// Guards against batch items that start without the freshness lease.
+func TestBatchStopsWithoutLease(t *testing.T) {
+	is := is.New(t)
+	list := engines(t, 1, 4, work(time.Millisecond))
+	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1")
+	n.hosts["h1"].lapsed.Store(true)
+	d := n.start(t, "h1", Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err := call(ctx, d, &Request{Workspace: "a", Class: Batch, Idempotent: true})
+	is.True(err != nil)
+	is.Equal(list[0].peak.Load(), int64(0))
+	n.hosts["h1"].lapsed.Store(false)
+	_, err = call(context.Background(), d, &Request{Workspace: "a", Class: Batch, Idempotent: true})
+	is.NoErr(err)
+}
+
+// Guards against slots that stay occupied after responses are cut, closed
+// early or cancelled.
+func TestSlotsAreReturned(t *testing.T) {
+	is := is.New(t)
+	list := engines(t, 2, 3, func(e *engine, w http.ResponseWriter, r *http.Request, body []byte) {
+		if rand.IntN(10) == 0 {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			conn.Close()
+			return
+		}
+		work(time.Duration(rand.IntN(5))*time.Millisecond)(e, w, r, body)
+	})
+	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1")
+	d := n.start(t, "h1", Options{})
+	var group sync.WaitGroup
+	for c := range 16 {
+		group.Go(func() {
+			for i := range 100 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rand.IntN(20)+1)*time.Millisecond)
+				class := []Class{Online, Batch}[c%2]
+				resp, err := d.Do(ctx, &Request{ID: fmt.Sprint(c, i), Method: "POST", Path: "/", Pool: "p", Workspace: "a", Class: class, Idempotent: true, Body: []byte(fmt.Sprint(c, i))})
+				if err == nil {
+					if rand.IntN(2) == 0 {
+						_, _ = io.ReadAll(resp.Body)
+					}
+					resp.Body.Close()
+				}
+				cancel()
+			}
+		})
+	}
+	group.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pools["p"]
+	is.Equal(d.active, 0)
+	is.Equal(len(p.runs), 0)
+	is.Equal(len(p.waiting), 0)
+	is.Equal(len(p.batchAt), 0)
+	is.Equal(len(p.running), 0)
+	is.Equal(p.inFlight, [2]int{})
+	is.Equal(d.bal.InFlight("s0")+d.bal.InFlight("s1"), 0)
+	names := d.bal.Pools()
+	is.True(slices.Contains(names, "p"))
+}
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request, including the first.
-	maxAttempts = 3
+	// maxSent and maxAttempts bound the attempts of one request, including
+	// the first: those that sent something, and all.
+	maxSent     = 3
+	maxAttempts = 6
 	// bytesPerToken converts prompt and response bytes to estimated tokens.
 	bytesPerToken = 4.0
 	// queueRetryAfter is the advice with a full queue.
@@ -141,6 +143,9 @@
 	}
 	p.waiting[j.id] = j
 	p.dirty = true
+	if j.class == schedule.Batch && p.batchSince.IsZero() {
+		d.divide(p, now) // the first item after a pause: see assumedDemand
+	}
 	d.schedule(p, now)
 	return p, nil
 }
@@ -178,7 +183,7 @@
 // send runs one attempt at its server.
 func (d *Dispatcher) send(r *run) (*backend.Response, *backend.Error) {
 	j := r.job
-	invariant.Check(j.req.Idempotent || !j.sent, "I10", "send", r.server, "request", j.req.ID)
+	invariant.Check(j.req.Idempotent || j.sends == 0, "I10", "send", r.server, "request", j.req.ID)
 	j.attempts++
 	resp, err := d.client.Do(r.ctx, r.server, &backend.Request{
 		ID:     j.req.ID + "-" + strconv.Itoa(j.attempts),
@@ -186,7 +191,7 @@
 		Stream: j.req.Stream, Idempotent: j.req.Idempotent,
 	})
 	if err == nil {
-		j.sent = true
+		j.sends++
 		return resp, nil
 	}
 	var failure *backend.Error
@@ -194,7 +199,7 @@
 		failure = &backend.Error{Stage: backend.NoResponse, Cause: backend.Broken, Step: "send", Peer: r.server, Err: err}
 	}
 	if failure.Stage > backend.NotSent {
-		j.sent = true
+		j.sends++
 	}
 	return nil, failure
 }
@@ -235,7 +240,7 @@
 	if failure.Cause == backend.Silent {
 		status, code = http.StatusGatewayTimeout, "server_silent"
 	}
-	if !j.sent {
+	if j.sends == 0 {
 		status, code = http.StatusServiceUnavailable, "no_server"
 	}
 	out := j.refuse(status, code, failure.Error(), time.Second)
@@ -246,10 +251,10 @@
 // mayRepeat reports whether a failed job may be tried again, and spends the
 // retry. A non-idempotent request may only when nothing was sent.
 func (d *Dispatcher) mayRepeat(j *job, nothingSent bool, now time.Time) bool {
-	if j.attempts >= maxAttempts {
+	if j.sends >= maxSent || j.attempts >= maxAttempts {
 		return false
 	}
-	if !j.req.Idempotent && (j.sent || !nothingSent) {
+	if !j.req.Idempotent && (j.sends > 0 || !nothingSent) {
 		return false
 	}
 	return d.budget.Take(now)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -33,6 +33,7 @@
 	running  map[flowKey]schedule.Amount
 	inFlight [2]int // by class
 	division schedule.Division
+	parts    [2]map[string]int // own part of each server's slots, by class
 	divided  time.Time
 	dirty    bool
 	// scheduling guards against a nested call of schedule, which a preemption
@@ -41,7 +42,10 @@
 	peers      map[peer.HostID]peerDemand
 	// holdUntil is until when no batch work starts.
 	holdUntil time.Time
-	pressedAt time.Time // when an online request last found no free slot
+	// batchSince is since when there is batch work at this host, zero when
+	// there is none.
+	batchSince time.Time
+	pressedAt  time.Time // when an online request last found no free slot
 	// unusableSince is since when no server is usable, zero when one is.
 	unusableSince time.Time
 }
@@ -84,7 +88,7 @@
 	ready    chan grant // capacity 1
 	tried    []string   // servers that failed
 	attempts int
-	sent     bool // at least one byte went to a server
+	sends    int // attempts that sent at least one byte
 }
 
 // grant is the end of a job's wait: a slot or a refusal.
@@ -156,13 +160,16 @@
 
 // pick chooses a server for a job among those with a slot for it.
 func (d *Dispatcher) pick(p *poolState, j *job, now time.Time) (string, bool) {
-	suspect := false
+	verdict := retry.Innocent
 	if d.suspects.Known() {
-		verdict, _ := d.suspects.Check(j.fp, now)
-		suspect = verdict == retry.Suspect
+		verdict, _ = d.suspects.Check(j.fp, now)
+	}
+	if verdict == retry.Quarantined {
+		return "", false // the next tick refuses it
 	}
-	usable := func(name string) bool {
-		return d.hasSlot(p, name, j.class, now) && (!suspect || d.suspects.MayRun(j.fp, name, now))
+	usable := func(name string) bool { return d.hasSlot(p, name, j.class, now) }
+	if verdict == retry.Suspect {
+		usable = d.suspectUsable(p, j, now)
 	}
 	query := balance.Query{Pool: p.name, PrefixHash: j.req.PrefixHash, Usable: usable}
 	if len(j.tried) == 0 {
@@ -205,7 +212,7 @@
 	batch := p.batchAt[server]
 	if class == schedule.Batch {
 		limit -= schedule.Headroom(server, limit)
-		return load < float64(limit) && (p.inFlight[class] == 0 || batch < p.division.Slots(server, limit, class))
+		return load < float64(limit) && (p.inFlight[class] == 0 || batch < p.parts[class][server])
 	}
 	if d.baseline() {
 		return true
@@ -218,7 +225,7 @@
 	if own >= limit {
 		return false
 	}
-	return load < float64(limit) || p.inFlight[class] == 0 || own < p.division.Slots(server, limit, class)
+	return load < float64(limit) || p.inFlight[class] == 0 || own < p.parts[class][server]
 }
 
 func (d *Dispatcher) baseline() bool {
@@ -236,7 +243,9 @@
 		d.makeRoom(p, server, now)
 	}
 	if d.suspects.Known() {
-		if verdict, _ := d.suspects.Check(j.fp, now); verdict == retry.Suspect {
+		verdict, _ := d.suspects.Check(j.fp, now)
+		invariant.Check(verdict != retry.Quarantined, "quarantine", "send", server)
+		if verdict == retry.Suspect {
 			r.suspect = d.suspects.Start(j.fp, server)
 			d.suspectsDirty = true
 		}
@@ -333,7 +342,7 @@
 // refuse returns a refusal that states truthfully whether the job ran.
 func (j *job) refuse(status int, code, message string, retryAfter time.Duration) *RefusedError {
 	executed := ExecutedNo
-	if j.sent {
+	if j.sends > 0 {
 		executed = ExecutedUnknown
 	}
 	return &RefusedError{
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,10 +47,20 @@
 	counters.Add("lost_in_flight", 1)
 	d.suspects.Lost(r.job.fp, r.server, r.suspect, now)
 	d.suspectsDirty = true
-	d.client.PollNow(r.server)
+	time.AfterFunc(2*pollMargin, func() { d.client.PollNow(r.server) })
 	go d.publish(now)
 }
 
+// survivalMargin is how long after a loss a response must end to show that the
+// server survived. A response that the server sent just before it crashed may
+// arrive after the loss of another connection was noticed.
+const survivalMargin = 100 * time.Millisecond
+
+// pollMargin is how long after a loss a poll must be sent to show that the
+// server survived, because a dying server may close one connection and still
+// answer on another for a moment.
+const pollMargin = 20 * time.Millisecond
+
 // succeeded clears the suspicion on a run's request, and those that rest on a
 // loss of its server while it went on running there. The caller holds mu.
 func (d *Dispatcher) succeeded(r *run, now time.Time) {
@@ -57,12 +68,37 @@
 		return
 	}
 	cleared := d.suspects.Succeeded(r.job.fp, now)
-	survived := d.suspects.Survived(r.server, r.started)
+	survived := d.suspects.Survived(r.server, r.started, now.Add(-survivalMargin))
 	if cleared || survived {
 		d.suspectsDirty = true
 	}
 }
 
+// suspectUsable returns the condition for servers that may run a suspect.
+// Each host runs its suspects on servers of its own, so that two hosts do not
+// put suspects on one server before they hear of each other. While none of
+// them is usable, any server will do.
+func (d *Dispatcher) suspectUsable(p *poolState, j *job, now time.Time) func(string) bool {
+	own := retry.SuspectServers(d.self, d.aliveHosts(), d.bal.Names(p.name), now)
+	if len(own) > 0 && !slices.ContainsFunc(own, func(s string) bool { return d.bal.Available(now, s) }) {
+		own = d.bal.Names(p.name)
+	}
+	return func(server string) bool {
+		return slices.Contains(own, server) && d.hasSlot(p, server, j.class, now) && d.suspects.MayRun(j.fp, server, now)
+	}
+}
+
+// aliveHosts returns the alive members of the epoch. The caller holds mu.
+func (d *Dispatcher) aliveHosts() []string {
+	out := make([]string, 0, len(d.view.Members))
+	for _, m := range d.view.Members {
+		if d.view.Alive[m.Host] {
+			out = append(out, hostName(m.Host))
+		}
+	}
+	return out
+}
+
 // quarantineReceived takes over a peer's suspects.
 func (d *Dispatcher) quarantineReceived(from peer.HostID, raw json.RawMessage) {
 	var report retry.Report
