--- /dev/null
+++ b/internal/dedupe/fakes_test.go
@@ -0,0 +1,201 @@
+package dedupe
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/fleet"
+	"ragwortstep/internal/peer"
+	"ragwortstep/internal/platform"
+	"ragwortstep/internal/platform/platformtest"
+)
+
+// cluster is hosts with fake fleets, connected by a fake peer transport, over
+// one fake platform.
+type cluster struct {
+	t     *testing.T
+	store *platformtest.Fake
+	opts  Options
+	mu    sync.Mutex
+	hosts map[peer.HostID]*host
+	epoch uint64
+	// loseCalls and loseAnswers are parts of peer calls, in percent, that are
+	// not delivered, and whose answers are lost.
+	loseCalls, loseAnswers atomic.Int64
+}
+
+// host is one host: its fleet service and its peer transport.
+type host struct {
+	c        *cluster
+	id       peer.HostID
+	records  *Records
+	stop     context.CancelFunc
+	handlers map[string]peer.HandlerFunc
+	down     atomic.Bool
+	lapsed   atomic.Bool
+	mu       sync.Mutex
+	view     fleet.View
+}
+
+func newCluster(t *testing.T, names ...peer.HostID) *cluster {
+	c := &cluster{t: t, store: platformtest.New(), hosts: map[peer.HostID]*host{}}
+	for _, name := range names {
+		c.hosts[name] = &host{c: c, id: name}
+		c.start(name, c.store)
+	}
+	c.setMembers(names...)
+	c.waitReady()
+	return c
+}
+
+// start starts a new incarnation of a host.
+func (c *cluster) start(name peer.HostID, store platform.Store) {
+	h := c.hosts[name]
+	h.handlers = map[string]peer.HandlerFunc{}
+	opts := c.opts
+	opts.Fleet, opts.Peers, opts.Store = h, h, store
+	h.records = New(opts)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	c.t.Cleanup(cancel)
+	h.records.Start(ctx)
+}
+
+// setMembers makes a new epoch. As in the fleet, it is settled only after
+// every host left out has lost its lease and every member knows the epoch.
+func (c *cluster) setMembers(names ...peer.HostID) {
+	slices.Sort(names)
+	c.epoch++
+	view := fleet.View{Epoch: c.epoch, Alive: map[peer.HostID]bool{}}
+	for _, name := range names {
+		view.Members = append(view.Members, fleet.Member{Host: name})
+		view.Alive[name] = true
+	}
+	for name, h := range c.hosts {
+		if !view.Alive[name] {
+			h.lapsed.Store(true)
+			continue
+		}
+		h.set(view)
+	}
+	view.Settled = true
+	for _, name := range names {
+		c.hosts[name].set(view)
+		c.hosts[name].lapsed.Store(false)
+	}
+}
+
+func (h *host) set(view fleet.View) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	view.Self = h.id
+	h.view = view
+}
+
+// waitReady waits until all members serve the epoch.
+func (c *cluster) waitReady() {
+	for range 500 {
+		ready := true
+		for _, h := range c.hosts {
+			o := h.records.owner
+			o.mu.Lock()
+			ready = ready && (h.lapsed.Load() || h.down.Load() || (o.ready && o.epoch == c.epoch))
+			o.mu.Unlock()
+		}
+		if ready {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatal("records were not loaded")
+}
+
+// kill ends a host: its calls fail and it answers none.
+func (c *cluster) kill(name peer.HostID) {
+	c.hosts[name].down.Store(true)
+	c.hosts[name].stop()
+}
+
+// ownedBy returns a key that the host owns.
+func (c *cluster) ownedBy(name peer.HostID) string {
+	for i := range 10000 {
+		key := fmt.Sprintf("key-%d", i)
+		if to, _ := ownerOf(c.hosts[name].View(), hashKey("w", key)); to == name {
+			return key
+		}
+	}
+	c.t.Fatalf("%s owns no key", name)
+	return ""
+}
+
+// Call implements peer.Caller.
+func (h *host) Call(ctx context.Context, to peer.HostID, method string, params, result any) error {
+	target := h.c.hosts[to]
+	if h.down.Load() || target.down.Load() || rand.Int64N(100) < h.c.loseCalls.Load() {
+		return peer.ErrPeerUnreachable
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	out, err := target.handlers[method](ctx, h.id, raw)
+	if err != nil {
+		return err
+	}
+	if h.down.Load() || target.down.Load() || rand.Int64N(100) < h.c.loseAnswers.Load() {
+		return peer.ErrNoAnswer
+	}
+	raw, err = json.Marshal(out)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+// Handle implements peer.Caller.
+func (h *host) Handle(method string, fn peer.HandlerFunc) { h.handlers[method] = fn }
+
+// View implements fleet.Service.
+func (h *host) View() fleet.View {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view
+}
+
+// MayAdmit implements fleet.Service.
+func (h *host) MayAdmit(time.Time) error {
+	if h.lapsed.Load() {
+		return errors.New("lease lapsed")
+	}
+	return nil
+}
+
+func (h *host) Config() *config.Snapshot                             { return config.Empty() }
+func (h *host) OnConfig(func(*config.Snapshot))                      {}
+func (h *host) OnView(func(fleet.View))                              {}
+func (h *host) Publish(string, any)                                  {}
+func (h *host) Subscribe(string, func(peer.HostID, json.RawMessage)) {}
+func (h *host) Nudge()                                               {}
+
+// slowStore holds back writes until they are released.
+type slowStore struct {
+	platform.Store
+	held    chan struct{} // receives when a write is held
+	release chan struct{}
+}
+
+// Put implements platform.Store.
+func (s *slowStore) Put(ctx context.Context, key string, value []byte, ifVersion int64) (platform.Object, error) {
+	s.held <- struct{}{}
+	<-s.release
+	return s.Store.Put(ctx, key, value, ifVersion)
+}
