--- a/internal/dedupe/fakes_test.go
+++ b/internal/dedupe/fakes_test.go
@@ -25,7 +25,6 @@
 	t     *testing.T
 	store *platformtest.Fake
 	opts  Options
-	mu    sync.Mutex
 	hosts map[peer.HostID]*host
 	epoch uint64
 	// loseCalls and loseAnswers are parts of peer calls, in percent, that are
