Send orders to engines under a lease in the platform

One host at a time, the holder of roles/orders, brings the engines to the desired state at orders/desired/<server>.

A holder that is paused after deciding to send checks the lease again at the write to the connection. A pause between that check and the write remains: a server with fencing refuses the order; for a server without, the late sender raises the order's generation in the platform when it continues, and the new holder sends the desired state again. Setting only the confirmed generation back was ruled out: a confirmation that was under way would overwrite it.

--- /dev/null
+++ b/internal/orders/controller.go
@@ -0,0 +1,308 @@
+package orders
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/core/orders"
+	"ragwortstep/internal/events"
+	"ragwortstep/internal/platform"
+)
+
+const (
+	// relistInterval is how often the holder lists all orders even when the
+	// watch shows no change, because a watch may lose events.
+	relistInterval = 30 * time.Second
+	// planInterval is how often the holder looks for orders whose retry or
+	// waiting time has passed.
+	planInterval = 200 * time.Millisecond
+	// watchPause is the wait after a failed watch or list.
+	watchPause = time.Second
+	// recordTimeout bounds the update that records the outcome of an order.
+	recordTimeout = 10 * time.Second
+	// drainTimeout bounds the wait for orders on their way at shutdown.
+	drainTimeout = 6 * time.Second
+)
+
+var counters = expvar.NewMap("orders")
+
+// Options configures a Controller. Store, Writer, Config and Candidate are required.
+type Options struct {
+	Store  platform.Store
+	Writer *platform.Writer // its ID is the holder's name in the lease
+	// Config returns the configuration in force, for the servers' addresses
+	// and whether they check fencing numbers.
+	Config func() *config.Snapshot
+	// Candidate reports whether this host may take the role over. To bound
+	// calls to the platform, make it true on two or three hosts only, for
+	// example the first alive members by name.
+	Candidate func() bool
+	Recorder  *events.Recorder // may be nil
+	Logger    *slog.Logger     // slog.Default when nil
+	Times     orders.RoleTimes // orders.DefaultRoleTimes when zero
+
+	afterLeaseCheck func() // for tests, see newSender
+}
+
+// Controller brings the engines to their desired state while it holds the role.
+type Controller struct {
+	opts    Options
+	desired *Desired
+	role    *role
+	sender  *sender
+
+	wake chan struct{} // the role or an order's state changed
+
+	mu       sync.Mutex
+	entries  []Entry
+	epoch    uint64 // epoch that progress belongs to
+	progress *orders.Progress
+	sending  sync.WaitGroup
+}
+
+// New returns a controller. Call Run to start it.
+func New(o Options) *Controller {
+	if o.Logger == nil {
+		o.Logger = slog.Default()
+	}
+	if o.Times == (orders.RoleTimes{}) {
+		o.Times = orders.DefaultRoleTimes()
+	}
+	c := &Controller{
+		opts: o, desired: NewDesired(o.Store, o.Writer), sender: newSender(o.Times.OrderTimeout, o.afterLeaseCheck),
+		wake: make(chan struct{}, 1), progress: orders.NewProgress(),
+	}
+	c.role = &role{
+		store: o.Store, writer: o.Writer, times: o.Times, candidate: o.Candidate, logger: o.Logger,
+		onChange: c.roleChanged, core: orders.NewRole(o.Writer.ID, o.Times),
+	}
+	return c
+}
+
+// Desired returns the desired state for the operators' API.
+func (c *Controller) Desired() *Desired { return c.desired }
+
+// Holder reports the fencing number and whether this host holds the role.
+func (c *Controller) Holder() (epoch uint64, held bool) { return c.role.current() }
+
+// Run works until ctx ends, then waits for orders on their way and releases the role.
+func (c *Controller) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { c.role.run(ctx) })
+	wg.Go(func() { c.follow(ctx) })
+	wg.Go(func() { c.plan(ctx) })
+	wg.Wait()
+	c.sending.Wait()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
+	defer cancel()
+	c.role.release(ctx)
+}
+
+func (c *Controller) roleChanged(held bool, epoch uint64) {
+	kind := "role.lost"
+	if held {
+		kind = "role.gained"
+	}
+	c.record(events.Event{Kind: kind, Detail: "orders, epoch " + strconv.FormatUint(epoch, 10)})
+	c.signal()
+}
+
+func (c *Controller) record(e events.Event) {
+	if c.opts.Recorder != nil {
+		c.opts.Recorder.Record(e)
+	}
+}
+
+func (c *Controller) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// follow keeps the list of orders current while the role is held.
+func (c *Controller) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, held := c.role.current()
+		if !held {
+			sleep(ctx, planInterval)
+			continue
+		}
+		version, err := c.refresh(ctx)
+		if err == nil {
+			err = c.awaitChange(ctx, version)
+		}
+		if err != nil {
+			sleep(ctx, watchPause)
+		}
+	}
+}
+
+// refresh lists all orders and returns the version of the latest one.
+func (c *Controller) refresh(ctx context.Context) (int64, error) {
+	entries, version, err := c.desired.list(ctx)
+	if err != nil {
+		counters.Add("list_errors", 1)
+		return 0, err
+	}
+	c.mu.Lock()
+	c.entries = entries
+	c.mu.Unlock()
+	c.signal()
+	return version, nil
+}
+
+// awaitChange returns when an order changed after version, when the role is
+// lost, or after relistInterval.
+func (c *Controller) awaitChange(ctx context.Context, version int64) error {
+	ctx, cancel := context.WithTimeout(ctx, relistInterval)
+	defer cancel()
+	for ctx.Err() == nil {
+		result, err := c.opts.Store.Watch(ctx, desiredPrefix, version)
+		if err != nil {
+			return errors.Wrapf(err, "platform watch %s", desiredPrefix)
+		}
+		if _, held := c.role.current(); !held || len(result.Events) > 0 {
+			return nil
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// plan starts the orders that are due.
+func (c *Controller) plan(ctx context.Context) {
+	tick := time.NewTicker(planInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-c.wake:
+		}
+		c.startDue(ctx)
+	}
+}
+
+func (c *Controller) startDue(ctx context.Context) {
+	epoch, held := c.role.current()
+	if !held {
+		return
+	}
+	targets := c.targets()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if epoch != c.epoch {
+		c.epoch, c.progress = epoch, orders.NewProgress()
+	}
+	mayOrder := func(fencing bool) bool { return c.role.mayOrder(epoch, fencing) }
+	for _, e := range orders.Plan(time.Now(), c.entries, targets, c.progress, mayOrder) {
+		progress := c.progress
+		progress.Started(e)
+		c.sending.Go(func() { c.deliver(ctx, progress, e, targets[e.Server], epoch) })
+	}
+}
+
+func (c *Controller) targets() map[string]orders.Target {
+	out := map[string]orders.Target{}
+	for name, s := range c.opts.Config().Servers {
+		out[name] = orders.Target{Address: s.Address, Fencing: s.Fencing}
+	}
+	return out
+}
+
+// deliver sends one order and records its outcome.
+func (c *Controller) deliver(ctx context.Context, progress *orders.Progress, e Entry, target orders.Target, epoch uint64) {
+	running := context.WithoutCancel(ctx) // a started order is finished at shutdown
+	err := c.sender.send(running, target.Address, e.Order, epoch, func() bool { return c.role.mayOrder(epoch, target.Fencing) })
+	late := !target.Fencing && !c.role.heldAt(epoch)
+	counters.Add(outcome(err, late), 1)
+	failed := err != nil
+	switch {
+	case errors.Is(err, errLapsed):
+	case errors.Is(err, errFenced):
+		c.role.lose()
+	case late:
+		c.reportDoubt(ctx, e)
+	case err != nil:
+		_ = c.settle(running, e, func(now Entry) Entry { return now.Fail(err.Error()) })
+	default:
+		c.record(events.Event{Kind: "order.confirmed", Server: e.Server, Detail: e.Slot()})
+		failed = c.settle(running, e, func(now Entry) Entry { return now.Confirm(e, epoch) }) != nil
+	}
+	c.mu.Lock()
+	progress.Ended(time.Now(), e, failed)
+	c.mu.Unlock()
+	c.signal()
+}
+
+// reportDoubt tells the new holder, through the platform, that an order may
+// have reached a server without fencing after the lease had ended. It is
+// repeated until it is stored, because nobody else can know.
+func (c *Controller) reportDoubt(ctx context.Context, e Entry) {
+	for {
+		err := c.settle(context.WithoutCancel(ctx), e, Entry.Doubt)
+		if err == nil || errors.Is(err, ErrNoOrder) || ctx.Err() != nil {
+			return
+		}
+		sleep(ctx, watchPause)
+	}
+}
+
+func outcome(err error, late bool) string {
+	switch {
+	case errors.Is(err, errLapsed):
+		return "not_sent_lease_ended"
+	case errors.Is(err, errFenced):
+		return "refused_old_fencing"
+	case late:
+		return "late"
+	case err != nil:
+		return "failed"
+	default:
+		return "confirmed"
+	}
+}
+
+// settle stores the outcome of an order, in the platform and in the list at
+// hand. When the platform is down the order stays pending and is sent again.
+func (c *Controller) settle(ctx context.Context, sent Entry, change func(Entry) Entry) error {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	var stored Entry
+	err := c.desired.update(ctx, sent.Server, func(slots serverOrders) error {
+		now, ok := slots[sent.Slot()]
+		if !ok {
+			return ErrNoOrder
+		}
+		stored = change(now)
+		slots[sent.Slot()] = stored
+		return nil
+	})
+	if err != nil {
+		counters.Add("record_errors", 1)
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, e := range c.entries {
+		if e.Server == sent.Server && e.Slot() == sent.Slot() {
+			c.entries[i] = stored
+		}
+	}
+	return nil
+}
--- a/internal/orders/desired.go
+++ b/internal/orders/desired.go
@@ -45,18 +45,26 @@
 
 // List returns all orders, sorted by server and slot.
 func (d *Desired) List(ctx context.Context) ([]Entry, error) {
+	entries, _, err := d.list(ctx)
+	return entries, err
+}
+
+// list returns all orders and the largest version of their objects.
+func (d *Desired) list(ctx context.Context) ([]Entry, int64, error) {
 	var out []Entry
+	var version int64
 	for after := ""; ; {
 		page, err := d.store.List(ctx, desiredPrefix, after, listLimit)
 		if err != nil {
-			return nil, errors.Wrapf(err, "platform list %s", desiredPrefix)
+			return nil, 0, errors.Wrapf(err, "platform list %s", desiredPrefix)
 		}
 		for _, obj := range page.Objects {
 			entries, err := decodeObject(obj)
 			if err != nil {
-				return nil, err
+				return nil, 0, err
 			}
 			out = append(out, entries...)
+			version = max(version, obj.Version)
 		}
 		if page.Next == "" {
 			break
@@ -64,7 +72,7 @@
 		after = page.Next
 	}
 	sortEntries(out)
-	return out, nil
+	return out, version, nil
 }
 
 func sortEntries(entries []Entry) {
