--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -314,7 +314,7 @@
 			is.True(holds(b)())
 			if server == "checks" {
 				is.Equal(count("refused_old_fencing"), refused+1) // the late order arrived
-				is.True(!lateOrder(f.engines[server])) // the late order was refused
+				is.True(!lateOrder(f.engines[server]))            // the late order was refused
 			}
 		})
 	}
