--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -23,7 +23,8 @@
 	Config() *config.Snapshot
 }
 
-// ConfigWriter changes the configuration by one conditional update.
+// ConfigWriter changes the configuration by one conditional update;
+// *HistoryWriter implements it over the fleet.
 type ConfigWriter interface {
 	// Write applies mutate to the snapshot at expectedRevision and returns the
 	// new one. When the configuration has another revision it returns an error
@@ -57,11 +58,13 @@
 	Revision     int64  `json:"revision"` // configuration in force at the host
 	Epoch        uint64 `json:"epoch"`
 	LeaseHeld    bool   `json:"lease_held"`
-	// LeaseLeftMS is the rest of the freshness lease in milliseconds, 0 when lapsed or unknown.
+	// LeaseLeftMS is the rest of the freshness lease in milliseconds, known of
+	// the answering host only and 0 otherwise.
 	LeaseLeftMS int64 `json:"lease_left_ms"`
 }
 
-// StatusSource lists the hosts of the fleet in order of their names.
+// StatusSource lists the hosts of the fleet in order of their names; *Board
+// implements it over the heartbeats.
 type StatusSource interface {
 	Status() []HostStatus
 }
@@ -89,6 +92,7 @@
 	// OperatorKey is the first operator key, settings admin.key. Further
 	// operator keys are Keys of the configuration with Operator set.
 	OperatorKey string
+	Recorder    *events.Recorder // records changes for the time line; may be nil
 	Logger      *slog.Logger     // slog.Default when nil
 	Random      io.Reader        // source of new keys; crypto/rand when nil
 	Now         func() time.Time // time.Now when nil
@@ -126,6 +130,7 @@
 	if o.MaxBody == 0 {
 		o.MaxBody = defaultMaxBody
 	}
+	o.Config = startedConfig{o.Config}
 	s := &server{Options: o}
 	mux := http.NewServeMux()
 	for _, r := range s.routes() {
@@ -135,6 +140,18 @@
 	return mux
 }
 
+// startedConfig returns the empty configuration until the fleet has one, so
+// that the status can be read while a host starts.
+type startedConfig struct{ ConfigSource }
+
+// Config implements ConfigSource.
+func (c startedConfig) Config() *config.Snapshot {
+	if s := c.ConfigSource.Config(); s != nil {
+		return s
+	}
+	return config.Empty()
+}
+
 // route is one method and pattern of the API.
 type route struct {
 	method  string
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -365,6 +365,15 @@
 	is.True(!*decode[WriteResult](t, a.do("DELETE", "/workspaces/quotes?wait=50ms", 2, "")).InForce)
 }
 
+// A host that has no configuration yet must answer, not fail.
+func TestBeforeStart(t *testing.T) {
+	is := is.New(t)
+	a := newTestAPI(t)
+	a.fleet.snap = nil
+	is.Equal(a.do("GET", "/status", -1, "").Code, 200)
+	is.Equal(a.do("GET", "/table", -1, "").Header().Get("ETag"), `"0"`)
+}
+
 // An outage must not be reported as "nothing was changed": an earlier attempt
 // may have been applied.
 func TestPlatformErrors(t *testing.T) {
--- a/internal/admin/write.go
+++ b/internal/admin/write.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
 	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/events"
 )
 
 // maxNote bounds the note of a change, in bytes.
@@ -69,7 +71,11 @@
 	if err != nil {
 		return WriteResult{}, err
 	}
-	result := WriteResult{Revision: next.Revision, Changes: config.Diff(before, next)}
+	result := WriteResult{Revision: next.Revision, Changes: notNil(config.Diff(before, next))}
+	if s.Recorder != nil {
+		summary := config.Summarize(result.Changes)
+		s.Recorder.Record(events.Event{Kind: "config.written", Detail: fmt.Sprintf("revision %d by %s: %s", next.Revision, op.id, summary)})
+	}
 	if wait > 0 {
 		s.awaitInForce(r.Context(), &result, wait)
 	}
