Leave the history to the host; bound its entries

NewChange bounds an entry to 500 changes: a table of 10,000 new rows with notes would not fit into one value of the platform (1 MB).

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -23,8 +23,7 @@
 	Config() *config.Snapshot
 }
 
-// ConfigWriter changes the configuration by one conditional update;
-// *HistoryWriter implements it over the fleet.
+// ConfigWriter changes the configuration by one conditional update.
 type ConfigWriter interface {
 	// Write applies mutate to the snapshot at expectedRevision and returns the
 	// new one. When the configuration has another revision it returns an error
--- a/internal/admin/board.go
+++ b/internal/admin/board.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	boardInterval = 500 * time.Millisecond
 )
 
+var counters = expvar.NewMap("admin")
+
 // announcement is what a host tells its peers for the status and the time line.
 type announcement struct {
 	Incarnation  string `json:"incarnation"`
--- a/internal/admin/history_test.go
+++ b/internal/admin/board_test.go
@@ -7,94 +7,14 @@
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/core/config"
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform/platformtest"
 )
 
-func setRate(rate float64) func(*config.Snapshot) error {
-	return func(s *config.Snapshot) error {
-		s.Workspaces["a"] = config.Workspace{Name: "a", Weight: 1, Rate: rate, Burst: 1, MaxQueue: 1}
-		return nil
-	}
-}
-
-func newHistory(store *platformtest.Fake, f *fakeFleet) *HistoryWriter {
-	return NewHistoryWriter(HistoryOptions{
-		Store: store,
-		Commit: func(ctx context.Context, expected int64, mutate func(*config.Snapshot) error) (*config.Snapshot, error) {
-			return f.Write(ctx, expected, "", "", mutate)
-		},
-		Conflict: func(err error) (int64, bool) {
-			var c *ConflictError
-			ok := errors.As(err, &c)
-			if !ok {
-				return 0, false
-			}
-			return c.Current, true
-		},
-		Now: func() time.Time { return time.Unix(1_800_000_000, 0) },
-	})
-}
-
-// The history must list what was committed, newest first, and only that.
-func TestHistoryWriter(t *testing.T) {
-	is := is.New(t)
-	ctx := context.Background()
-	store, f := platformtest.New(), &fakeFleet{snap: config.Empty()}
-	h := newHistory(store, f)
-	for i := range 12 { // revisions of one and two digits
-		_, err := h.Write(ctx, int64(i), "k1", "note", setRate(float64(i+1)))
-		is.NoErr(err)
-	}
-	_, err := h.Write(ctx, 3, "k1", "", setRate(9))
-	var conflict *ConflictError
-	is.True(errors.As(err, &conflict) && conflict.Expected == 3 && conflict.Current == 12)
-	_, err = h.Write(ctx, 12, "k1", "", func(*config.Snapshot) error { return errors.New("refused") })
-	is.True(err != nil)
-	store.SetDown(true)
-	_, err = h.Write(ctx, 12, "k1", "", setRate(50)) // committed, but its entry is lost
-	is.NoErr(err)
-	_, err = h.History(ctx, 5)
-	is.True(err != nil)
-	store.SetDown(false)
-	_, err = h.Write(ctx, 13, "k2", "", setRate(60))
-	is.NoErr(err)
-	changes, err := h.History(ctx, 4)
-	is.NoErr(err)
-	is.Equal(len(changes), 4)
-	is.Equal(changes[0].Revision, int64(14))
-	is.Equal(changes[0].Summary, "~ workspace a: rate 50 -> 60")
-	is.Equal(changes[0].Author, "k2")
-	is.Equal(changes[1].Revision, int64(13)) // the gap is shown
-	is.Equal(changes[1].Author, "")
-	is.Equal(changes[2].Summary, "~ workspace a: rate 11 -> 12")
-	is.Equal(changes[2].Unix, int64(1_800_000_000))
-	is.Equal(changes[3].Note, "note")
-}
-
-// Old entries are removed, or the history would grow without bound.
-func TestHistoryRemovesOldEntries(t *testing.T) {
-	is := is.New(t)
-	ctx := context.Background()
-	store := platformtest.New()
-	h := newHistory(store, &fakeFleet{snap: config.Empty()})
-	h.record(ctx, config.Change{Revision: 1})
-	h.record(ctx, config.Change{Revision: historyKept})
-	changes, err := h.History(ctx, 10)
-	is.NoErr(err)
-	is.Equal(changes[len(changes)-1].Revision, int64(1))
-	h.record(ctx, config.Change{Revision: historyKept + 1})
-	changes, err = h.History(ctx, 10)
-	is.NoErr(err)
-	is.Equal(changes[len(changes)-1].Revision, int64(historyKept))
-}
-
 // fakeService connects boards of several hosts without heartbeats.
 type fakeService struct {
 	mu       sync.Mutex
--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -92,6 +94,24 @@
 	is.True(!strings.Contains(Summarize(Diff(Empty(), old)), HashKey(""))) // hashes stay out
 }
 
+// A large table must fit into one entry of the history, which is one value of
+// the platform.
+func TestNewChangeIsBounded(t *testing.T) {
+	is := is.New(t)
+	next := Empty()
+	next.Revision = 3
+	for i := range 10_000 {
+		name := fmt.Sprintf("w%05d", i)
+		next.Workspaces[name] = Workspace{Name: name, Weight: 1, Rate: 1, Burst: 1, MaxQueue: 1, Note: strings.Repeat("x", MaxNoteLength)}
+	}
+	change := NewChange(Empty(), next, "k1", "import", 5)
+	is.Equal(len(change.Changes), MaxChanges)
+	is.True(strings.HasSuffix(change.Summary, "and 9995 more"))
+	raw, err := json.Marshal(change)
+	is.NoErr(err)
+	is.True(len(raw) < 1<<20)
+}
+
 // Removing a workspace must not leave keys without a workspace, nor revoke
 // keys that nobody asked to revoke.
 func TestRemoveWorkspace(t *testing.T) {
--- a/internal/core/config/diff.go
+++ b/internal/core/config/diff.go
@@ -64,8 +64,22 @@
 	Author   string         `json:"author"` // id of the operator key
 	Unix     int64          `json:"unix"`   // time of the change, Unix seconds
 	Note     string         `json:"note,omitempty"`
-	Summary  string         `json:"summary"` // as Summarize returns it
-	Changes  []ObjectChange `json:"changes,omitempty"`
+	Summary  string         `json:"summary"`           // as Summarize returns it
+	Changes  []ObjectChange `json:"changes,omitempty"` // the first MaxChanges ones
+}
+
+// MaxChanges bounds the changes kept with one entry of the history. A change
+// has a few hundred bytes, and a table can change thousands of rows, which
+// would exceed the platform's limit of 1 MB for one value.
+const MaxChanges = 500
+
+// NewChange describes the change from old to next, made at unix seconds.
+func NewChange(old, next *Snapshot, author, note string, unix int64) Change {
+	changes := Diff(old, next)
+	return Change{
+		Revision: next.Revision, Author: author, Unix: unix, Note: note,
+		Summary: Summarize(changes), Changes: changes[:min(len(changes), MaxChanges)],
+	}
 }
 
 // summaryChanges is how many changes a summary names before it only counts.
