--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -112,9 +112,9 @@
 		return err
 	}
 	return a.print(c, history.Data, func(w io.Writer) {
-		table(w, "REVISION\tTIME\tAUTHOR\tCHANGE\tNOTE", func(line func(...any)) {
+		table(w, "REVISION\tTIME\tAUTHOR\tNOTE\tCHANGE", func(line func(...any)) {
 			for _, h := range history.Data {
-				line(h.Revision, unixTime(h.Unix), h.Author, h.Summary, h.Note)
+				line(h.Revision, unixTime(h.Unix), h.Author, h.Note, h.Summary)
 			}
 		})
 	})
--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -89,7 +89,7 @@
 	is.Equal(len(changes), 3)
 	is.Equal(changes[0].String(), `~ workspace alerts: rate 10 -> 12.5, note "" -> "for tests"`)
 	is.Equal(changes[1].String(), "- route quotes")
-	is.True(strings.HasPrefix(changes[2].String(), "+ server lm-2: pool lm, address \"\""))
+	is.Equal(changes[2].String(), "+ server lm-2: pool lm, concurrency 0, speed 0")
 	is.Equal(Summarize(changes[:2]), changes[0].String()+"; - route quotes")
 	is.True(!strings.Contains(Summarize(Diff(Empty(), old)), HashKey(""))) // hashes stay out
 }
--- a/internal/core/config/diff.go
+++ b/internal/core/config/diff.go
@@ -132,12 +132,17 @@
 }
 
 // diffObject compares the field lists of one object; New of a FieldChange
-// holds the value in both lists.
+// holds the value in both lists. Empty fields of an added object are left out.
 func diffObject(object, name string, had, has bool, before, after []FieldChange) ObjectChange {
 	c := ObjectChange{Object: object, Name: name}
 	switch {
 	case !had:
-		c.Action, c.Fields = Added, after
+		c.Action = Added
+		for _, f := range after {
+			if f.New != "" && f.New != "false" {
+				c.Fields = append(c.Fields, f)
+			}
+		}
 	case !has:
 		c.Action = Removed
 	default:
