Log errors by their message; count refused operator requests

With log.format text each error was logged with pages of stack traces, which a trial with two hosts and a stopped platform showed. The logger now prints the message only. Refused requests are counted by code instead of logged.

--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -14,6 +14,9 @@
 	"ragwortstep/internal/platform"
 )
 
+// codeUnavailable is the code of requests that failed at the platform.
+const codeUnavailable = "platform_unavailable"
+
 // apiError is an error with its HTTP form.
 type apiError struct {
 	status  int
@@ -49,8 +52,12 @@
 // writeError answers err in the JSON error form.
 func (s *server) writeError(w http.ResponseWriter, r *http.Request, err error) {
 	status, detail := describe(err)
-	if status >= http.StatusInternalServerError {
-		s.Logger.Warn("operator request failed", "step", r.Method+" "+r.URL.Path, "err", err)
+	counters.Add("refused_"+detail.Code, 1)
+	if status == http.StatusInternalServerError {
+		s.Logger.Error("operator request failed", "step", r.Method+" "+r.URL.Path, "err", err)
+	}
+	if detail.Code == codeUnavailable && r.Method == http.MethodGet {
+		detail.Message = "the platform does not answer"
 	}
 	detail.Type = errorType(status)
 	if status == http.StatusPreconditionFailed {
@@ -107,7 +114,7 @@
 	switch {
 	case errors.IsAny(err, platform.ErrUnknownOutcome, platform.ErrUnavailable, platform.ErrRateLimited, context.DeadlineExceeded, context.Canceled):
 		return http.StatusServiceUnavailable, ErrorDetail{
-			Code:    "platform_unavailable",
+			Code:    codeUnavailable,
 			Message: "the platform does not answer; read the configuration to see whether the change was applied",
 		}
 	case errors.Is(err, platform.ErrTooLarge):
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -15,6 +15,7 @@
 	"sync"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/admin"
@@ -242,13 +243,16 @@
 	file := writeFile(t, "h.yaml", `{host: {name: h1, zone: z1}, listen: {callers: "127.0.0.1:1", peers: "127.0.0.1:2", admin: "127.0.0.1:3", metrics: "127.0.0.1:4"},
 platform: {url: "http://127.0.0.1:5"}, peers: {secret: 0123456789abcdef}, admin: {key: 0123456789abcdef}}`)
 	var got *settings.Settings
-	opts := Options{Stdout: io.Discard, Stderr: io.Discard, Serve: func(_ context.Context, s *settings.Settings, logger *slog.Logger) error {
+	var log bytes.Buffer
+	opts := Options{Stdout: io.Discard, Stderr: &log, Serve: func(_ context.Context, s *settings.Settings, logger *slog.Logger) error {
 		got = s
-		logger.Info("serving")
+		logger.Error("serving", "err", errors.Wrap(errors.New("cause"), "step"))
 		return nil
 	}}
 	is.Equal(Run(context.Background(), []string{"r", "serve", "--settings", file, "--set", "peers.seeds=10.0.0.1:1,10.0.0.2:1"}, opts), ExitOK)
 	is.Equal(got.Peers.Seeds, []string{"10.0.0.1:1", "10.0.0.2:1"})
+	is.Equal(Run(context.Background(), []string{"r", "serve", "--settings", file, "--set", "log.format=text"}, opts), ExitOK)
+	is.True(strings.Contains(log.String(), `err="step: cause"`)) // without stack trace
 	got = nil
 	is.Equal(Run(context.Background(), []string{"r", "serve", "--settings", file, "--set", "host.size=0"}, opts), ExitInvalid)
 	is.True(got == nil) // nothing starts with wrong settings
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -66,10 +66,19 @@
 func newLogger(w io.Writer, s *settings.Settings) *slog.Logger {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(s.Log.Level)) // checked by settings.Load
-	opts := &slog.HandlerOptions{Level: level}
+	opts := &slog.HandlerOptions{Level: level, ReplaceAttr: errorMessages}
 	var h slog.Handler = slog.NewJSONHandler(w, opts)
 	if s.Log.Format == "text" {
 		h = slog.NewTextHandler(w, opts)
 	}
 	return slog.New(h).With("host", s.Host.Name, "zone", s.Host.Zone)
 }
+
+// errorMessages logs errors by their message. The text handler would print
+// them with %+v, which adds pages of stack traces.
+func errorMessages(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
