--- a/internal/core/config/diff.go
+++ b/internal/core/config/diff.go
@@ -64,8 +64,22 @@
 	Author   string         `json:"author"` // id of the operator key
 	Unix     int64          `json:"unix"`   // time of the change, Unix seconds
 	Note     string         `json:"note,omitempty"`
-	Summary  string         `json:"summary"` // as Summarize returns it
-	Changes  []ObjectChange `json:"changes,omitempty"`
+	Summary  string         `json:"summary"`           // as Summarize returns it
+	Changes  []ObjectChange `json:"changes,omitempty"` // the first MaxChanges ones
+}
+
+// MaxChanges bounds the changes kept with one entry of the history. A change
+// has a few hundred bytes, and a table can change thousands of rows, which
+// would exceed the platform's limit of 1 MB for one value.
+const MaxChanges = 500
+
+// NewChange describes the change from old to next, made at unix seconds.
+func NewChange(old, next *Snapshot, author, note string, unix int64) Change {
+	changes := Diff(old, next)
+	return Change{
+		Revision: next.Revision, Author: author, Unix: unix, Note: note,
+		Summary: Summarize(changes), Changes: changes[:min(len(changes), MaxChanges)],
+	}
 }
 
 // summaryChanges is how many changes a summary names before it only counts.
@@ -118,12 +132,17 @@
 }
 
 // diffObject compares the field lists of one object; New of a FieldChange
-// holds the value in both lists.
+// holds the value in both lists. Empty fields of an added object are left out.
 func diffObject(object, name string, had, has bool, before, after []FieldChange) ObjectChange {
 	c := ObjectChange{Object: object, Name: name}
 	switch {
 	case !had:
-		c.Action, c.Fields = Added, after
+		c.Action = Added
+		for _, f := range after {
+			if f.New != "" && f.New != "false" {
+				c.Fields = append(c.Fields, f)
+			}
+		}
 	case !has:
 		c.Action = Removed
 	default:
