balance: do not lower a server's limit for a short queue in its report

Cause: every report with a waiting request capped the learned limit at the running ones. An engine queues arrivals until its next step, so the limit ratcheted down with the load, to 1 or 2 per engine within a minute. Ruled out: the limiter (tokens admitted at once) and the chunk runner (256 workers waiting in the dispatcher). The limit is now capped only by a report with all slots taken, and not below its lower bound.

--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -236,3 +236,20 @@
 	is.Equal(len(used), len(list))
 	is.Equal(len(Subset("h", list[:20], 8)), 20)
 }
+
+// Guards against a limit that falls with the load: an engine queues new
+// arrivals until its next step, so reports with a short queue are normal. A
+// limit that followed them fell to 1 within a minute and left 90% of the
+// engines idle under a full backlog of batch items.
+func TestShortQueueInReportKeepsLimit(t *testing.T) {
+	is := is.New(t)
+	b := New(TwoChoices)
+	b.SetServers(servers(1, 16))
+	for i := range 100 {
+		now := epoch.Add(time.Duration(i) * 100 * time.Millisecond)
+		b.Reported(now, "s00", Report{Running: 2, Waiting: 1, Slots: 32, At: now})
+	}
+	is.Equal(b.Limit("s00"), 16)
+	b.Reported(epoch.Add(time.Minute), "s00", Report{Running: 12, Waiting: 3, Slots: 12, At: epoch.Add(time.Minute)})
+	is.Equal(b.Limit("s00"), 12) // the engine runs no more than its slots
+}
--- a/internal/core/balance/knee.go
+++ b/internal/core/balance/knee.go
@@ -86,7 +86,7 @@
 
 // cap lowers the limit to what a server with a queue of its own runs at once.
 func (k *knee) cap(running int) {
-	k.limit = max(1, min(k.limit, float64(running)))
+	k.limit = max(k.lowest(), min(k.limit, float64(running)))
 }
 
 func (k *knee) set(limit float64) {
--- a/internal/core/balance/server.go
+++ b/internal/core/balance/server.go
@@ -169,7 +169,14 @@
 	s.reported = now
 	s.slots = r.Slots
 	s.waitingAt = r.Waiting
-	if r.Waiting > 0 && r.Running > 0 {
+	if s.full(r) {
 		s.knee.cap(r.Running)
 	}
 }
+
+// full reports whether a report shows that the server runs no more requests
+// than it does now. A queue alone does not show it: an engine admits requests
+// only between two steps, so that a short queue is normal at any load.
+func (s *server) full(r Report) bool {
+	return r.Waiting > 0 && r.Slots > 0 && r.Running >= r.Slots
+}
