limit: hand the tokens of a moved share over to the next holder

When an epoch moves a share, its former holder sends its tokens once to the process that takes its place, which adds them when the share comes into force. A process that is no longer a member shortens the lifetime of what it borrowed, since later epochs do not wait for it.

--- a/internal/core/limit/state.go
+++ b/internal/core/limit/state.go
@@ -46,6 +46,7 @@
 	LimitsUnknown bool               // not all earlier limits are known
 	EpochSettled  bool               // Prior does not matter
 	Settled       bool               // nor do Earlier and LimitsUnknown
+	Fresh         bool               // the freshness lease holds at the moment of Apply
 	Lapses        uint64             // how often the freshness lease was regained after a gap
 }
 
@@ -60,6 +61,7 @@
 	bucket   bucket
 	target   Share     // share of the settled generation, in force from raiseAt
 	raiseAt  time.Time // zero when no larger share is pending
+	handed   float64   // tokens taken over, to be added when the share comes into force
 	borrowed []borrowed
 	lenders  map[Identity]*lenderState
 	asked    Waiting // tokens in requests to lenders that are under way
@@ -77,6 +79,7 @@
 	active     map[string]*workspace // with demand, waiting requests or borrowed tokens
 	nextGrant  uint64
 	reports    map[Identity][]report // closed grants to be reported to their lender
+	handovers  []Handover            // to be sent
 }
 
 // New returns a state without limits.
@@ -124,10 +127,29 @@
 			w.prior = s.priorRankings(name)
 		}
 		w.limit, w.exists = limit, true
+		if !sameMembers {
+			s.handOver(now, w, formerRanking, formerLimit)
+		}
 		s.giveUpStale(now, w, formerRanking, formerLimit)
 		s.applyTo(now, w)
 	}
 	s.dropRemoved(now)
+	if !slices.Contains(g.Members, s.opts.Self) {
+		s.shortenBorrowed(now)
+	}
+}
+
+// shortenBorrowed gives the borrowed tokens of a process that is no longer a
+// member the lifetime of an outsider's. Later epochs do not wait for it.
+func (s *State) shortenBorrowed(now time.Time) {
+	end := now.Add(s.opts.OutsiderLifetime)
+	for _, w := range s.active {
+		for i := range w.borrowed {
+			if w.borrowed[i].expires.After(end) {
+				w.borrowed[i].expires = end
+			}
+		}
+	}
 }
 
 // workspace returns the state of a workspace, which begins empty.
@@ -168,7 +190,7 @@
 		if _, ok := s.generation.Limits[name]; ok {
 			continue
 		}
-		w.exists, w.limit, w.raiseAt = false, Limit{}, time.Time{}
+		w.exists, w.limit, w.raiseAt, w.handed = false, Limit{}, time.Time{}, 0
 		w.bucket.setShare(now, Share{})
 		for _, b := range w.borrowed {
 			s.closeBorrowed(now, w, b)
@@ -192,6 +214,9 @@
 func (s *State) applyTo(now time.Time, w *workspace) {
 	target := w.ranking.share(s.opts.Policy, w.limit, s.opts.Self)
 	s.refill(now, w)
+	if target == (Share{}) {
+		w.handed = 0
+	}
 	if !s.settledFor(w) {
 		w.raiseAt = time.Time{}
 		w.bucket.setShare(now, w.bucket.share.min(s.least(w, target)))
@@ -208,7 +233,9 @@
 func (s *State) refill(now time.Time, w *workspace) {
 	if !w.raiseAt.IsZero() && !now.Before(w.raiseAt) {
 		w.bucket.setShare(w.raiseAt, w.target)
-		w.raiseAt = time.Time{}
+		w.bucket.level += w.handed
+		w.bucket.clamp()
+		w.raiseAt, w.handed = time.Time{}, 0
 	}
 	w.bucket.refill(now)
 }
@@ -237,6 +264,7 @@
 	for _, w := range s.workspaces {
 		s.refill(now, w)
 		w.bucket.empty(now)
+		w.handed = 0
 		for _, b := range w.borrowed {
 			s.closeBorrowed(now, w, b)
 		}
--- /dev/null
+++ b/internal/limiter/handover.go
@@ -0,0 +1,99 @@
+package limiter
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/core/limit"
+	"ragwortstep/internal/core/membership"
+	"ragwortstep/internal/peer"
+)
+
+// methodHandover passes on the tokens of shares that the called host takes over.
+const methodHandover = "limit.handover"
+
+// handoverParams is the request of limit.handover.
+type handoverParams struct {
+	To         string                `json:"to"` // incarnation that takes over
+	Generation membership.Generation `json:"generation"`
+	Items      []limit.Handover      `json:"items"`
+}
+
+// sendHandovers sends each handover once; tokens whose message is lost are
+// lost. The caller holds mu.
+func (l *Limiter) sendHandovers(all []limit.Handover) {
+	if len(all) == 0 || l.ctx.Err() != nil {
+		return
+	}
+	byHost := map[limit.Identity][]limit.Handover{}
+	for _, h := range all {
+		byHost[h.To] = append(byHost[h.To], h)
+	}
+	generation := membership.Generation{Epoch: l.applied.epoch, Revision: l.applied.revision}
+	for to, items := range byHost {
+		params := handoverParams{To: to.Incarnation, Generation: generation, Items: items}
+		l.wg.Add(1)
+		go func() {
+			defer l.wg.Done()
+			l.handOver(to, params)
+		}()
+	}
+}
+
+func (l *Limiter) handOver(to limit.Identity, params handoverParams) {
+	ctx, cancel := context.WithTimeout(l.ctx, borrowTimeout)
+	defer cancel()
+	if err := l.opts.Peers.Call(ctx, peer.HostID(to.Host), methodHandover, params, nil); err != nil {
+		stats.Add("handover_failures", 1)
+	}
+}
+
+// serveHandover answers limit.handover. The receiver may learn of the epoch a
+// moment after the sender, so it waits for it within the call's deadline.
+func (l *Limiter) serveHandover(ctx context.Context, from peer.HostID, raw json.RawMessage) (any, error) {
+	var in handoverParams
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return nil, errors.Wrapf(err, "decode limit.handover of %s", from)
+	}
+	if in.To != l.self.Incarnation {
+		return nil, errors.Newf("handover for process %s", in.To)
+	}
+	if err := l.awaitEpoch(ctx, in.Generation.Epoch); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.TakeOver(l.opts.Now(), in.Generation, in.Items)
+	stats.Add("handovers", int64(len(in.Items)))
+	return struct{}{}, nil
+}
+
+// handoverWait bounds how long a handover waits for this host to adopt its
+// epoch, which normally takes a few round trips.
+const handoverWait = time.Second
+
+// awaitEpoch returns when the limiter has applied the epoch or a later one.
+func (l *Limiter) awaitEpoch(ctx context.Context, epoch uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, handoverWait)
+	defer cancel()
+	ticker := time.NewTicker(waitingTick)
+	defer ticker.Stop()
+	for {
+		l.mu.Lock()
+		applied := l.applied.epoch
+		l.mu.Unlock()
+		if applied >= epoch {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "epoch %d not applied", epoch)
+		case <-l.ctx.Done():
+			return errors.Wrap(l.ctx.Err(), "limiter closed")
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -47,7 +47,7 @@
 	lapses                uint64
 }
 
-// New returns a limiter that is not started, and registers limit.borrow with
+// New returns a limiter that is not started, and registers its methods with
 // opts.Peers, whose Start must come later.
 func New(opts Options) *Limiter {
 	opts = opts.withDefaults()
@@ -65,6 +65,7 @@
 	})
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	opts.Peers.Handle(methodBorrow, l.serveBorrow)
+	opts.Peers.Handle(methodHandover, l.serveHandover)
 	return l
 }
 
@@ -120,7 +121,11 @@
 	}
 	now := l.opts.Now()
 	maps.DeleteFunc(l.lastSent, func(_ limit.Identity, at time.Time) bool { return now.Sub(at) > time.Minute })
+	// The callback precedes a renewal of the lease, so this tells whether the
+	// tokens held until now are valid.
+	g.Fresh = l.opts.Fleet.MayAdmit(now) == nil
 	l.state.Apply(now, g)
+	l.sendHandovers(l.state.Handovers())
 }
 
 // Acquire takes n tokens of the workspace. An online request waits at most
