batch: List jobs after a lapsed lease, and test files, outages and call counts

A cancelled job left the heartbeat section when it ended, so a host paused beyond its end never learned of it; cancellations are now published for 10 min. And a host whose lease had lapsed and was renewed started items from its old list; it now lists the jobs again first. The test's pause was wrong too: the lease held during it, and the fake dispatcher ignored the lease. Both now follow the design. The dispatcher must check the lease right before it sends a batch item.

Four tests waited for a count that is cached for 2 s, so their fault could hit a finished job. They now wait for the ledger and fail when no item is left.

Results of non-idempotent items ride on an intention's commit only after the commit interval: 5 s instead of 1 s of them are at risk in a crash, as for idempotent items, and slow jobs need fewer calls.

--- a/internal/jobs/chaos_test.go
+++ b/internal/jobs/chaos_test.go
@@ -259,3 +259,50 @@
 	is.Equal(ended.Status, batch.StatusCompleted)
 	b.checkAll(ended, 20)
 }
+
+// Guards against lost or second results when a host dies at any platform call
+// of running and ending a job.
+func TestKillAtEachPointOfRun(t *testing.T) {
+	for nth := 1; nth <= 24; nth++ {
+		for _, path := range []string{chatPath, payPath} {
+			t.Run(fmt.Sprintf("%d%s", nth, path), func(t *testing.T) {
+				t.Parallel()
+				runKilled(t, nth, path)
+			})
+		}
+	}
+}
+
+func runKilled(t *testing.T, nth int, path string) {
+	c := newCluster(t)
+	c.serve = func(string) answer { return answer{status: 200, delay: 2 * time.Millisecond} }
+	a, b := c.start("a", nil), c.start("b", nil)
+	const items = 1700
+	file := b.upload(jsonl(items, path))
+	var seen atomic.Int64
+	a.mu.Lock()
+	a.beforeOp = func(at, key string) {
+		// Listings are left out: they only repeat.
+		if at != "list" && strings.Contains(key, "batch_") && seen.Add(1) == int64(nth) {
+			a.stop()
+		}
+	}
+	a.mu.Unlock()
+	job := decode[BatchObject](t, b.createRaw(file.ID, path, "key"))
+	for c.ctx.Err() == nil && a.ctx.Err() == nil && b.registry.get(job.ID) != nil {
+		time.Sleep(time.Millisecond)
+	}
+	a.kill()
+	ended := c.await(job.ID, func() *node { return b })
+	output, _ := b.checkAll(ended, items)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, runs := range c.runs {
+		if _, ok := output[id]; path == payPath && (runs != 1 || !ok && ended.RequestCounts.Failed == 0) {
+			t.Errorf("item %s ran %d times", id, runs)
+		}
+	}
+	if path == chatPath && ended.RequestCounts.Failed > 0 {
+		t.Errorf("%d idempotent items failed after one kill", ended.RequestCounts.Failed)
+	}
+}
--- a/internal/jobs/chunkrun.go
+++ b/internal/jobs/chunkrun.go
@@ -24,10 +24,9 @@
 	// earlyCommitBytes of held results of one chunk trigger a commit.
 	earlyCommitBytes = 4 << 20
 	// intendBatch is how many non-idempotent items are recorded at once
-	// before they are sent. At most that many become outcome_unknown when the
-	// host dies, beside results younger than deferResults.
-	intendBatch  = 100
-	deferResults = time.Second
+	// before they are sent. When the host dies, the unfinished ones and those
+	// finished since the last commit become outcome_unknown.
+	intendBatch = 100
 )
 
 // queued is an item that waits to be started.
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -103,19 +103,6 @@
 	return s.waitLease(ctx)
 }
 
-// leasePoll is the interval between looks at a lapsed lease.
-const leasePoll = 100 * time.Millisecond
-
-// waitLease waits until the host's freshness lease holds.
-func (s *Service) waitLease(ctx context.Context) error {
-	for s.o.Fleet.MayAdmit(s.now()) != nil {
-		if !sleep(ctx, leasePoll) {
-			return ctx.Err()
-		}
-	}
-	return ctx.Err()
-}
-
 // commitOptions are the parts of a commit beside results and attempts.
 type commitOptions struct {
 	intend   []int
--- a/internal/jobs/discover.go
+++ b/internal/jobs/discover.go
@@ -87,6 +87,7 @@
 		return
 	}
 	s.registry.sync(entries, began)
+	s.lease.listed(began)
 	s.publishCancelled()
 	s.wake()
 }
--- a/internal/jobs/fill.go
+++ b/internal/jobs/fill.go
@@ -89,7 +89,7 @@
 }
 
 func (s *Service) fill() {
-	for s.draining.Err() == nil && s.o.Fleet.MayAdmit(s.now()) == nil {
+	for s.draining.Err() == nil && s.current() == nil {
 		l := s.load()
 		job, chunk := s.pick(l)
 		if job == nil {
--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -122,17 +122,22 @@
 	}
 }
 
+// pause stops the host's calls to the platform and the servers. Its lease
+// lapses, as it does on a process that is paused for longer than the lease.
 func (n *node) pause() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.paused = make(chan struct{})
+	n.lapsed = true
 }
 
+// resume continues the host; its lease is renewed a little later.
 func (n *node) resume() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	close(n.paused)
 	n.paused = nil
+	time.AfterFunc(20*time.Millisecond, func() { n.setLapsed(false) })
 }
 
 func (n *node) waitPaused() {
@@ -214,9 +219,13 @@
 	return err
 }
 
-// Do is the dispatcher: it records the run in the ledger and answers as told.
+// Do is the dispatcher: like the real one it starts no batch item without the
+// lease, records the run in the ledger and answers as told.
 func (n *node) Do(ctx context.Context, req *dispatch.Request) (*dispatch.Response, error) {
 	n.waitPaused()
+	if err := n.MayAdmit(time.Now()); err != nil {
+		return nil, &dispatch.RefusedError{Status: 503, Code: "lease_lapsed", Executed: dispatch.ExecutedNo}
+	}
 	var body struct {
 		ID string `json:"id"`
 	}
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -43,7 +43,7 @@
 // token and a slot is free.
 func (r *chunkRun) admit(item int) error {
 	ctx := r.feedCtx
-	if err := r.s.waitLease(ctx); err != nil {
+	if err := r.s.waitCurrent(ctx); err != nil {
 		return err
 	}
 	if err := r.waitHeld(ctx); err != nil {
@@ -125,7 +125,7 @@
 	intend := []int{item}
 	r.mu.Lock()
 	queue := append([]queued(nil), r.queue...)
-	fresh := r.s.now().Sub(r.oldestHeld) < deferResults
+	fresh := r.s.now().Sub(r.oldestHeld) < r.s.o.CommitInterval
 	r.mu.Unlock()
 	for _, q := range queue {
 		if len(intend) == intendBatch {
@@ -227,7 +227,7 @@
 	if !ok && cfg.Revision > 0 {
 		return outcome{line: r.errorLine(item, itemError{Code: "route_not_found", Message: "no route serves this url and model"})}
 	}
-	if !ok || r.ctx.Err() != nil || r.s.o.Fleet.MayAdmit(r.s.now()) != nil {
+	if !ok || r.ctx.Err() != nil || r.s.current() != nil {
 		return outcome{unsent: true, delay: r.s.o.RetryDelay}
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, r.s.o.ItemTimeout)
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -37,11 +37,9 @@
 	is := is.New(t)
 	c := newCluster(t)
 	a, b := c.start("a", nil), c.start("b", nil)
-	c.serve = func(string) answer { return answer{status: 200, delay: 2 * time.Millisecond} }
+	c.serve = func(string) answer { return answer{status: 200, delay: 10 * time.Millisecond} }
 	job := b.submit(3000, chatPath)
-	for b.job(job.ID).RequestCounts.Completed == 0 {
-		time.Sleep(5 * time.Millisecond)
-	}
+	c.awaitRuns(500, 3000)
 	a.pause()
 	ended := c.await(job.ID, func() *node { return b })
 	is.Equal(ended.RequestCounts.Completed, 3000)
--- a/internal/jobs/lines.go
+++ b/internal/jobs/lines.go
@@ -48,10 +48,24 @@
 		return line, errors.Newf("url is %q, must start with /", line.URL)
 	case len(line.Body) == 0 || bytes.Equal(line.Body, []byte("null")):
 		return line, errors.New("body is missing")
+	case wantsStream(line.Body):
+		return line, errors.New("body.stream must not be true")
 	}
 	return line, nil
 }
 
+// wantsStream reports a request for a streamed response, which has no place
+// in an output file.
+func wantsStream(body json.RawMessage) bool {
+	if !bytes.Contains(body, []byte(`"stream"`)) {
+		return false
+	}
+	var v struct {
+		Stream bool `json:"stream"`
+	}
+	return json.Unmarshal(body, &v) == nil && v.Stream
+}
+
 // lineChecker validates the lines of one file in order. It keeps 16 bytes per
 // item to find duplicates, and nothing else that grows with the file.
 type lineChecker struct {
--- a/internal/jobs/registry.go
+++ b/internal/jobs/registry.go
@@ -9,8 +9,8 @@
 	"ragwortstep/internal/core/batch"
 )
 
-// tombstoneAge is how long a cancellation is remembered for a job that this
-// host does not know yet. Notices can overtake the listing of the job.
+// tombstoneAge is how long a cancellation is remembered and published. Notices
+// can overtake the listing of the job, and be missed until after its end.
 const tombstoneAge = 10 * time.Minute
 
 // activeJob is what a host keeps of an unfinished job. Its size depends on
@@ -145,7 +145,9 @@
 // cancelJob interrupts the job's items on this host.
 func (r *registry) cancelJob(id string) {
 	r.mu.Lock()
-	r.tombstones[id] = r.now()
+	if _, known := r.tombstones[id]; !known {
+		r.tombstones[id] = r.now()
+	}
 	job := r.jobs[id]
 	r.mu.Unlock()
 	if job == nil {
@@ -194,13 +196,15 @@
 	}
 }
 
-// cancelledIDs returns the cancelled jobs, sorted.
+// cancelledIDs returns the jobs cancelled in the last tombstoneAge, sorted. A
+// job stays in it after its end, because a host that missed the notice may
+// still have items of it.
 func (r *registry) cancelledIDs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var out []string
-	for _, job := range r.all() {
-		if job.isCancelled() {
-			out = append(out, job.entry.ID)
-		}
+	for id := range r.tombstones {
+		out = append(out, id)
 	}
 	slices.Sort(out)
 	return out
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -44,6 +44,7 @@
 	pace     *pacer
 	pool     pond.Pool
 	samples  *sampler
+	lease    leaseWatch
 	wakeup   chan struct{}
 	finishUp chan struct{}
 
@@ -101,7 +102,7 @@
 	if err := s.held.reset(); err != nil {
 		return errors.Wrap(err, "start jobs")
 	}
-	for _, loop := range []func(){s.discoverLoop, s.fillLoop, s.finishLoop, s.repairLoop, s.sweepLoop} {
+	for _, loop := range []func(){s.leaseLoop, s.discoverLoop, s.fillLoop, s.finishLoop, s.repairLoop, s.sweepLoop} {
 		s.spawn(loop)
 	}
 	return nil
