Answer writes without a change; refuse control characters in notes

A repeated write made a new revision, a history entry and a round of configuration fetches for nothing. It now answers 200 with the revision in force. Notes of keys and changes were not checked and could send terminal codes to whoever lists them; lists quote control characters as well.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"ragwortstep/internal/core/config"
@@ -109,6 +110,7 @@
 // server holds the handlers' dependencies.
 type server struct {
 	Options
+	keys atomic.Pointer[keyCache]
 }
 
 // New returns the handler of the operators' API. It panics when a required
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -292,6 +292,8 @@
 		{"PUT", "/table?wait=5", tableCSV, 400, "invalid_parameter"},
 		{"PUT", "/table?wait=1h", tableCSV, 400, "invalid_parameter"},
 		{"PUT", "/table?note=" + strings.Repeat("x", 501), tableCSV, 400, "invalid_parameter"},
+		{"PUT", "/table?note=%1b%5B31m", tableCSV, 400, "invalid_parameter"},
+		{"POST", "/workspaces/alerts/keys", `{"note":"\u001b[31m"}`, 422, "invalid_configuration"},
 		{"DELETE", "/workspaces/alerts?revoke_keys=yes", "", 400, "invalid_parameter"},
 		{"DELETE", "/workspaces/none", "", 404, "not_found"},
 		{"DELETE", "/keys/none", "", 404, "not_found"},
@@ -365,6 +367,19 @@
 	is.True(!*decode[WriteResult](t, a.do("DELETE", "/workspaces/quotes?wait=50ms", 2, "")).InForce)
 }
 
+// Repeating a write after a lost answer must not make another revision.
+func TestWriteWithoutChange(t *testing.T) {
+	is := is.New(t)
+	a := newTestAPI(t)
+	is.Equal(a.do("PUT", "/table", 0, tableCSV).Code, 200)
+	w := a.do("PUT", "/table", 1, tableCSV)
+	is.Equal(w.Code, 200)
+	is.Equal(w.Header().Get("ETag"), `"1"`)
+	is.Equal(len(decode[WriteResult](t, w).Changes), 0)
+	is.Equal(a.fleet.Config().Revision, int64(1))
+	a.expectError(a.do("PUT", "/table", 0, tableCSV), 412, "revision_conflict")
+}
+
 // A host that has no configuration yet must answer, not fail.
 func TestBeforeStart(t *testing.T) {
 	is := is.New(t)
--- a/internal/admin/request.go
+++ b/internal/admin/request.go
@@ -49,10 +49,20 @@
 	return s.configuredOperator(raw)
 }
 
-// configuredOperator scans the keys instead of keeping an index per snapshot;
-// operators send a few requests per second at most.
+// keyCache holds the index of the keys of one snapshot.
+type keyCache struct {
+	snapshot *config.Snapshot
+	index    *config.KeyIndex
+}
+
 func (s *server) configuredOperator(raw string) (operator, bool) {
-	key, ok := config.NewKeyIndex(s.Config.Config()).Operator(raw)
+	snapshot := s.Config.Config()
+	cached := s.keys.Load()
+	if cached == nil || cached.snapshot != snapshot {
+		cached = &keyCache{snapshot, config.NewKeyIndex(snapshot)}
+		s.keys.Store(cached)
+	}
+	key, ok := cached.index.Operator(raw)
 	return operator{id: key.ID}, ok
 }
 
--- a/internal/admin/write.go
+++ b/internal/admin/write.go
@@ -6,13 +6,12 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"ragwortstep/internal/core/config"
 	"ragwortstep/internal/events"
 )
 
-// maxNote bounds the note of a change, in bytes.
-const maxNote = 500
-
 // WriteResult answers a write of the configuration.
 type WriteResult struct {
 	Revision int64                 `json:"revision"`
@@ -43,6 +42,10 @@
 // before the command line's own timeout of 10 s.
 const writeTimeout = 8 * time.Second
 
+// errNoChange ends a write that would change nothing, so that repeating one
+// after a lost answer makes no new revision.
+var errNoChange = errors.New("nothing to change")
+
 // change applies mutate as one conditional update with the request's If-Match,
 // author and note, and returns the new snapshot and its changes.
 func (s *server) change(r *http.Request, op operator, mutate func(*config.Snapshot) error) (WriteResult, error) {
@@ -51,8 +54,8 @@
 		return WriteResult{}, err
 	}
 	note := r.URL.Query().Get("note")
-	if len(note) > maxNote {
-		return WriteResult{}, failure(http.StatusBadRequest, "invalid_parameter", "note is longer than %d bytes", maxNote)
+	if !config.ValidNote(note) {
+		return WriteResult{}, failure(http.StatusBadRequest, "invalid_parameter", "note has more than %d characters, or control characters", config.MaxNoteLength)
 	}
 	wait, err := readWait(r)
 	if err != nil {
@@ -66,13 +69,19 @@
 		if err := mutate(c); err != nil {
 			return err
 		}
+		if len(config.Diff(before, c)) == 0 {
+			return errNoChange
+		}
 		return c.Validate()
 	})
+	if errors.Is(err, errNoChange) {
+		next, err = before, nil
+	}
 	if err != nil {
 		return WriteResult{}, err
 	}
 	result := WriteResult{Revision: next.Revision, Changes: notNil(config.Diff(before, next))}
-	if s.Recorder != nil {
+	if s.Recorder != nil && len(result.Changes) > 0 {
 		summary := config.Summarize(result.Changes)
 		s.Recorder.Record(events.Event{Kind: "config.written", Detail: fmt.Sprintf("revision %d by %s: %s", next.Revision, op.id, summary)})
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -176,6 +176,9 @@
 	f.expect(ExitConflict, "revision", "workspace", "set", "a", "--rate", "15", "--revision", "1")
 	f.expect(ExitOK, "a          7       15", "workspace", "list")
 	f.expect(ExitOK, `"weight":7`, "workspace", "get", "a")
+	f.expect(ExitOK, "revision 4", "workspace", "set", "a", "--note", "two\nlines")
+	f.expect(ExitOK, `"two\nlines"`, "workspace", "list") // one line per row
+	f.expect(ExitOK, "no change, revision 4", "workspace", "set", "a", "--rate", "15")
 	f.expect(ExitNotFound, "no workspace", "workspace", "get", "none")
 	f.expect(ExitOK, "- workspace a", "workspace", "delete", "a")
 }
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -4,8 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -31,7 +34,7 @@
 			if i > 0 {
 				fmt.Fprint(tw, "\t")
 			}
-			fmt.Fprint(tw, cell)
+			fmt.Fprint(tw, printable(cell))
 		}
 		fmt.Fprintln(tw)
 	})
@@ -42,3 +45,12 @@
 func unixTime(seconds int64) string {
 	return time.Unix(seconds, 0).UTC().Format(time.RFC3339)
 }
+
+// printable quotes texts that would break the line, or send terminal codes.
+func printable(cell any) any {
+	text, ok := cell.(string)
+	if ok && strings.ContainsFunc(text, unicode.IsControl) {
+		return strconv.Quote(text)
+	}
+	return cell
+}
--- a/internal/cli/write.go
+++ b/internal/cli/write.go
@@ -110,6 +110,9 @@
 	for _, change := range result.Changes {
 		fmt.Fprintln(w, change)
 	}
+	if len(result.Changes) == 0 {
+		fmt.Fprint(w, "no change, ")
+	}
 	fmt.Fprintf(w, "revision %d at %s\n", result.Revision, time.Now().Format(time.TimeOnly))
 	for _, h := range result.Hosts {
 		state := ""
--- a/internal/core/config/validate.go
+++ b/internal/core/config/validate.go
@@ -106,7 +106,7 @@
 	c.number("rate", w.Rate, MinRate, MaxRate)
 	c.number("burst", w.Burst, MinBurst, MaxBurst)
 	c.number("max_queue", float64(w.MaxQueue), MinQueue, MaxQueue)
-	if !validNote(w.Note) {
+	if !ValidNote(w.Note) {
 		c.add("note", w.Note, "note not allowed", noteAllowed)
 	}
 }
@@ -117,7 +117,8 @@
 	}
 }
 
-func validNote(note string) bool {
+// ValidNote reports whether a note is allowed for workspaces, keys and changes.
+func ValidNote(note string) bool {
 	if !utf8.ValidString(note) || utf8.RuneCountInString(note) > MaxNoteLength {
 		return false
 	}
@@ -131,6 +132,9 @@
 	if !hashPattern.MatchString(k.Hash) {
 		c.add("hash", "", "not a SHA-256 in hex", "64 hex digits")
 	}
+	if !ValidNote(k.Note) {
+		c.add("note", k.Note, "note not allowed", noteAllowed)
+	}
 	_, known := s.Workspaces[k.Workspace]
 	switch {
 	case k.Operator && k.Workspace != "":
