--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -29,11 +30,31 @@
 	ExitJobFailed    = 9 // a watched job failed or was cancelled
 )
 
-// exitCodeHelp is shown with the help of the program.
-const exitCodeHelp = `Exit codes: 0 success, 1 other error, 2 wrong usage, 3 refused settings, table
-or values, 4 changed by somebody else in the meantime, 5 not found, 6 key
-refused, 7 host or platform does not answer, 8 written but not in force
-everywhere within --wait, 9 a watched job failed or was cancelled.`
+// exitMeanings documents the exit codes in the help and in docs/runbooks.md.
+var exitMeanings = []struct {
+	code    int
+	meaning string
+}{
+	{ExitOK, "success"},
+	{ExitFailure, "other error"},
+	{ExitUsage, "wrong usage: unknown command, flag or argument"},
+	{ExitInvalid, "settings, table or values refused"},
+	{ExitConflict, "changed by somebody else in the meantime, or in conflict with the configuration"},
+	{ExitNotFound, "not found"},
+	{ExitUnauthorized, "key missing or refused"},
+	{ExitUnavailable, "host or platform does not answer"},
+	{ExitNotInForce, "written, but not in force on every live host within --wait"},
+	{ExitJobFailed, "a watched job failed or was cancelled"},
+}
+
+func exitCodeHelp() string {
+	var b strings.Builder
+	b.WriteString("Exit codes:")
+	for _, e := range exitMeanings {
+		fmt.Fprintf(&b, "\n  %d  %s", e.code, e.meaning)
+	}
+	return b.String()
+}
 
 // Options connects the command tree with the program. Serve is required for
 // the command serve; zero values of the others select the process's own.
@@ -107,7 +128,7 @@
 	root := &cli.Command{
 		Name:           "ragwortstep",
 		Usage:          "online and batch inference on one shared fleet",
-		Description:    exitCodeHelp,
+		Description:    exitCodeHelp(),
 		Writer:         a.out,
 		ErrWriter:      a.err,
 		HideVersion:    true,
--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -109,3 +110,13 @@
 		}
 	}
 }
+
+// Scripts are written from the page, so it must list the codes as they are.
+func TestDocumentedExitCodes(t *testing.T) {
+	page := readDocs(t)["../../docs/runbooks.md"]
+	for i, e := range exitMeanings {
+		if e.code != i || !strings.Contains(page, fmt.Sprintf("| %d | %s |\n", e.code, e.meaning)) {
+			t.Errorf("exit code %d (%s) is not listed", e.code, e.meaning)
+		}
+	}
+}
--- a/internal/core/config/diff.go
+++ b/internal/core/config/diff.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -112,22 +114,19 @@
 }
 
 func diffMap[T comparable](object string, old, next map[string]T, fields func(T) []FieldChange) []ObjectChange {
-	all := map[string]bool{}
-	for name := range old {
-		all[name] = true
-	}
-	for name := range next {
-		all[name] = true
-	}
 	var out []ObjectChange
-	for _, name := range sortedKeys(all) {
-		before, had := old[name]
+	for name, before := range old {
 		after, has := next[name]
-		if had && has && before == after {
-			continue
+		if !has || before != after {
+			out = append(out, diffObject(object, name, true, has, fields(before), fields(after)))
+		}
+	}
+	for name, after := range next {
+		if before, had := old[name]; !had {
+			out = append(out, diffObject(object, name, false, true, fields(before), fields(after)))
 		}
-		out = append(out, diffObject(object, name, had, has, fields(before), fields(after)))
 	}
+	slices.SortFunc(out, func(a, b ObjectChange) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/internal/core/config/validate.go
+++ b/internal/core/config/validate.go
@@ -1,9 +1,11 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"unicode"
@@ -37,7 +39,10 @@
 // rewrite other names: 001 becomes 1, mar1 becomes 1-Mar, true becomes TRUE.
 var namePattern = regexp.MustCompile(`^[a-z][a-z0-9._-]{0,62}$`)
 
-var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+// validHash reports whether the text is a SHA-256 in hex.
+func validHash(text string) bool {
+	return len(text) == 64 && strings.Trim(text, "0123456789abcdef") == ""
+}
 
 // ValidName reports whether the name is allowed for workspaces, routes, servers, pools and zones.
 func ValidName(name string) bool { return namePattern.MatchString(name) }
@@ -79,22 +84,26 @@
 // formatNumber writes a number without an exponent.
 func formatNumber(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
 
-// Validate checks the whole snapshot and returns all problems as Faults, or nil.
+// Validate checks the whole snapshot and returns all problems as Faults, in a
+// fixed order, or nil.
 func (s *Snapshot) Validate() error {
 	var faults Faults
-	for _, name := range sortedKeys(s.Workspaces) {
-		s.Workspaces[name].check(name, &faults)
+	for name, w := range s.Workspaces {
+		w.check(name, &faults)
 	}
-	for _, id := range sortedKeys(s.Keys) {
+	for id := range s.Keys {
 		s.checkKey(id, &faults)
 	}
-	for _, name := range sortedKeys(s.Routes) {
-		s.Routes[name].check(name, &faults)
+	for name, r := range s.Routes {
+		r.check(name, &faults)
 	}
-	for _, name := range sortedKeys(s.Servers) {
-		s.Servers[name].check(name, &faults)
+	for name, v := range s.Servers {
+		v.check(name, &faults)
 	}
 	s.checkUnique(&faults)
+	slices.SortFunc(faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Object, b.Object), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Field, b.Field))
+	})
 	return faults.orNil()
 }
 
@@ -129,7 +138,7 @@
 	k := s.Keys[id]
 	c := checker{object: "key", name: id, faults: faults}
 	c.sameName(k.ID)
-	if !hashPattern.MatchString(k.Hash) {
+	if !validHash(k.Hash) {
 		c.add("hash", "", "not a SHA-256 in hex", "64 hex digits")
 	}
 	if !ValidNote(k.Note) {
@@ -207,23 +216,33 @@
 // checkUnique refuses values that must not occur twice: models, prefixes,
 // server addresses and key hashes.
 func (s *Snapshot) checkUnique(faults *Faults) {
-	seen := map[string]string{}
-	unique := func(object, name, field, value string) {
-		id := object + "\x00" + field + "\x00" + value
-		if other, ok := seen[id]; ok && value != "" {
-			checker{object, name, faults}.add(field, value, "already used by "+other, "")
+	unique("route", "model", s.Routes, func(r Route) string { return r.Model }, faults)
+	unique("route", "prefix", s.Routes, func(r Route) string { return r.Prefix }, faults)
+	unique("server", "address", s.Servers, func(v Server) string { return v.Address }, faults)
+	unique("key", "hash", s.Keys, func(k Key) string { return k.Hash }, faults)
+}
+
+// unique reports each object whose value an earlier one, by name, has already.
+func unique[T any](object, field string, all map[string]T, value func(T) string, faults *Faults) {
+	first := make(map[string]string, len(all))
+	repeated := map[string][]string{}
+	for name, o := range all {
+		v := value(o)
+		other, ok := first[v]
+		switch {
+		case v == "":
+		case ok:
+			repeated[v] = append(repeated[v], name, other)
+		default:
+			first[v] = name
 		}
-		seen[id] = name
-	}
-	for _, name := range sortedKeys(s.Routes) {
-		unique("route", name, "model", s.Routes[name].Model)
-		unique("route", name, "prefix", s.Routes[name].Prefix)
 	}
-	for _, name := range sortedKeys(s.Servers) {
-		unique("server", name, "address", s.Servers[name].Address)
-	}
-	for _, id := range sortedKeys(s.Keys) {
-		unique("key", id, "hash", s.Keys[id].Hash)
+	for v, names := range repeated {
+		slices.Sort(names)
+		names = slices.Compact(names)
+		for _, name := range names[1:] {
+			checker{object, name, faults}.add(field, v, "already used by "+names[0], "")
+		}
 	}
 }
 
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -217,3 +217,20 @@
 	is.NoErr(err)
 	is.Equal(string(page), Reference()) // run: ragwortstep config reference > docs/settings.md
 }
+
+// FuzzLoad guards against panics on files that an editor or a broken template
+// left behind, and against settings that are accepted without a required field.
+func FuzzLoad(f *testing.F) {
+	for _, seed := range []string{good, good + "limits: {wait: 0s}\n", "host: &a {name: *a}\n", "? [a]\n: b\n", "- host\n", "host:\n\t- x\n", "<<: *x\n", "host: !!binary x\n"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := LoadFrom(write(t, text), nil, nil)
+		if (s == nil) == (err == nil) {
+			t.Fatalf("settings %v, error %v", s, err)
+		}
+		if err == nil && (s.Host.Name == "" || s.Admin.Key == "" || s.Platform.URL == "") {
+			t.Fatalf("accepted without a required field: %+v", s)
+		}
+	})
+}
