--- a/internal/core/orders/orders.go
+++ b/internal/core/orders/orders.go
@@ -1,5 +1,5 @@
-// Package orders decides which orders the order controller sends to engines,
-// and when a host may act as the controller. It performs no input or output.
+// Package orders decides which orders the order controller sends to engines.
+// When a host may act as the controller is decided in core/lease.
 package orders
 
 import (
--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"log/slog"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/core/lease"
 	"ragwortstep/internal/core/orders"
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/platform"
@@ -46,7 +48,9 @@
 	Candidate func() bool
 	Recorder  *events.Recorder // may be nil
 	Logger    *slog.Logger     // slog.Default when nil
-	Times     orders.RoleTimes // orders.DefaultRoleTimes when zero
+	// Lease holds the durations of the role; zero values select the defaults of
+	// core/lease. Self is taken from Writer.
+	Lease lease.Options
 
 	afterLeaseCheck func() // for tests, see newSender
 }
@@ -72,16 +76,16 @@
 	if o.Logger == nil {
 		o.Logger = slog.Default()
 	}
-	if o.Times == (orders.RoleTimes{}) {
-		o.Times = orders.DefaultRoleTimes()
-	}
+	o.Lease.Self = o.Writer.ID
+	o.Lease.Renew = cmp.Or(o.Lease.Renew, lease.DefaultRenew)
+	o.Lease.OrderTimeout = cmp.Or(o.Lease.OrderTimeout, lease.DefaultOrderTimeout)
 	c := &Controller{
-		opts: o, desired: NewDesired(o.Store, o.Writer), sender: newSender(o.Times.OrderTimeout, o.afterLeaseCheck),
+		opts: o, desired: NewDesired(o.Store, o.Writer), sender: newSender(o.Lease.OrderTimeout, o.afterLeaseCheck),
 		wake: make(chan struct{}, 1), progress: orders.NewProgress(),
 	}
 	c.role = &role{
-		store: o.Store, writer: o.Writer, times: o.Times, candidate: o.Candidate, logger: o.Logger,
-		onChange: c.roleChanged, core: orders.NewRole(o.Writer.ID, o.Times),
+		store: o.Store, opts: o.Lease, candidate: o.Candidate, logger: o.Logger,
+		onChange: c.roleChanged, core: lease.New(o.Lease),
 	}
 	return c
 }
@@ -235,7 +239,7 @@
 	switch {
 	case errors.Is(err, errLapsed):
 	case errors.Is(err, errFenced):
-		c.role.lose()
+		c.role.fail()
 	case late:
 		c.reportDoubt(ctx, e)
 	case err != nil:
--- a/internal/orders/role.go
+++ b/internal/orders/role.go
@@ -9,115 +9,115 @@
 
 	"github.com/cockroachdb/errors"
 
-	"ragwortstep/internal/core/orders"
+	"ragwortstep/internal/core/lease"
 	"ragwortstep/internal/platform"
 )
 
-// RoleKey is the platform key of the order controller's lease.
-const RoleKey = "roles/orders"
+const (
+	// RoleKey is the platform key of the order controller's lease.
+	RoleKey = "roles/orders"
 
-// roleTicks is how many steps a role makes in each renewal interval.
-const roleTicks = 6
-
-// errRoleChanged reports that the stored record is not the expected one.
-var errRoleChanged = errors.New("role record changed")
+	// roleTicks is how many steps a role makes at least in each renewal interval.
+	roleTicks = 6
+	// releaseSteps bounds the calls to the platform when the role is given up.
+	releaseSteps = 4
+)
 
 // role drives the lease of the order controller. It is safe for concurrent use.
 type role struct {
 	store     platform.Store
-	writer    *platform.Writer
-	times     orders.RoleTimes
+	opts      lease.Options
 	candidate func() bool
 	logger    *slog.Logger
 	onChange  func(held bool, epoch uint64)
 
-	mu   sync.Mutex
-	core *orders.Role
-	held bool // as reported to onChange
+	mu    sync.Mutex
+	core  *lease.Role
+	seq   uint64 // of the written envelopes
+	epoch uint64 // held now or last
+	held  bool   // as reported to onChange
 }
 
-// run keeps the lease until ctx ends, and then releases it.
+// run keeps the lease until ctx ends. Call release afterwards.
 func (r *role) run(ctx context.Context) {
-	tick := time.NewTicker(r.times.Renew / roleTicks)
-	defer tick.Stop()
-	for {
-		r.step(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
+	for ctx.Err() == nil {
+		wait := r.opts.Renew
+		if _, held := r.current(); held || r.candidate() {
+			wait = r.step(ctx)
 		}
+		r.report()
+		sleep(ctx, min(wait, r.opts.Renew/roleTicks))
 	}
 }
 
-func (r *role) step(ctx context.Context) {
+// step does what the lease asks for next, and returns the time to wait.
+func (r *role) step(ctx context.Context) time.Duration {
+	now := time.Now()
 	r.mu.Lock()
-	next := r.core.Step(time.Now(), r.candidate())
+	step := r.core.Next(now)
 	r.mu.Unlock()
-	switch next.Action {
-	case orders.RoleRead:
+	ctx, cancel := context.WithTimeout(ctx, r.opts.Renew)
+	defer cancel()
+	switch step.Action {
+	case lease.Read:
 		r.read(ctx)
-	case orders.RoleWrite:
-		r.write(ctx, next)
+	case lease.Write:
+		r.write(ctx, step)
+	case lease.Wait:
+		return step.At.Sub(now)
 	}
-	r.report()
+	return 0
 }
 
 func (r *role) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, r.times.Renew)
-	defer cancel()
-	_, env, exists, err := platform.ReadEnvelope(ctx, r.store, RoleKey)
+	obj, env, exists, err := platform.ReadEnvelope(ctx, r.store, RoleKey)
+	var record lease.Record
+	if err == nil && exists {
+		err = errors.Wrapf(json.Unmarshal(env.Data, &record), "decode %s", RoleKey)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if err != nil {
-		return // read again at the next interval
+		counters.Add("role_errors", 1)
+		r.core.Failed(time.Now())
+		return
 	}
-	record, err := decodeRole(env.Data, exists)
+	r.core.Observed(time.Now(), record, obj.Version)
+}
+
+func (r *role) write(ctx context.Context, step lease.Step) {
+	raw, err := json.Marshal(step.Record)
 	if err != nil {
-		r.logger.Warn("role record", "step", "read", "err", err)
+		r.fail()
+		return
+	}
+	r.seq++ // one goroutine writes
+	env := platform.Envelope{Writer: r.opts.Self, Seq: r.seq, Data: raw}
+	obj, err := platform.PutEnvelope(ctx, r.store, RoleKey, env, step.Version)
+	if err != nil {
+		r.fail()
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.core.Seen(time.Now(), record)
-}
-
-func decodeRole(raw json.RawMessage, exists bool) (orders.RoleRecord, error) {
-	var record orders.RoleRecord
-	if !exists {
-		return record, nil
+	r.core.Written(time.Now(), obj.Version)
+	if epoch, held := r.core.Held(time.Now()); held {
+		r.epoch = epoch
 	}
-	err := json.Unmarshal(raw, &record)
-	return record, errors.Wrapf(err, "decode %s", RoleKey)
 }
 
-// write stores step.Next if step allows it. Update resolves lost answers; the
-// lease counts from before its first attempt.
-func (r *role) write(ctx context.Context, step orders.RoleStep) {
-	started := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, r.times.Renew)
-	defer cancel()
-	_, _, err := platform.Update(ctx, r.store, r.writer, RoleKey, func(raw json.RawMessage, exists bool) (json.RawMessage, error) {
-		record, err := decodeRole(raw, exists)
-		if err != nil {
-			return nil, err
-		}
-		if !step.Allows(record) {
-			return nil, errRoleChanged
-		}
-		return json.Marshal(step.Next)
-	})
+// fail makes the lease read the record again before it writes.
+func (r *role) fail() {
+	counters.Add("role_errors", 1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err != nil {
-		r.core.Failed(time.Now(), errors.Is(err, errRoleChanged))
-		return
-	}
-	r.core.Written(started, time.Now(), step.Next)
+	r.core.Failed(time.Now())
 }
 
 // report tells onChange when the role was gained or lost.
 func (r *role) report() {
+	epoch, held := r.current()
 	r.mu.Lock()
-	held, epoch := r.core.Held(time.Now()), r.core.Epoch()
 	changed := held != r.held
 	r.held = held
 	r.mu.Unlock()
@@ -127,42 +127,46 @@
 	}
 }
 
-// release gives the role up. Call it when no order is on its way any more.
+// release gives the role up, so that another host takes it over without
+// waiting. Call it when run has returned and no order is on its way any more.
 func (r *role) release(ctx context.Context) {
-	r.mu.Lock()
-	step, ok := r.core.Release(time.Now())
-	r.mu.Unlock()
-	if ok {
-		r.write(ctx, step)
+	if _, held := r.current(); !held {
+		return
 	}
-	r.report()
-}
-
-// lose ends the lease after a server has seen a newer fencing number.
-func (r *role) lose() {
 	r.mu.Lock()
-	r.core.Lose()
+	r.core.Resign()
 	r.mu.Unlock()
+	for range releaseSteps {
+		wait := r.step(ctx)
+		if _, held := r.current(); !held {
+			break
+		}
+		sleep(ctx, wait)
+	}
 	r.report()
 }
 
 // heldAt reports whether the lease of the epoch holds now.
 func (r *role) heldAt(epoch uint64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.core.Epoch() == epoch && r.core.Held(time.Now())
+	now, held := r.current()
+	return held && now == epoch
 }
 
 // mayOrder reports whether an order under the epoch may be sent now.
 func (r *role) mayOrder(epoch uint64, fencing bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Epoch() == epoch && r.core.MayOrder(time.Now(), fencing)
+	now := time.Now()
+	current, held := r.core.Held(now)
+	return held && current == epoch && r.core.MayOrder(now, fencing)
 }
 
-// current returns the epoch and whether the lease holds.
-func (r *role) current() (uint64, bool) {
+// current returns the epoch held now or last, and whether the lease holds.
+func (r *role) current() (epoch uint64, held bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Epoch(), r.core.Held(time.Now())
+	if epoch, held = r.core.Held(time.Now()); held {
+		return epoch, true
+	}
+	return r.epoch, false
 }
