--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -136,7 +136,7 @@
 		Flags:          globalFlags(),
 		Commands: []*cli.Command{
 			a.serveCommand(), a.configCommand(), a.workspaceCommand(), a.keyCommand(), a.routeCommand(),
-			a.serverCommand(), a.jobCommand(), a.timelineCommand(), a.versionCommand(),
+			a.serverCommand(), a.orderCommand(), a.jobCommand(), a.statusCommand(), a.timelineCommand(), a.versionCommand(),
 		},
 	}
 	a.prepare(root, true)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -21,6 +21,9 @@
 	"ragwortstep/internal/admin"
 	"ragwortstep/internal/core/config"
 	"ragwortstep/internal/events"
+	"ragwortstep/internal/orders"
+	"ragwortstep/internal/platform"
+	"ragwortstep/internal/platform/platformtest"
 	"ragwortstep/internal/settings"
 )
 
@@ -87,6 +90,7 @@
 	fleet := &fakeFleet{snap: config.Empty()}
 	server := httptest.NewServer(admin.New(admin.Options{
 		Config: fleet, Writer: fleet, Status: fleet, OperatorKey: operatorKey,
+		Orders: orders.NewDesired(platformtest.New(), platform.NewWriter("h1/1")),
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}))
 	t.Cleanup(server.Close)
@@ -204,12 +208,19 @@
 	f.expect(ExitNotFound, "no key", "key", "revoke", result.Key.ID)
 	f.expect(ExitOK, "not shown again", "key", "create", "--operator")
 	f.expect(ExitOK, "- route", "route", "delete", "chat")
+	f.expect(ExitOK, "load_model:org/m  ", "order", "set", "lm-1", "--kind", "load_model", "--model", "org/m")
+	f.expect(ExitOK, "pending, 0 failures", "order", "list")
+	f.expect(ExitOK, "removed", "order", "remove", "lm-1", "load_model:org/m")
+	f.expect(ExitNotFound, "no such order", "order", "remove", "lm-1", "set_role")
+	f.expect(ExitInvalid, "role: missing", "order", "set", "lm-1", "--kind", "set_role")
+	f.expect(ExitUsage, "slot", "order", "remove", "lm-1")
 	f.expect(ExitOK, "- server", "server", "delete", "lm-1")
 }
 
 // Scripts depend on the exit codes.
 func TestExitCodes(t *testing.T) {
 	f := newFixture(t)
+	f.expect(ExitOK, "h2          alive  0         0      not held", "status")
 	f.fleet.lag = true
 	f.expect(ExitNotInForce, "h2 has revision 0", "workspace", "set", "a", "--rate", "1", "--burst", "1", "--wait", "50ms")
 	cases := []struct {
