dispatch: cancel less batch work beside online load

Any peer's press stopped batch starts for 250 ms although the pool had free slots, and an online request cancelled a batch item whenever its chosen server was full although others were not. Ruled out: limiter, runner.

--- a/internal/core/balance/observe.go
+++ b/internal/core/balance/observe.go
@@ -94,6 +94,15 @@
 	return 0
 }
 
+// ServiceTime returns the learned service time of a server, in seconds per
+// token up to a factor common to all servers.
+func (b *Balancer) ServiceTime(now time.Time, name string) float64 {
+	if s, ok := b.servers[name]; ok {
+		return s.serviceTime(now)
+	}
+	return 0
+}
+
 // InFlight returns the own requests at the server.
 func (b *Balancer) InFlight(name string) int {
 	if s, ok := b.servers[name]; ok {
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -241,8 +241,10 @@
 	p.peers[from] = demand
 	p.dirty = true
 	if demand.Pressed {
-		p.holdUntil = demand.at.Add(holdBatch)
 		d.divide(p, demand.at)
+		if d.surplus(p, demand.at) >= 0 {
+			p.holdUntil = demand.at.Add(holdBatch)
+		}
 		d.yield(p, demand.at)
 	}
 	d.schedule(p, demand.at)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -173,7 +173,7 @@
 	}
 	query := balance.Query{Pool: p.name, PrefixHash: j.req.PrefixHash, Usable: usable}
 	if len(j.tried) == 0 {
-		return d.bal.Pick(now, d.rng, query)
+		return d.pickSparing(p, j, query, now)
 	}
 	query.Usable = func(name string) bool { return !j.hasTried(name) && usable(name) }
 	if server, ok := d.bal.Pick(now, d.rng, query); ok {
@@ -186,6 +186,33 @@
 	return d.bal.Pick(now, d.rng, query)
 }
 
+// spareFactor is how much slower a server with a free slot may be than one
+// where a batch item must be cancelled, and still be preferred. Without it,
+// half of the batch work was cancelled beside a steady online load of half
+// the capacity, although other servers had free slots.
+const spareFactor = 1.5
+
+// pickSparing chooses a server, for online requests preferably one where no
+// batch item must be cancelled.
+func (d *Dispatcher) pickSparing(p *poolState, j *job, query balance.Query, now time.Time) (string, bool) {
+	server, ok := d.bal.Pick(now, d.rng, query)
+	if !ok || j.class == schedule.Batch || d.baseline() || p.batchAt[server] == 0 || d.free(server, now) {
+		return server, ok
+	}
+	usable := query.Usable
+	query.Usable = func(name string) bool { return d.free(name, now) && usable(name) }
+	spared, ok := d.bal.Pick(now, d.rng, query)
+	if !ok || d.bal.ServiceTime(now, spared) > spareFactor*d.bal.ServiceTime(now, server) {
+		return server, true
+	}
+	return spared, true
+}
+
+// free reports whether the server has a slot beside its online and batch work.
+func (d *Dispatcher) free(server string, now time.Time) bool {
+	return d.bal.Load(now, server) < float64(d.bal.Limit(server))
+}
+
 func (j *job) hasTried(server string) bool {
 	for _, t := range j.tried {
 		if t == server {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -66,19 +66,9 @@
 	if d.opts.NoPreempt {
 		return
 	}
-	own := 0
-	for _, n := range p.batchAt {
-		own += n
-	}
-	if own == 0 {
-		return
-	}
-	online, batch := p.division.OnlineItems, own
-	for _, peer := range p.peers {
-		batch += peer.BatchRunning
-	}
-	surplus := online + batch - d.bal.Pool(now, p.name).Slots
-	if surplus <= 0 {
+	own, batch := p.batchRunning()
+	surplus := d.surplus(p, now)
+	if own == 0 || surplus <= 0 {
 		return
 	}
 	cancel := int(math.Ceil(float64(surplus) * float64(own) / float64(batch)))
@@ -91,6 +81,25 @@
 	}
 }
 
+// batchRunning returns the batch work in flight of this host and of all hosts.
+func (p *poolState) batchRunning() (own, all int) {
+	for _, n := range p.batchAt {
+		own += n
+	}
+	all = own
+	for _, peer := range p.peers {
+		all += peer.BatchRunning
+	}
+	return own, all
+}
+
+// surplus returns by how much the work of all hosts exceeds the pool's slots;
+// it is negative while slots are free. A single full server is no surplus.
+func (d *Dispatcher) surplus(p *poolState, now time.Time) int {
+	_, batch := p.batchRunning()
+	return p.division.OnlineItems + batch - d.bal.Pool(now, p.name).Slots
+}
+
 // press notes that an online request finds no free slot, so that peers make
 // room. The caller holds mu.
 func (d *Dispatcher) press(p *poolState, now time.Time) {
