End repeatable exchanges with hung servers and bound division cost

A server that answers polls on no connection for two polls is hung: TCP still acknowledges its data, so neither keepalive nor TCP_USER_TIMEOUT ends its connections. Requests that may be repeated are ended and go to another server; others wait for their own deadline. The test found that each further failed poll extended the grace of the exchanges, so none was ended; the grace now counts from the first replacement.

Divisions of a pool take at most 0.5 % of a core, by spacing them by their own duration.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -238,7 +238,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
 	defer cancel()
 	silenced := time.Now().Add(time.Second)
-	time.AfterFunc(time.Second, r.silenceOpen)
+	time.AfterFunc(time.Second, func() { r.silence(false) })
 	var late, stuck, recovered atomic.Int64
 	var group sync.WaitGroup
 	for range 16 {
@@ -267,6 +267,36 @@
 	is.True(recovered.Load() > 100)
 }
 
+// Guards against idempotent requests that wait for a hung server until their
+// own deadline, and against ending a non-idempotent one early.
+func TestHungServerEndsIdempotentExchanges(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices a closed connection only after the body
+		if r.URL.Path != loadPath {
+			<-r.Context().Done()
+		}
+	}))
+	defer server.Close()
+	r := newRelay(t, server.Listener.Addr().String())
+	defer r.close() // before the server, which waits for its connections
+	c := newClient(t, r.address(), Options{PollInterval: 100 * time.Millisecond, PollTimeout: 300 * time.Millisecond})
+	time.AfterFunc(300*time.Millisecond, func() { r.silence(true) })
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	failures := make(chan *Error, 2)
+	for _, idempotent := range []bool{true, false} {
+		go func() {
+			_, err := c.Do(ctx, "s", &Request{Method: "POST", Path: "/x", Body: []byte("x"), Idempotent: idempotent})
+			var failure *Error
+			errors.As(err, &failure)
+			failures <- failure
+		}()
+	}
+	is.Equal((<-failures).Cause, Silent)    // the idempotent one
+	is.Equal((<-failures).Cause, Cancelled) // the other one at its deadline
+}
+
 // Guards against waits past the first-byte and between-bytes deadlines.
 func TestDeadlinesForBytes(t *testing.T) {
 	is := is.New(t)
--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -20,6 +20,7 @@
 	loadPath      = "/load"
 	maxLoadBytes  = 4 << 10
 	pollJitter    = 0.2         // part of the interval
+	hungPolls     = 2           // consecutive failed polls
 	pollPatience  = 3           // poll timeouts until the pooled connection is given up
 	minPokedDelay = time.Second // between polls that a slow exchange asked for
 	// minUrgentDelay bounds the polls after broken connections.
@@ -170,8 +171,14 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 	case r.err != nil:
+		// A server that answers on no connection is hung or gone. Exchanges
+		// that may be repeated are ended as after a silent connection.
+		if s.pollFailures++; s.pollFailures >= hungPolls {
+			s.replace(s.current(), time.Now().UnixNano())
+		}
 		observer.PollFailed(s.name, r.err)
 	default:
+		s.pollFailures = 0
 		observer.LoadReported(s.name, r.load, r.known, r.opened, r.asked)
 	}
 }
--- a/internal/backend/relay_test.go
+++ b/internal/backend/relay_test.go
@@ -14,6 +14,7 @@
 	target   string
 	mu       sync.Mutex
 	open     []*link
+	hung     bool // new connections are silent too
 }
 
 // link is one forwarded connection.
@@ -49,6 +50,7 @@
 		}
 		l := &link{client: client, server: server}
 		r.mu.Lock()
+		l.silent.Store(r.hung)
 		r.open = append(r.open, l)
 		r.mu.Unlock()
 		go l.copy(server, client)
@@ -73,10 +75,11 @@
 	}
 }
 
-// silenceOpen makes all present connections silent; new ones work.
-func (r *relay) silenceOpen() {
+// silence makes all present connections silent; new ones work unless hung.
+func (r *relay) silence(hung bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.hung = hung
 	for _, l := range r.open {
 		l.silent.Store(true)
 	}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -49,8 +49,9 @@
 	pollEvery atomic.Int64  // ns
 	pollNow   chan struct{} // capacity 1
 	// pollUrgent asks for a poll after a connection broke, capacity 1.
-	pollUrgent chan struct{}
-	stopPoll   context.CancelFunc
+	pollUrgent   chan struct{}
+	pollFailures int // consecutive; used by the poll loop only
+	stopPoll     context.CancelFunc
 
 	mu        sync.Mutex
 	gen       *generation
@@ -109,7 +110,9 @@
 		return false
 	}
 	s.gen = newGeneration(silent.number+1, s.opts)
-	s.replacedAt = now
+	if s.replacedAt == 0 { // a further replacement does not extend the grace
+		s.replacedAt = now
+	}
 	s.mu.Unlock()
 	silent.retire()
 	counters.Add("generations_replaced", 1)
--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -28,6 +28,8 @@
 	Class     Class
 	Cost      float64   // estimated tokens, > 0
 	Deadline  time.Time // zero means none
+	// Weight is the workspace's weight when it has no queue yet; 0 means 1.
+	Weight float64
 }
 
 // node is an item's place in its workspace's queue.
@@ -78,11 +80,14 @@
 // defaultWeight applies to workspaces without a configured weight.
 const defaultWeight = 1
 
-func (q *Queue) flow(class Class, workspace string) *flow {
+func (q *Queue) flow(class Class, workspace string, weight float64) *flow {
 	l := &q.lanes[class]
 	f, ok := l.flows[workspace]
 	if !ok {
-		f = &flow{workspace: workspace, class: class, weight: defaultWeight, index: -1}
+		if weight <= 0 {
+			weight = defaultWeight
+		}
+		f = &flow{workspace: workspace, class: class, weight: weight, index: -1}
 		l.flows[workspace] = f
 	}
 	return f
@@ -91,7 +96,8 @@
 // SetWeight sets the workspace's local weight in a class. Weights that are
 // not positive count as a very small weight, so that no flow starves.
 func (q *Queue) SetWeight(class Class, workspace string, weight float64) {
-	q.flow(class, workspace).weight = max(weight, minWeight)
+	weight = max(weight, minWeight)
+	q.flow(class, workspace, weight).weight = weight
 }
 
 // minWeight keeps virtual times finite.
@@ -100,7 +106,7 @@
 // Push adds an item unless the workspace has limit items waiting already in
 // its class; limit 0 means no bound.
 func (q *Queue) Push(it Item, limit int) bool {
-	f := q.flow(it.Class, it.Workspace)
+	f := q.flow(it.Class, it.Workspace, it.Weight)
 	if limit > 0 && len(f.items) >= limit {
 		return false
 	}
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -54,6 +54,10 @@
 // divide computes the host's parts of the pool's slots and the local weights
 // from the demand of all hosts. The caller holds mu.
 func (d *Dispatcher) divide(p *poolState, now time.Time) {
+	start := time.Now()
+	defer func() {
+		p.divideEvery = max(divideInterval, time.Duration(float64(time.Since(start))/divideShare))
+	}()
 	own := p.ownDemand().forHost(d.self)
 	hosts := []schedule.HostDemand{own}
 	for host, peer := range p.peers {
@@ -73,6 +77,14 @@
 	p.parts = d.partsOf(p, now)
 }
 
+// divideIfDue divides a pool again when its last division is old enough. The
+// caller holds mu.
+func (d *Dispatcher) divideIfDue(p *poolState, now time.Time) {
+	if now.Sub(p.divided) >= p.divideEvery {
+		d.divide(p, now)
+	}
+}
+
 // partsOf computes the own part of each server's slots by class.
 func (d *Dispatcher) partsOf(p *poolState, now time.Time) [2]map[string]int {
 	rotation := schedule.Rotation(now)
@@ -242,7 +254,7 @@
 	p.dirty = true
 	if demand.Pressed {
 		p.holdUntil = demand.at.Add(holdBatch)
-		d.divide(p, demand.at)
+		d.divideIfDue(p, demand.at)
 		d.yield(p, demand.at)
 	}
 	d.schedule(p, demand.at)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -134,7 +134,7 @@
 	d.mu.Lock()
 	d.batchAllowed = fresh
 	for _, p := range d.pools {
-		d.divide(p, now)
+		d.divideIfDue(p, now)
 		d.refuseHopeless(p, now)
 		d.schedule(p, now)
 		p.queue.Prune()
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -136,7 +136,7 @@
 		return nil, j.refuse(http.StatusServiceUnavailable, "no_server", "no server in pool "+strconv.Quote(j.req.Pool), time.Second)
 	}
 	p := d.pool(j.req.Pool)
-	item := schedule.Item{ID: j.id, Workspace: j.req.Workspace, Class: j.class, Cost: j.cost, Deadline: j.req.Deadline}
+	item := schedule.Item{ID: j.id, Workspace: j.req.Workspace, Class: j.class, Cost: j.cost, Deadline: j.req.Deadline, Weight: d.weights[j.req.Workspace]}
 	if !p.queue.Push(item, d.maxQueue(j)) {
 		counters.Add("queue_full", 1)
 		return nil, j.refuse(http.StatusTooManyRequests, "queue_full", "too many requests of the workspace are waiting", queueRetryAfter)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// divideInterval bounds how often a pool is divided when demand changes.
+	// divideInterval bounds how often a pool is divided when demand changes,
+	// and divideShare the part of a core that this takes at full size, where a
+	// division reads the demand of hundreds of hosts.
 	divideInterval = 20 * time.Millisecond
+	divideShare    = 0.005
 	// holdBatch is how long batch work stops starting after a peer reported
 	// waiting online requests.
 	holdBatch = 250 * time.Millisecond
@@ -35,7 +38,9 @@
 	division schedule.Division
 	parts    [2]map[string]int // own part of each server's slots, by class
 	divided  time.Time
-	dirty    bool
+	// divideEvery is the least time between two divisions.
+	divideEvery time.Duration
+	dirty       bool
 	// scheduling guards against a nested call of schedule, which a preemption
 	// in the middle of one would cause.
 	scheduling bool
@@ -118,7 +123,7 @@
 	}
 	p.scheduling = true
 	defer func() { p.scheduling = false }()
-	if p.dirty && now.Sub(p.divided) >= divideInterval {
+	if p.dirty && now.Sub(p.divided) >= p.divideEvery {
 		d.divide(p, now)
 	}
 	for d.startNext(p, schedule.Online, now) {
