fleet: drive roles, read shards with their own deadline, nudge on adoption

Peers learn of an adopted epoch or revision at once instead of with the next heartbeat, so a generation settles within milliseconds when all confirm. All shards of a full configuration had to be read within the 2 s of a poll, which a slow platform does not allow; they now have 20 s.

--- a/internal/fleet/adopt.go
+++ b/internal/fleet/adopt.go
@@ -33,6 +33,7 @@
 	stats.Add("configs_adopted", 1)
 	f.record(events.Event{Kind: "config.adopted", Detail: "revision " + strconv.FormatInt(next.head.Revision, 10)})
 	f.finish(out)
+	f.Nudge() // peers learn of the adoption at once, so the generation settles sooner
 }
 
 // noteEarlierLimits extends the set of limits that some host may still apply.
@@ -73,6 +74,7 @@
 	stats.Add("epochs_adopted", 1)
 	f.record(events.Event{Kind: "epoch.adopted", Detail: fmt.Sprintf("epoch %d with %d hosts", e.Number, len(e.Members))})
 	f.finish(out)
+	f.Nudge()
 }
 
 func (f *Fleet) knownIncarnations() map[string]bool {
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -106,38 +106,57 @@
 // poll reads epoch and head, adopts what is larger and renews the lease from
 // the time before the reads.
 func (f *Fleet) poll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
 	stats.Add("polls", 1)
 	askedAt := f.opts.Now()
-	e, err := f.readEpoch(ctx)
+	e, h, err := f.readGeneration(ctx)
 	if err != nil {
 		return err
 	}
 	f.adoptEpoch(e)
-	base := f.config.Load()
-	if base == nil {
-		base = emptyState()
+	// The read counts once its revision is adopted, even if loading fails now.
+	f.step(func(now time.Time) membership.Output {
+		return f.machine.OnPlatform(now, askedAt, membership.Generation{Epoch: e.Number, Revision: h.Revision})
+	})
+	if err := f.loadConfig(ctx, h); err != nil {
+		return err
+	}
+	return f.checkHostList(ctx)
+}
+
+// readGeneration reads the platform's epoch and head.
+func (f *Fleet) readGeneration(ctx context.Context) (membership.Epoch, head, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	e, err := f.readEpoch(ctx)
+	if err != nil {
+		return e, head{}, err
 	}
 	obj, env, exists, err := platform.ReadEnvelope(ctx, f.opts.Store, headKey)
 	if err != nil {
-		return err
+		return e, head{}, err
 	}
 	h, err := decodeHead(env.Data, exists)
-	if err != nil {
-		return err
+	if err == nil {
+		f.versions.head.Store(obj.Version)
+	}
+	return e, h, err
+}
+
+// loadConfig reads the shards that this host does not hold, and adopts the
+// configuration. At the start of a host these are all shards.
+func (f *Fleet) loadConfig(ctx context.Context, h head) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	base := f.config.Load()
+	if base == nil {
+		base = emptyState()
 	}
-	// The read counts once its revision is adopted, even if loading fails now.
-	f.step(func(now time.Time) membership.Output {
-		return f.machine.OnPlatform(now, askedAt, membership.Generation{Epoch: e.Number, Revision: h.Revision})
-	})
 	state, err := loadState(ctx, f.opts.Store, base, h)
 	if err != nil {
 		return err
 	}
 	f.adoptConfig(state)
-	f.versions.head.Store(obj.Version)
-	return f.checkHostList(ctx)
+	return nil
 }
 
 // readEpoch returns the platform's epoch, with Number 0 when there is none.
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -29,6 +29,8 @@
 	nudgeInterval = 10 * time.Millisecond
 	fetchTimeout  = 2 * time.Second
 	pollTimeout   = 2 * time.Second
+	// loadTimeout covers all shards of the configuration at a slow platform.
+	loadTimeout = 20 * time.Second
 	// proposeTimeout covers several attempts against a slow platform.
 	proposeTimeout = 5 * time.Second
 )
--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -151,6 +151,12 @@
 
 // drive sends requests at random times to hosts that receive unequal parts.
 func drive(nodes []*node, name string, perSecond float64, lasting time.Duration, seed uint64) []sent {
+	pick := func(rng *rand.Rand) *node { return nodes[min(rng.IntN(len(nodes)), rng.IntN(len(nodes)))] }
+	return driveTo(pick, name, perSecond, lasting, seed)
+}
+
+// driveTo sends requests at random times to the hosts that pick returns.
+func driveTo(pick func(*rand.Rand) *node, name string, perSecond float64, lasting time.Duration, seed uint64) []sent {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var mu sync.Mutex
 	var log []sent
@@ -158,7 +164,7 @@
 	next, end := time.Now(), time.Now().Add(lasting)
 	for next.Before(end) {
 		time.Sleep(time.Until(next))
-		n := nodes[min(rng.IntN(len(nodes)), rng.IntN(len(nodes)))]
+		n := pick(rng)
 		wg.Go(func() {
 			at := time.Now()
 			err := n.limiter.Acquire(context.Background(), name, 1, limiter.Online)
@@ -351,3 +357,63 @@
 		}
 	}
 }
+
+// Guards against refusing workspaces within their rate while every host is
+// restarted in turn after leaving the epoch.
+func TestNoFalseRejectionsInRollingRestart(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for 25s")
+	}
+	is := is.New(t)
+	store := platformtest.New()
+	limits := map[string]limit.Limit{
+		"slow": {Rate: 1, Burst: 5}, "small": {Rate: 10, Burst: 20}, "middle": {Rate: 100, Burst: 50},
+	}
+	mustWrite(t, store, limits)
+	nodes := make([]*node, 4)
+	for i := range nodes {
+		nodes[i] = startNode(t, store, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1})
+	}
+	formed(t, nodes)
+	time.Sleep(5500 * time.Millisecond) // the slowest bucket fills
+	var mu sync.Mutex
+	ready := slices.Clone(nodes) // as the load balancer sees them
+	pick := func(rng *rand.Rand) *node {
+		mu.Lock()
+		defer mu.Unlock()
+		return ready[rng.IntN(len(ready))]
+	}
+	var wg sync.WaitGroup
+	refused, entitled := 0, 0
+	for name, l := range limits {
+		wg.Go(func() {
+			log := driveTo(pick, name, 0.8*l.Rate, 16*time.Second, uint64(l.Rate))
+			r, e := falseRejections(log, l)
+			mu.Lock()
+			defer mu.Unlock()
+			refused, entitled = refused+r, entitled+e
+			t.Logf("%s: %d of %d refused falsely", name, r, e)
+		})
+	}
+	for i := range nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		left := time.Now()
+		is.NoErr(nodes[i].fleet.Leave(ctx))
+		cancel()
+		t.Logf("host-%d left after %s", i, time.Since(left))
+		mu.Lock()
+		ready = slices.Delete(slices.Clone(nodes), i, i+1)
+		mu.Unlock()
+		time.Sleep(1500 * time.Millisecond) // the requests in it end
+		nodes[i].close()
+		fresh := startNode(t, store, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1})
+		mu.Lock()
+		nodes[i] = fresh
+		ready = slices.Clone(nodes)
+		mu.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+	}
+	wg.Wait()
+	is.True(entitled > 1000)
+	is.True(float64(refused) <= 0.001*float64(entitled))
+}
