batch: Share slots without idling and claim the next chunk in time

Slots were divided strictly by weight, so slots of a workspace without ready items stayed idle; a workspace may now use more while no other one waits, but leaves an eighth free. The fill loop looked for the next chunk only once a second while a chunk drained. A restarted host waited for its own earlier incarnation while the membership still showed that one. A text response could grow beyond a segment when encoded. The index of unfinished jobs held one number per chunk; sizes are now run lengths.

Tests: workspaces without tokens or with hanging items do not block others; a host that is paused and cut off starts no item of a job cancelled meanwhile.

--- a/internal/jobs/batches.go
+++ b/internal/jobs/batches.go
@@ -32,7 +32,7 @@
 	Workspace  string `json:"workspace"`
 	Endpoint   string `json:"endpoint"`
 	InputFile  string `json:"input_file"`
-	Parts      []int  `json:"parts"` // items of each chunk
+	Parts      sizes  `json:"parts"` // items of each chunk
 	CreatedAt  int64  `json:"created_at"`
 	DeadlineAt int64  `json:"deadline_at"`
 	Cancelled  bool   `json:"cancelled"`
--- a/internal/jobs/cancel_test.go
+++ b/internal/jobs/cancel_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,10 +23,14 @@
 // notices, the heartbeats, or the host that answered.
 func TestCancelStopsTheJob(t *testing.T) {
 	cases := map[string]func(c *cluster, b *node){
-		"all ways":      func(*cluster, *node) {},
-		"listing only":  func(c *cluster, _ *node) { c.deliver(false, false) },
-		"host dies":     func(*cluster, *node) {}, // killed after its answer
-		"owner paused":  func(_ *cluster, b *node) { b.pause() },
+		"all ways":     func(*cluster, *node) {},
+		"listing only": func(c *cluster, _ *node) { c.deliver(false, false) },
+		"host dies":    func(*cluster, *node) {}, // killed after its answer
+		"owner paused": func(_ *cluster, b *node) { b.pause() },
+		"paused and cut off": func(c *cluster, b *node) {
+			c.deliver(false, false)
+			b.pause()
+		},
 		"answers lost":  func(c *cluster, _ *node) { c.store.LoseAnswers(5) },
 		"only sections": func(c *cluster, _ *node) { c.deliver(false, true) },
 	}
@@ -48,7 +53,7 @@
 			time.Sleep(time.Until(answered.Add(cancelBound)))
 			counts := a.job(job.ID)
 			is.Equal(counts.Status, batch.StatusCancelled)
-			if name == "owner paused" {
+			if strings.Contains(name, "paused") {
 				b.resume()
 			}
 			time.Sleep(700 * time.Millisecond)
--- a/internal/jobs/chunkrun.go
+++ b/internal/jobs/chunkrun.go
@@ -27,6 +27,9 @@
 	// before they are sent. When the host dies, the unfinished ones and those
 	// finished since the last commit become outcome_unknown.
 	intendBatch = 100
+	// wakeItems is how often a draining queue makes the fill loop look whether
+	// the next chunk should be claimed before this one runs dry.
+	wakeItems = 32
 )
 
 // queued is an item that waits to be started.
@@ -248,6 +251,9 @@
 	for i, q := range r.queue {
 		if !now.Before(q.notBefore) {
 			r.queue = append(r.queue[:i], r.queue[i+1:]...)
+			if len(r.queue)%wakeItems == 0 {
+				r.s.wake()
+			}
 			return q.item, 0, true
 		}
 		wait = min(wait, q.notBefore.Sub(now))
@@ -396,7 +402,7 @@
 	if r.job.markFinished(r.index) {
 		r.s.finishSoon(r.job)
 	}
-	r.s.notifyFinisher(r.job, r.index)
+	r.s.spawn(func() { r.s.notifyFinisher(r.job, r.index) })
 }
 
 // unsent returns the items whose intention is recorded but that were not sent.
--- a/internal/jobs/files.go
+++ b/internal/jobs/files.go
@@ -30,7 +30,7 @@
 	Bytes     int64    `json:"bytes"`
 	CreatedAt int64    `json:"created_at"` // Unix milliseconds
 	Items     int      `json:"items"`
-	Parts     []int    `json:"parts"` // items of each part
+	Parts     sizes    `json:"parts"` // items of each part
 	URLs      []string `json:"urls"`
 }
 
--- a/internal/jobs/fill.go
+++ b/internal/jobs/fill.go
@@ -254,7 +254,8 @@
 		}
 		return errNotClaimed
 	}
-	if c.Owner == (batch.Owner{}) || c.Owner == s.owner || !s.ownerAlive(c.Owner) {
+	// An owner on this host is this process or an earlier one, which is gone.
+	if c.Owner == (batch.Owner{}) || c.Owner.Host == s.owner.Host || !s.ownerAlive(c.Owner) {
 		return nil
 	}
 	unchanged := job.postpone(c.Index, version, s.now().Add(jitter(s.o.Discovery)))
--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -22,6 +22,7 @@
 	"ragwortstep/internal/core/config"
 	"ragwortstep/internal/dispatch"
 	"ragwortstep/internal/fleet"
+	"ragwortstep/internal/limiter"
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/platform"
 	"ragwortstep/internal/platform/platformtest"
@@ -48,8 +49,9 @@
 	runs   map[string]int         // runs by custom id
 	serve  func(id string) answer // behaviour of the backend servers
 	starts []time.Time
-	peers  bool // deliver peer calls
-	beats  bool // deliver heartbeat sections
+	rate   func(workspace string) error // answer of the limiter
+	peers  bool                         // deliver peer calls
+	beats  bool                         // deliver heartbeat sections
 }
 
 type answer struct {
@@ -95,6 +97,7 @@
 	o := Options{
 		Host: id, Incarnation: n.inc, Store: (*nodeStore)(n), Fleet: n, Peers: n, Dispatcher: n,
 		IsPreempted: func(err error) bool { return errors.Is(err, errPreempted) },
+		Limiter:     limit(c.tokens),
 		Workers:     32, Discovery: 100 * time.Millisecond, WatchInterval: 50 * time.Millisecond,
 		CommitInterval: 60 * time.Millisecond, FinishInterval: 200 * time.Millisecond, RepairInterval: 100 * time.Millisecond,
 		RetryDelay: 10 * time.Millisecond, SealGrace: 200 * time.Millisecond, CommitRate: 200,
@@ -122,6 +125,22 @@
 	}
 }
 
+// limit is a limiter made of a function.
+type limit func(workspace string) error
+
+func (l limit) Acquire(_ context.Context, workspace string, _ float64, _ limiter.Class) error {
+	return l(workspace)
+}
+
+func (c *cluster) tokens(workspace string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rate == nil {
+		return nil
+	}
+	return c.rate(workspace)
+}
+
 // pause stops the host's calls to the platform and the servers. Its lease
 // lapses, as it does on a process that is paused for longer than the lease.
 func (n *node) pause() {
@@ -391,7 +410,15 @@
 // submit uploads a file of that many items and creates a job.
 func (n *node) submit(items int, path string) BatchObject {
 	n.c.t.Helper()
-	return decode[BatchObject](n.c.t, n.createRaw(n.upload(jsonl(items, path)).ID, path, ""))
+	return n.submitAs(testTenant, items, path)
+}
+
+func (n *node) submitAs(workspace string, items int, path string) BatchObject {
+	n.c.t.Helper()
+	body, header := form("batch", jsonl(items, path))
+	file := decode[FileObject](n.c.t, n.call(workspace, "POST", "/v1/files", header, body))
+	create := fmt.Sprintf(`{"input_file_id":%q,"endpoint":%q,"completion_window":"24h"}`, file.ID, path)
+	return decode[BatchObject](n.c.t, n.call(workspace, "POST", "/v1/batches", nil, strings.NewReader(create)))
 }
 
 func (n *node) job(id string) BatchObject {
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -20,6 +20,7 @@
 const (
 	// maxResultBytes bounds a response body, so that a line fits into a segment.
 	maxResultBytes = 900 << 10
+	maxErrorBytes  = 2 << 10 // of an item's error message
 	maxRetryDelay  = 30 * time.Second
 	heldPoll       = 50 * time.Millisecond
 	// Estimated cost of an item: a token per four bytes of the request, plus
@@ -278,9 +279,7 @@
 	r.refusals = 0
 	r.mu.Unlock()
 	if len(body) > maxResultBytes {
-		return outcome{line: r.errorLine(item, itemError{
-			Code: "response_too_large", Message: fmt.Sprintf("the response is larger than %d bytes", maxResultBytes),
-		})}
+		return outcome{line: r.tooLarge(item)}
 	}
 	line := r.responseLine(item, resp, body)
 	if !idempotent || !retryableStatus(resp.Status) {
@@ -354,6 +353,7 @@
 }
 
 func (r *chunkRun) errorLine(item int, e itemError) []byte {
+	e.Message = e.Message[:min(len(e.Message), maxErrorBytes)]
 	return encodeLine(markError, resultLine{ID: r.requestID(item), CustomID: r.customID(item), Error: &e})
 }
 
@@ -369,10 +369,20 @@
 	if id == "" {
 		id = r.requestID(item)
 	}
-	return encodeLine(mark, resultLine{
+	line := encodeLine(mark, resultLine{
 		ID: r.requestID(item), CustomID: r.customID(item),
 		Response: &itemResponse{Status: resp.Status, RequestID: id, Body: body},
 	})
+	if len(line) > segmentRawBytes {
+		return r.tooLarge(item) // encoding text that is not JSON can enlarge it
+	}
+	return line
+}
+
+func (r *chunkRun) tooLarge(item int) []byte {
+	return r.errorLine(item, itemError{
+		Code: "response_too_large", Message: fmt.Sprintf("the response is larger than %d bytes", maxResultBytes),
+	})
 }
 
 // encodeLine returns the mark and the line with its line end.
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,9 +16,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"ragwortstep/internal/core/batch"
 	"ragwortstep/internal/dispatch"
+	"ragwortstep/internal/limiter"
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/platform"
 	"ragwortstep/internal/platform/platformtest"
@@ -304,3 +308,75 @@
 		t.Errorf("object %s is left", obj.Key)
 	}
 }
+
+// Guards against a workspace without tokens, or one whose items are slow, that
+// keeps another one's job from running.
+func TestWorkspacesDoNotBlockEachOther(t *testing.T) {
+	for _, fault := range []string{"no tokens", "slow items"} {
+		t.Run(fault, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t)
+			if fault == "no tokens" {
+				c.rate = func(workspace string) error {
+					if workspace == "greedy" {
+						return &limiter.RefusedError{Workspace: workspace, RetryAfter: 50 * time.Millisecond}
+					}
+					return nil
+				}
+			} else {
+				c.serve = func(string) answer {
+					if len(c.starts) < 28 { // all slots but the reserve
+						return answer{status: 200, delay: time.Hour}
+					}
+					return answer{status: 200}
+				}
+			}
+			a := c.start("a", nil)
+			for range 4 {
+				a.submitAs("greedy", 3000, chatPath)
+			}
+			for fault == "slow items" && c.ran() < 28 {
+				time.Sleep(time.Millisecond)
+			}
+			job := a.submit(190, chatPath)
+			is.Equal(c.await(job.ID, func() *node { return a }).RequestCounts.Completed, 190)
+		})
+	}
+}
+
+// Guards against slots that stay idle while only one workspace has items, a
+// workspace that takes all of them, and more items in flight than allowed.
+func TestSlots(t *testing.T) {
+	is := is.New(t)
+	s := newSlots(16)
+	half := func() float64 { return 0.5 }
+	tryFor := func(workspace string) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		return s.enter(ctx, workspace, half)
+	}
+	for range 14 {
+		is.NoErr(tryFor("a"))
+	}
+	is.True(tryFor("a") != nil)
+	is.NoErr(tryFor("b"))
+	is.NoErr(tryFor("b"))
+	is.True(tryFor("b") != nil)
+	waited := make(chan error)
+	go func() { waited <- s.enter(t.Context(), "b", half) }()
+	s.leave("a")
+	is.NoErr(<-waited)
+	is.Equal(s.inUse(), 16)
+}
+
+// Guards against sizes that change on their way through the platform.
+func TestSizes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := sizes(rapid.SliceOf(rapid.IntRange(0, 3)).Draw(t, "sizes"))
+		raw, err := json.Marshal(in)
+		var out sizes
+		if err != nil || json.Unmarshal(raw, &out) != nil || !slices.Equal(in, out) {
+			t.Fatalf("%v became %v by %s", in, out, raw)
+		}
+	})
+}
--- a/internal/jobs/slots.go
+++ b/internal/jobs/slots.go
@@ -6,34 +6,38 @@
 	"time"
 )
 
-// slots bounds the items in flight, in total and per workspace, so that a
-// workspace whose items wait at the dispatcher leaves room for the others.
+// reserveShare is the part of all slots, as a divisor, that a workspace beyond
+// its share leaves free, so that another one can start at once.
+const reserveShare = 8
+
+// slots bounds the items in flight, in total and per workspace. A workspace
+// may use more than its share while no other one waits, so that slots are
+// not idle, but never all of them.
 type slots struct {
 	mu      sync.Mutex
 	total   int
 	used    int
 	by      map[string]int
-	changed chan struct{} // closed and replaced when a slot becomes free
+	waiting map[string]int
+	changed chan struct{} // closed and replaced when a slot becomes free or a waiter leaves
 }
 
 func newSlots(total int) *slots {
-	return &slots{total: total, by: map[string]int{}, changed: make(chan struct{})}
+	return &slots{total: total, by: map[string]int{}, waiting: map[string]int{}, changed: make(chan struct{})}
 }
 
 // enter waits for a slot. share is the workspace's part of all slots, 0 to 1,
 // asked again after each change.
 func (s *slots) enter(ctx context.Context, workspace string, share func() float64) error {
+	s.mu.Lock()
+	s.waiting[workspace]++
+	s.mu.Unlock()
+	defer s.stopWaiting(workspace)
 	for {
-		limit := max(1, int(float64(s.total)*share()))
-		s.mu.Lock()
-		if s.used < s.total && s.by[workspace] < limit {
-			s.used++
-			s.by[workspace]++
-			s.mu.Unlock()
+		entered, changed := s.tryEnter(workspace, share())
+		if entered {
 			return nil
 		}
-		changed := s.changed
-		s.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -42,6 +46,38 @@
 	}
 }
 
+func (s *slots) tryEnter(workspace string, share float64) (bool, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := max(1, int(float64(s.total)*share))
+	if s.by[workspace] >= limit {
+		alone := len(s.waiting) == 1 // this one
+		if !alone || s.used >= s.total-s.total/reserveShare {
+			return false, s.changed
+		}
+	}
+	if s.used >= s.total {
+		return false, s.changed
+	}
+	s.used++
+	s.by[workspace]++
+	return true, nil
+}
+
+func (s *slots) stopWaiting(workspace string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting[workspace]--; s.waiting[workspace] == 0 {
+		delete(s.waiting, workspace)
+		s.broadcast()
+	}
+}
+
+func (s *slots) broadcast() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *slots) leave(workspace string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -49,8 +85,7 @@
 	if s.by[workspace]--; s.by[workspace] == 0 {
 		delete(s.by, workspace)
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.broadcast()
 }
 
 func (s *slots) inUse() int {
