--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -284,6 +284,3 @@
 	}
 	f.machine.SetGone(now, gone)
 }
-
-// Refresh reads the platform soon, for example after this host wrote a change.
-func (f *Fleet) Refresh() { f.requestPoll() }
--- a/internal/host/configwriter.go
+++ b/internal/host/configwriter.go
@@ -20,16 +20,18 @@
 	historyPrefix = "config/history/"
 	// historyPage is how many changes one listing of the platform returns.
 	historyPage = 500
+	// historyKept is how many revisions stay in the history, about a day at
+	// 13,000 changes a day; trimEvery is how often older ones are deleted.
+	historyKept = 13000
+	trimEvery   = 100
 )
 
 // configWriter commits configuration changes and their history. It implements
 // admin.ConfigWriter.
 type configWriter struct {
-	store  platform.Store
-	writer *platform.Writer
-	now    func() time.Time
-	// committed takes a new revision into force at this host without waiting for a poll.
-	committed func()
+	fleet *fleet.Fleet
+	store platform.Store
+	now   func() time.Time
 }
 
 // Write implements admin.ConfigWriter. The history entry is stored before the
@@ -37,16 +39,13 @@
 // committed removes its entry.
 func (w *configWriter) Write(ctx context.Context, expected int64, author, note string, mutate func(*config.Snapshot) error) (*config.Snapshot, error) {
 	var entry string
-	next, err := fleet.WriteSnapshot(ctx, w.store, w.writer, expected, func(s *config.Snapshot) error {
+	next, err := w.fleet.WriteSnapshot(ctx, expected, func(s *config.Snapshot) error {
 		before := s.Clone()
 		if err := mutate(s); err != nil {
 			return err
 		}
-		changes := config.Diff(before, s)
-		change := config.Change{
-			Revision: before.Revision + 1, Author: author, Unix: w.now().Unix(), Note: note,
-			Summary: config.Summarize(changes), Changes: changes,
-		}
+		change := config.NewChange(before, s, author, note, w.now().Unix())
+		change.Revision = before.Revision + 1
 		var err error
 		entry, err = w.putHistory(ctx, change)
 		return err
@@ -61,17 +60,38 @@
 	if err != nil {
 		return nil, err
 	}
-	w.committed()
+	if next.Revision%trimEvery == 0 {
+		w.trimHistory(ctx, next.Revision-historyKept)
+	}
 	return next, nil
 }
 
+// trimHistory deletes entries of the revision and earlier ones. Entries that
+// are left over are deleted by a later trim.
+func (w *configWriter) trimHistory(ctx context.Context, revision int64) {
+	if revision < 1 {
+		return
+	}
+	page, err := w.store.List(ctx, historyPrefix, revisionPrefix(revision), 2*trimEvery)
+	if err != nil {
+		return
+	}
+	for _, obj := range page.Objects {
+		_ = w.store.Delete(ctx, obj.Key, platform.AnyVersion)
+	}
+}
+
+// revisionPrefix sorts by descending revision, so that a listing starts with the newest.
+func revisionPrefix(revision int64) string {
+	return fmt.Sprintf("%s%019d/", historyPrefix, int64(1<<62)-revision)
+}
+
 func (w *configWriter) putHistory(ctx context.Context, change config.Change) (string, error) {
 	raw, err := json.Marshal(change)
 	if err != nil {
 		return "", errors.Wrap(err, "encode history entry")
 	}
-	// Keys sort by descending revision, so that a listing starts with the newest.
-	key := fmt.Sprintf("%s%019d/%s", historyPrefix, int64(1<<62)-change.Revision, uuid.NewString())
+	key := revisionPrefix(change.Revision) + uuid.NewString()
 	_, err = w.store.Put(ctx, key, raw, platform.AnyVersion)
 	return key, errors.Wrapf(err, "platform put %s", key)
 }
@@ -80,10 +100,7 @@
 // only the latest written can have been committed, and entries above the
 // current revision were not committed.
 func (w *configWriter) History(ctx context.Context, limit int) ([]config.Change, error) {
-	current, err := fleet.ReadSnapshot(ctx, w.store)
-	if err != nil {
-		return nil, err
-	}
+	current := w.fleet.Config()
 	page, err := w.store.List(ctx, historyPrefix, "", min(historyPage, 2*limit+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "platform list "+historyPrefix)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -9,7 +9,9 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sort"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,7 +48,6 @@
 	incarn   string
 
 	store      platform.Store
-	writer     *platform.Writer
 	events     *events.Recorder
 	peers      *peer.Node
 	fleet      *fleet.Fleet
@@ -55,7 +56,11 @@
 	dedupe     *dedupe.Records
 	jobs       *jobs.Service
 	gateway    *gateway.Gateway
+	board      *admin.Board
+	orders     *orders.Controller
+	draining   atomic.Bool
 	closeSink  func()
+	running    sync.WaitGroup // loops that must end before the process does
 }
 
 // Serve runs a host until ctx ends, then shuts it down gracefully.
@@ -72,7 +77,6 @@
 func build(s *settings.Settings, logger *slog.Logger) (*Host, error) {
 	h := &Host{settings: s, logger: logger, id: peer.HostID(s.Host.Name), incarn: uuid.NewString()}
 	h.store = platform.NewHTTPStore(s.Platform.URL, s.Host.Name)
-	h.writer = platform.NewWriter(s.Host.Name + "/" + h.incarn)
 	if err := h.openEvents(); err != nil {
 		return nil, err
 	}
@@ -94,13 +98,33 @@
 	})
 	h.dedupe = dedupe.New(dedupe.Options{Fleet: h.fleet, Peers: h.peers, Store: h.store, Logger: logger})
 	h.jobs = jobs.New(h.jobsOptions())
+	h.board = admin.NewBoard(admin.BoardOptions{
+		Fleet: h.fleet, Incarnation: h.incarn, AdminAddress: s.Listen.Admin, Recorder: h.events,
+		Leaving:   h.draining.Load,
+		LeaseLeft: func() time.Duration { return h.fleet.Status().LeaseRemaining },
+	})
+	h.orders = orders.New(orders.Options{
+		Store: h.store, Writer: h.fleet.Writer(), Config: h.fleet.Config, Recorder: h.events, Logger: logger,
+		Candidate: func() bool { return orders.FirstAlive(h.fleet.View(), orders.DefaultCandidates) },
+	})
 	return h, nil
 }
 
 // openEvents makes the recorder, with a file sink where the host has a disk.
 func (h *Host) openEvents() error {
-	h.events = events.NewRecorder(h.settings.Host.Name, nil)
 	h.closeSink = func() {}
+	if h.settings.Host.DataFolder == "" {
+		h.events = events.NewRecorder(h.settings.Host.Name, nil)
+		return nil
+	}
+	sink, err := events.NewFileSink(events.FileOptions{
+		Folder: filepath.Join(h.settings.Host.DataFolder, "events"), Logger: h.logger,
+	})
+	if err != nil {
+		return errors.Wrap(err, "open event files")
+	}
+	h.events = events.NewRecorder(h.settings.Host.Name, sink.Record)
+	h.closeSink = sink.Close
 	return nil
 }
 
@@ -149,7 +173,7 @@
 	h.events.Record(events.Event{Kind: "host.started", Detail: h.incarn})
 	h.logger.Info("host started", "callers", h.settings.Listen.Callers, "incarnation", h.incarn)
 	<-groupCtx.Done()
-	h.shutdown(servers)
+	h.shutdown(servers, stop)
 	if err := group.Wait(); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -169,6 +193,8 @@
 	h.dispatcher.Start(parts)
 	h.dedupe.Start(parts)
 	h.jobs.Start(parts)
+	h.running.Go(func() { h.board.Run(parts) })
+	h.running.Go(func() { h.orders.Run(parts) })
 	return nil
 }
 
@@ -269,18 +295,19 @@
 func (h *Host) adminHandler() http.Handler {
 	return admin.New(admin.Options{
 		Config: h.fleet,
-		Writer: &configWriter{store: h.store, writer: h.writer, now: time.Now, committed: h.fleet.Refresh},
-		Status: statusSource{h.fleet}, Events: h.events,
-		Orders:      orders.NewDesired(h.store, h.writer),
+		Writer: &configWriter{fleet: h.fleet, store: h.store, now: time.Now},
+		Status: h.board, Events: h.events, Recorder: h.events,
+		Orders:      h.orders.Desired(),
 		OperatorKey: h.settings.Admin.Key, Logger: h.logger,
 	})
 }
 
 // shutdown drains the host: not ready first, so that the balancer sends
 // nothing new, then open requests to their end, then the parts.
-func (h *Host) shutdown(servers []httpServer) {
+func (h *Host) shutdown(servers []httpServer, stopParts func()) {
 	h.events.Record(events.Event{Kind: "host.draining"})
 	h.logger.Info("host draining")
+	h.draining.Store(true)
 	h.gateway.StartDraining()
 	drain, cancel := context.WithTimeout(context.Background(), h.settings.Gateway.Unready+h.settings.Gateway.Drain)
 	defer cancel()
@@ -293,6 +320,8 @@
 	}
 	h.logErr("drain requests", h.dispatcher.Drain(drain))
 	h.logErr("leave the epoch", <-left)
+	stopParts()
+	h.running.Wait() // the order controller gives its role back
 	h.events.Record(events.Event{Kind: "host.stopped"})
 	h.logErr("stop the fleet", h.fleet.Close())
 	h.logErr("stop peers", h.peers.Close())
@@ -306,29 +335,6 @@
 	}
 }
 
-// statusSource translates the fleet's status for the operators' API.
-type statusSource struct{ fleet *fleet.Fleet }
-
-// Status implements admin.StatusSource.
-func (s statusSource) Status() []admin.HostStatus {
-	status := s.fleet.Status()
-	self := hostStatus(status.Self)
-	self.LeaseHeld, self.LeaseLeftMS = status.Fresh, status.LeaseRemaining.Milliseconds()
-	out := []admin.HostStatus{self}
-	for _, h := range status.Hosts {
-		out = append(out, hostStatus(h))
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
-	return out
-}
-
-func hostStatus(h fleet.HostStatus) admin.HostStatus {
-	return admin.HostStatus{
-		Host: string(h.Host), Zone: h.Zone, Incarnation: h.Incarnation, Alive: h.Alive,
-		Leaving: h.Leaving, Revision: h.Revision, Epoch: h.Epoch,
-	}
-}
-
 // limitWait passes a wait of zero as none, which the limiter takes as its default.
 func limitWait(wait time.Duration) time.Duration {
 	if wait == 0 {
