fleet: retry changes on any revision, report unresolved writes as unknown

A change with AnyRevision that met another one failed with a conflict of revisions that its author never named; it is now applied again. When the platform failed for good after a lost answer, the last error said that nothing was applied; it now wraps platform.ErrUnknownOutcome.

--- a/internal/fleet/confstore.go
+++ b/internal/fleet/confstore.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	readAttempts  = 5
 	writeAttempts = 8
 	retryDelay    = 50 * time.Millisecond
+
+	conflictAttempts = 20
+	conflictDelay    = 10 * time.Millisecond // grows with each attempt
 )
 
 // ConflictError reports that the configuration is not at the revision on
@@ -51,7 +55,8 @@
 // WriteSnapshot applies mutate to a copy of the current configuration and
 // commits it as the next revision by a conditional update of config/head. It
 // fails with *ConflictError when the current revision is not expectedRevision,
-// which may be AnyRevision, or when another change is committed meanwhile. An
+// also when another change is committed meanwhile. With AnyRevision it applies
+// mutate again to the new revision instead, a limited number of times. An
 // error of mutate is returned as is. A lost answer of the platform is resolved
 // by reading back, so an error means that the change was not committed, unless
 // it wraps platform.ErrUnknownOutcome.
@@ -80,7 +85,24 @@
 	return next.snapshot, nil
 }
 
+// writeState repeats a change that is based on no particular revision when
+// another is committed meanwhile.
 func writeState(ctx context.Context, store platform.Store, writer *platform.Writer, known *configState, expectedRevision int64, mutate func(*config.Snapshot) error) (*configState, error) {
+	for attempt := 1; ; attempt++ {
+		next, err := tryWrite(ctx, store, writer, known, expectedRevision, mutate)
+		var conflict *ConflictError
+		if expectedRevision != AnyRevision || attempt == conflictAttempts || !errors.As(err, &conflict) {
+			return next, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.CombineErrors(err, ctx.Err())
+		case <-time.After(rand.N(time.Duration(attempt) * conflictDelay)):
+		}
+	}
+}
+
+func tryWrite(ctx context.Context, store platform.Store, writer *platform.Writer, known *configState, expectedRevision int64, mutate func(*config.Snapshot) error) (*configState, error) {
 	base, err := readState(ctx, store, known)
 	if err != nil {
 		return nil, err
@@ -165,6 +187,7 @@
 		return errors.Wrap(err, "encode configuration head")
 	}
 	token := next.head.Recent[len(next.head.Recent)-1].Token
+	sent := false
 	_, _, err = platform.Update(ctx, store, writer, headKey, func(current json.RawMessage, exists bool) (json.RawMessage, error) {
 		h, err := decodeHead(current, exists)
 		switch {
@@ -175,9 +198,15 @@
 		case h.Revision != base.head.Revision:
 			return nil, &ConflictError{Expected: base.head.Revision, Actual: h.Revision}
 		}
+		sent = true
 		return raw, nil
 	})
-	return err
+	var conflict *ConflictError
+	if err == nil || !sent || errors.As(err, &conflict) {
+		return err
+	}
+	// The last error may hide an earlier write whose answer was lost.
+	return errors.Mark(err, platform.ErrUnknownOutcome)
 }
 
 // collectShards deletes the objects that the committed head replaced. A host
--- a/internal/fleet/confstore_test.go
+++ b/internal/fleet/confstore_test.go
@@ -72,25 +72,22 @@
 	is := is.New(t)
 	ctx, store := context.Background(), platformtest.New()
 	const writers, edits = 4, 12
-	var applied, conflicts atomic.Int64
+	var applied, calls atomic.Int64
 	var wg sync.WaitGroup
 	for i := range writers {
 		wg.Go(func() {
 			w := platform.NewWriter(fmt.Sprint("writer/", i))
-			for n := 0; n < edits; {
+			for n := range edits {
 				store.LoseAnswers(1)
-				_, err := WriteSnapshot(ctx, store, w, AnyRevision, addWorkspace(fmt.Sprintf("w%d-%d", i, n)))
-				var conflict *ConflictError
-				switch {
-				case err == nil:
-					applied.Add(1)
-					n++
-				case errors.As(err, &conflict) && conflict.Actual > conflict.Expected:
-					conflicts.Add(1)
-				default:
+				_, err := WriteSnapshot(ctx, store, w, AnyRevision, func(s *config.Snapshot) error {
+					calls.Add(1)
+					return addWorkspace(fmt.Sprintf("w%d-%d", i, n))(s)
+				})
+				if err != nil {
 					t.Errorf("unexpected error %v", err)
 					return
 				}
+				applied.Add(1)
 			}
 		})
 	}
@@ -99,7 +96,7 @@
 	is.NoErr(err)
 	is.Equal(len(s.Workspaces), writers*edits)
 	is.Equal(s.Revision, applied.Load()) // every success is one revision, every failure none
-	t.Logf("%d conflicts", conflicts.Load())
+	t.Logf("%d conflicts", calls.Load()-applied.Load())
 }
 
 // Guards against a change that is based on a state its author has not seen.
@@ -122,6 +119,31 @@
 	is.True(errors.Is(err, platform.ErrUnavailable))
 }
 
+// outageAfterPut is a platform that fails for good after it applied a write of
+// the head whose answer it lost.
+type outageAfterPut struct{ *platformtest.Fake }
+
+func (s outageAfterPut) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+	obj, err := s.Fake.Put(ctx, key, value, version)
+	if key == headKey && err == nil {
+		s.SetDown(true)
+		return platform.Object{}, platform.ErrUnknownOutcome
+	}
+	return obj, err
+}
+
+// Guards against reporting a change as not made that was made.
+func TestUnresolvedWriteIsReportedAsUnknown(t *testing.T) {
+	is := is.New(t)
+	fake := platformtest.New()
+	_, err := WriteSnapshot(context.Background(), outageAfterPut{fake}, platform.NewWriter("t"), 0, addWorkspace("x"))
+	is.True(errors.Is(err, platform.ErrUnknownOutcome))
+	fake.SetDown(false)
+	s, err := ReadSnapshot(context.Background(), fake)
+	is.NoErr(err)
+	is.Equal(s.Revision, int64(1))
+}
+
 // Guards against a larger limit that is used while some host may still apply
 // one that this host never saw.
 func TestSkippedRevisionsExtendEarlierLimits(t *testing.T) {
