--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -152,4 +152,20 @@
 	})
 	is.Equal(c.hosts["d1"].Config().Workspaces["w"].Rate, 10.0)
 	c.formed(5)
+
+	status := c.hosts["e2"].Status()
+	is.True(status.Fresh && status.Settled && status.Watcher && status.Self.Member)
+	is.True(status.LeaseRemaining > 0 && status.LeaseRemaining <= testLease)
+	is.Equal(len(status.Hosts), 4)
+	for _, h := range status.Hosts {
+		is.True(h.Alive && h.Member && h.LastHeartbeat < testLease)
+		is.Equal(h.Revision, s.Revision)
+	}
+	watchers := 0
+	for _, h := range c.hosts {
+		if h.Status().Watcher {
+			watchers++
+		}
+	}
+	is.Equal(watchers, 3) // two of zone 1, one of zone 2
 }
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -85,6 +85,6 @@
 }
 
 // stats counts occurrences over all nodes of the process: refused
-// (unauthenticated connections), dials, dial_failures, silent_closed, calls,
+// (unauthenticated connections), accept_failures, dials, dial_failures, silent_closed, calls,
 // served, busy, bytes_sent, bytes_received, tls_reloads, tls_reload_failures.
 var stats = expvar.NewMap("peer")
