membership: a replaced process does not displace its successor

When a paused process resumes after a later one of its host took its place, each would have proposed itself in turn. The earlier one now stays out of the epoch. The simulation also cuts single hosts off from the platform.

--- a/internal/core/limit/sim_test.go
+++ b/internal/core/limit/sim_test.go
@@ -468,7 +468,7 @@
 	return rapid.Custom(func(t *rapid.T) fault {
 		return fault{
 			at:   time.Duration(rapid.IntRange(1000, 22000).Draw(t, "at")) * time.Millisecond,
-			kind: rapid.SampledFrom([]string{"kill", "pause", "restart", "leave", "cut", "isolate", "outage", "edit", "edit"}).Draw(t, "kind"),
+			kind: rapid.SampledFrom([]string{"kill", "pause", "restart", "leave", "cut", "isolate", "no platform", "outage", "edit", "edit"}).Draw(t, "kind"),
 			a:    rapid.IntRange(0, hosts-1).Draw(t, "a"),
 			b:    rapid.IntRange(0, hosts-1).Draw(t, "b"),
 			hold: time.Duration(rapid.IntRange(100, 10000).Draw(t, "hold")) * time.Millisecond,
@@ -502,6 +502,8 @@
 			links = append(links, [2]int{min(i, f.a), max(i, f.a)})
 		}
 		return s.disconnect(links)
+	case "no platform":
+		return s.disconnect([][2]int{{-1, f.a}})
 	case "outage":
 		s.down = true
 		return func() { s.down = false }
--- a/internal/core/membership/machine.go
+++ b/internal/core/membership/machine.go
@@ -26,6 +26,9 @@
 	revision int64
 	peers    map[Identity]*peerState
 	leaving  bool
+	// wasMember tells that the process was a member of some adopted epoch, and
+	// replaced that another process of its host, hence a later one, is now.
+	wasMember, replaced bool
 
 	lastTick    time.Time
 	lastBeat    time.Time
@@ -147,6 +150,9 @@
 		return Output{}, false
 	}
 	out := m.observeLease(now)
+	m.wasMember = m.wasMember || m.IsMember()
+	successor, ok := e.Member(m.opts.Self.Host)
+	m.replaced = m.wasMember && ok && successor.Incarnation != m.opts.Self.Incarnation
 	m.epoch, m.epochAt = e, now
 	m.settle = settleState{}
 	m.propose.reset()
--- a/internal/core/membership/machine_test.go
+++ b/internal/core/membership/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,6 +123,29 @@
 	is.True(!m.Settled()) // revision 5 may be in force
 }
 
+// Guards against two processes of one host that displace each other in turn,
+// when a paused one resumes after it was replaced.
+func TestReplacedProcessDoesNotReturn(t *testing.T) {
+	is := is.New(t)
+	m, now := newMember(t)
+	next := Epoch{Number: 2, Members: slices.Clone(m.Epoch().Members), Prior: []Prior{{Number: 1, Members: m.Epoch().identities()}}}
+	next.Members[0].Incarnation = "a/2"
+	removed := Epoch{Number: 2, Members: next.Members[1:]}
+	m.AdoptEpoch(now, removed)
+	_, change := m.Propose(now, removed, true)
+	is.True(change) // it was only removed, and returns
+	next.Number = 3
+	m.AdoptEpoch(now, next)
+	_, change = m.Propose(now, next, true)
+	is.True(!change)
+
+	fresh := New(Options{Self: Member{Host: "a", Incarnation: "a/3"}}, now)
+	fresh.AdoptEpoch(now, next)
+	after, change := fresh.Propose(now, next, true)
+	is.True(change)
+	is.True(after.Has(Identity{Host: "a", Incarnation: "a/3"})) // a new process takes its place
+}
+
 // The cost of one heartbeat interval at the design scale with every host
 // sending to every other: 10 ticks, and a heartbeat and an answer per member.
 func BenchmarkInterval(b *testing.B) {
--- a/internal/core/membership/propose.go
+++ b/internal/core/membership/propose.go
@@ -187,9 +187,11 @@
 		}
 	}
 	self := m.opts.Self
-	if m.leaving {
+	switch {
+	case m.replaced: // the successor stays, so that two processes do not displace each other in turn
+	case m.leaving:
 		delete(members, self.Host)
-	} else {
+	default:
 		members[self.Host] = self
 	}
 	out := make([]Member, 0, len(members))
