batch: Test commit pacing, watchers and forms with the file first

Cause: the pacing of commits after an outage, the choice of watching hosts and the order of form fields had no tests. Counts of listed jobs are now read in parallel, because a page can hold 100 unfinished jobs.

--- a/internal/jobs/http.go
+++ b/internal/jobs/http.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"ragwortstep/internal/core/batch"
 	"ragwortstep/internal/dispatch"
@@ -336,10 +337,16 @@
 	if err != nil {
 		return err
 	}
-	data := make([]BatchObject, 0, len(jobs))
-	for _, job := range jobs {
-		data = append(data, s.liveObject(r.Context(), job))
+	data := make([]BatchObject, len(jobs))
+	var group errgroup.Group
+	group.SetLimit(parallelReads)
+	for i, job := range jobs {
+		group.Go(func() error {
+			data[i] = s.liveObject(r.Context(), job)
+			return nil
+		})
 	}
+	_ = group.Wait() // liveObject reports no errors
 	writeJSON(w, http.StatusOK, newList(data, more, func(b BatchObject) string { return b.ID }))
 	return nil
 }
--- a/internal/jobs/http_test.go
+++ b/internal/jobs/http_test.go
@@ -1,9 +1,11 @@
 package jobs
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/base64"
 	"fmt"
+	"mime/multipart"
 	"net/http"
 	"strings"
 	"testing"
@@ -79,6 +81,17 @@
 	is.NoErr(err)
 	is.True(len(meta.Parts) > 4)
 
+	var buf bytes.Buffer
+	w := multipart.NewWriter(&buf)
+	part, err := w.CreateFormFile("file", "x.jsonl") // before the purpose
+	is.NoErr(err)
+	_, err = part.Write([]byte(jsonl(2, chatPath)))
+	is.NoErr(err)
+	is.NoErr(w.WriteField("purpose", "vision"))
+	is.NoErr(w.Close())
+	late := http.Header{"Content-Type": {w.FormDataContentType()}}
+	is.Equal(a.call(testTenant, "POST", "/v1/files", late, &buf).Code, http.StatusBadRequest)
+
 	body, header := form("batch", jsonl(900, chatPath))
 	cut := &cappedReader{r: body, left: 60 << 10}
 	is.True(a.call(testTenant, "POST", "/v1/files", header, cut).Code >= 400)
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -20,6 +20,7 @@
 
 	"ragwortstep/internal/core/batch"
 	"ragwortstep/internal/dispatch"
+	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/limiter"
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/platform"
@@ -55,9 +56,11 @@
 			file := c.nodes["a"].upload(jsonl(items, path))
 			before := storeCalls(c.store)
 			job := decode[BatchObject](t, c.nodes["a"].createRaw(file.ID, path, ""))
-			for c.ctx.Err() == nil && c.nodes["a"].registry.get(job.ID) != nil {
-				time.Sleep(50 * time.Millisecond)
+			runs := 0
+			for a := c.nodes["a"]; c.ctx.Err() == nil && a.registry.get(job.ID) != nil; time.Sleep(20 * time.Millisecond) {
+				runs = max(runs, a.load().claimed)
 			}
+			is.True(runs > 0 && runs <= 8) // only claimed chunks are in memory
 			perItem := float64(storeCalls(c.store)-before) / items
 			t.Logf("%.5f platform calls per item", perItem)
 			is.True(perItem <= 0.02)
@@ -422,6 +425,42 @@
 	is.Equal(s.inUse(), 16)
 }
 
+// Guards against all hosts writing at once when the platform comes back, and
+// against pauses when there was no outage.
+func TestCommitsArePacedAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := &pacer{interval: 50 * time.Millisecond, now: func() time.Time { return now }}
+	for range 100 {
+		is.Equal(p.reserve(), time.Duration(0))
+	}
+	p.failure()
+	var last time.Duration
+	for range 100 {
+		last = p.reserve()
+	}
+	is.True(last > 4*time.Second && last < 6*time.Second) // 20 commits per second
+	now = now.Add(recoveryTime + time.Second)
+	is.Equal(p.reserve(), time.Duration(0))
+}
+
+// Guards against a zone without hosts that watch for cancellations, and one
+// in which all hosts list the jobs every second.
+func TestWatchers(t *testing.T) {
+	is := is.New(t)
+	v := fleet.View{Alive: map[peer.HostID]bool{}}
+	for _, host := range []peer.HostID{"a", "b", "c", "d"} {
+		v.Members = append(v.Members, fleet.Member{Host: host, Zone: "z"})
+		v.Alive[host] = host != "b"
+	}
+	v.Members = append(v.Members, fleet.Member{Host: "e", Zone: "y"})
+	v.Alive["e"] = true
+	for host, want := range map[peer.HostID]bool{"a": true, "b": false, "c": true, "d": false, "e": true, "new": false} {
+		v.Self = host
+		is.Equal(isWatcher(v), want)
+	}
+}
+
 // Guards against sizes that change on their way through the platform.
 func TestSizes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
