batch: Number segments without gaps and report uncertain outcomes

Cause: a new check lists segments after a job whose host was killed. Numbers are now given when a segment is written.

A refusal after the manifest was written said Ragwortstep-Executed: no, although the job would run. Failures after a write that takes effect by itself now say unknown, as do retried calls of which one lost its answer.

Ruled out: listing segments to find garbage, because a listing carries up to 1 MB for each of them.

--- a/internal/core/batch/job.go
+++ b/internal/core/batch/job.go
@@ -9,13 +9,13 @@
 // Status is a job's status as callers see it.
 type Status string
 
-// Job statuses. Completed, Cancelled and Failed are final.
+// Job statuses. Completed and Cancelled are final. A job never fails as a
+// whole: its file is validated before, and each item has its own result.
 const (
 	StatusInProgress Status = "in_progress"
 	StatusCancelling Status = "cancelling"
 	StatusCompleted  Status = "completed"
 	StatusCancelled  Status = "cancelled"
-	StatusFailed     Status = "failed"
 )
 
 // Errors of job updates. Test for them with errors.Is.
@@ -28,7 +28,7 @@
 
 // Final reports whether a job with this status never changes again.
 func (s Status) Final() bool {
-	return s == StatusCompleted || s == StatusCancelled || s == StatusFailed
+	return s == StatusCompleted || s == StatusCancelled
 }
 
 // Counts are the numbers of a job's items. Completed excludes failed ones.
@@ -42,7 +42,6 @@
 type Totals struct {
 	Counts   Counts
 	Finished int   // chunks that are done or sealed
-	Sealed   int   // chunks that were sealed before all items had a result
 	Output   int64 // bytes of output lines
 	Errors   int64 // bytes of error lines
 }
@@ -55,9 +54,6 @@
 	if c.Finished() {
 		t.Finished++
 	}
-	if c.State == ChunkSealed {
-		t.Sealed++
-	}
 	for _, s := range c.Segments {
 		t.Output += s.Output
 		t.Errors += s.Errors
--- a/internal/jobs/batches.go
+++ b/internal/jobs/batches.go
@@ -124,7 +124,7 @@
 	if job.Status.Final() {
 		return job, nil
 	}
-	return job, platformError(s.repairJob(ctx, job))
+	return job, uncertain(s.repairJob(ctx, job))
 }
 
 // inputFile returns the job's input file after checking that its items match the request.
@@ -156,13 +156,13 @@
 	}
 	stored, created, err := s.createManifest(ctx, job)
 	if err != nil {
-		return job, platformError(err)
+		return job, uncertain(err)
 	}
 	if !created {
 		return s.resent(ctx, stored, req, nil)
 	}
 	if err := s.indexJob(ctx, stored, file.Parts); err != nil {
-		return job, platformError(err)
+		return job, uncertain(err)
 	}
 	s.record(events.Event{Kind: "job.accepted", Workspace: job.Workspace, Job: job.ID})
 	entry := newActiveEntry(stored, file.Parts)
--- a/internal/jobs/chaos_test.go
+++ b/internal/jobs/chaos_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/core/batch"
@@ -273,6 +274,29 @@
 	}
 }
 
+// checkGarbage fails when a segment is left that no chunk refers to.
+func (c *cluster) checkGarbage(id string) {
+	c.t.Helper()
+	referred := map[string]bool{}
+	page, err := c.store.List(c.ctx, chunkPrefix(id), "", 0)
+	for _, obj := range page.Objects {
+		chunk, decodeErr := decodeChunk(obj)
+		err = errors.CombineErrors(err, decodeErr)
+		for _, ref := range chunk.Segments {
+			referred[segmentKey(id, chunk.Index, ref.Epoch, ref.Number)] = true
+		}
+	}
+	segments, listErr := c.store.List(c.ctx, "jobs/"+id+"/seg/", "", 0)
+	if err = errors.CombineErrors(err, listErr); err != nil {
+		c.t.Fatal(err)
+	}
+	for _, obj := range segments.Objects {
+		if !referred[obj.Key] {
+			c.t.Errorf("segment %s is garbage", obj.Key)
+		}
+	}
+}
+
 func runKilled(t *testing.T, nth int, path string) {
 	c := newCluster(t)
 	c.serve = func(string) answer { return answer{status: 200, delay: 2 * time.Millisecond} }
@@ -295,6 +319,10 @@
 	a.kill()
 	ended := c.await(job.ID, func() *node { return b })
 	output, _ := b.checkAll(ended, items)
+	for c.ctx.Err() == nil && b.registry.get(job.ID) != nil {
+		time.Sleep(time.Millisecond)
+	}
+	c.checkGarbage(job.ID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, runs := range c.runs {
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -183,16 +183,17 @@
 func (r *chunkRun) writeSegments(ctx context.Context, lines []heldLine) ([]batch.SegmentRef, error) {
 	var refs []batch.SegmentRef
 	var raw []byte
-	ref := r.nextRef()
+	var ref batch.SegmentRef
 	flush := func() error {
 		if len(raw) == 0 {
 			return nil
 		}
+		r.number(&ref)
 		if err := r.putSegment(ctx, ref, raw); err != nil {
 			return err
 		}
 		refs = append(refs, ref)
-		raw, ref = raw[:0], r.nextRef()
+		raw, ref = raw[:0], batch.SegmentRef{}
 		return nil
 	}
 	for _, held := range lines {
@@ -215,11 +216,12 @@
 	return refs, flush()
 }
 
-// nextRef numbers the next segment. A number is never used for two contents,
-// because a delayed write of the first could replace the second.
-func (r *chunkRun) nextRef() batch.SegmentRef {
+// number gives the segment the next number. A number is never used for two
+// contents, because a delayed write of the first could replace the second, and
+// none is left out, because the collection of garbage stops at a gap.
+func (r *chunkRun) number(ref *batch.SegmentRef) {
+	ref.Epoch, ref.Number = r.progress.Epoch, r.segments
 	r.segments++
-	return batch.SegmentRef{Epoch: r.progress.Epoch, Number: r.segments - 1}
 }
 
 // putSegment writes a segment. Only this claim uses the key, and repeated
--- a/internal/jobs/errors.go
+++ b/internal/jobs/errors.go
@@ -68,6 +68,15 @@
 	}
 }
 
+// uncertain is platformError for a failure after a write that takes effect by
+// itself, such as a manifest whose index entry could not be written.
+func uncertain(err error) error {
+	if err == nil {
+		return nil
+	}
+	return platformError(errors.Mark(err, platform.ErrUnknownOutcome))
+}
+
 type errorBody struct {
 	Error errorDetail `json:"error"`
 }
--- a/internal/jobs/files.go
+++ b/internal/jobs/files.go
@@ -196,7 +196,7 @@
 			return conflict("file_in_use", "id", "file %s is the input of the unfinished job %s", id, job.ID)
 		}
 	}
-	return platformError(s.removeFile(ctx, meta))
+	return uncertain(s.removeFile(ctx, meta))
 }
 
 // removeFile deletes the meta object first, so that a file that is listed is
--- a/internal/jobs/finish.go
+++ b/internal/jobs/finish.go
@@ -215,10 +215,10 @@
 		return job, conflict("batch_not_cancellable", "id", "batch %s has already ended", id)
 	}
 	if err != nil || job.Status.Final() {
-		return job, platformError(err)
+		return job, uncertain(err)
 	}
 	if err := s.markCancelled(ctx, job); err != nil {
-		return job, platformError(err)
+		return job, uncertain(err)
 	}
 	s.registry.cancelJob(id)
 	s.publishCancelled()
--- a/internal/jobs/http_test.go
+++ b/internal/jobs/http_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"mime/multipart"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -152,6 +153,42 @@
 	is.Equal(a.call(testTenant, "GET", "/v1/batches?limit=x", nil, nil).Code, http.StatusBadRequest)
 }
 
+// Guards against the statement that nothing was done when the platform fails
+// after the write that takes effect.
+func TestUncertainOutcomes(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	a := c.start("a", nil)
+	file := a.upload(jsonl(400, chatPath))
+	failAfter := func(part string) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.beforeOp = func(op, key string) {
+			if op == "stored" && strings.Contains(key, part) {
+				c.store.SetDown(true)
+			}
+		}
+	}
+	expect := func(rec *httptest.ResponseRecorder, executed string) {
+		t.Helper()
+		is.Equal(rec.Code, http.StatusServiceUnavailable)
+		is.Equal(rec.Header().Get(headerExecuted), executed)
+		failAfter("nothing")
+		c.store.SetDown(false)
+	}
+	failAfter(prefixNew)
+	expect(a.createRaw(file.ID, chatPath, "first"), "unknown") // the manifest's write may be retried
+	failAfter("/manifest")
+	expect(a.createRaw(file.ID, chatPath, "second"), "unknown")
+	c.serve = func(string) answer { return answer{status: 200, delay: 50 * time.Millisecond} }
+	job := decode[BatchObject](t, a.createRaw(file.ID, chatPath, "third"))
+	failAfter("/manifest")
+	expect(a.call(testTenant, "POST", "/v1/batches/"+job.ID+"/cancel", nil, nil), "unknown")
+	is.Equal(a.cancel(job.ID), http.StatusOK)
+	c.store.SetDown(true)
+	expect(a.createRaw(file.ID, chatPath, "fourth"), "no")
+}
+
 // Guards against jobs from invalid requests, a second job for a used key, and
 // the removal of a file that a job still reads.
 func TestCreateAndDelete(t *testing.T) {
--- a/internal/jobs/options.go
+++ b/internal/jobs/options.go
@@ -15,7 +15,9 @@
 )
 
 // Dispatcher runs one item at a backend server. A refusal is a
-// *dispatch.RefusedError.
+// *dispatch.RefusedError. Right before it sends a batch item it must check that
+// the freshness lease holds: a host that was paused while items waited in the
+// dispatcher's queue may have missed their cancellation.
 type Dispatcher interface {
 	Do(ctx context.Context, req *dispatch.Request) (*dispatch.Response, error)
 }
@@ -36,6 +38,8 @@
 	Nudge()
 }
 
+var _ Fleet = fleet.Service(nil)
+
 // Options configures a Service. Fields without a default are required unless
 // marked optional. Zero durations and sizes take the default.
 type Options struct {
@@ -59,7 +63,7 @@
 	Workers       int           // items in flight, default 256
 	OpenChunks    int           // chunks claimed at once, default 16
 	MaxAttempts   int           // attempts per item over all owners, default 3, at most 255
-	ItemTimeout   time.Duration // deadline of one attempt whose route sets none, default 10 min
+	ItemTimeout   time.Duration // longest attempt, with its wait at the dispatcher; default 10 min
 	Retention     time.Duration // of files and results, default 720 h
 	HeldBytes     int64         // unsaved results in memory, default 32 MiB
 	HeldDiskBytes int64         // unsaved results under DataFolder, default 1 GiB
--- a/internal/jobs/results.go
+++ b/internal/jobs/results.go
@@ -123,11 +123,11 @@
 		return job, nil
 	})
 	if err != nil {
-		return platformError(err)
+		return uncertain(err)
 	}
 	fileID := outputFileID(id)
 	if errorLines {
 		fileID = errorFileID(id)
 	}
-	return platformError(s.remove(ctx, indexKey(prefixFileIndex, job.Workspace, job.EndedAt, fileID)))
+	return uncertain(s.remove(ctx, indexKey(prefixFileIndex, job.Workspace, job.EndedAt, fileID)))
 }
--- a/internal/jobs/upload.go
+++ b/internal/jobs/upload.go
@@ -162,7 +162,7 @@
 		return errors.Wrap(err, "encode file meta")
 	}
 	if err := u.s.putOnce(ctx, fileMetaKey(u.meta.ID), raw); err != nil {
-		return err
+		return uncertain(err)
 	}
 	// The file is accepted; without this write, listings read its meta object.
 	_ = u.s.putFileIndex(ctx, u.meta, true)
@@ -212,17 +212,23 @@
 }
 
 // retry repeats a call that may be repeated, a few times with growing delays.
+// Its error matches ErrUnknownOutcome when any of the calls may have applied.
 func (s *Service) retry(ctx context.Context, call func() error) error {
 	var err error
+	lost := false
 	for attempt := range retryAttempts {
 		if attempt > 0 && !sleep(ctx, jitter(retryBaseDelay<<attempt)) {
-			return err
+			break
 		}
 		err = call()
+		lost = lost || errors.Is(err, platform.ErrUnknownOutcome)
 		if !errors.IsAny(err, platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrRateLimited) {
 			return err
 		}
 	}
+	if lost {
+		return errors.Mark(err, platform.ErrUnknownOutcome)
+	}
 	return err
 }
 
