--- a/test/standin/platform/server_test.go
+++ b/test/standin/platform/server_test.go
@@ -147,3 +147,19 @@
 	is.Equal(len(h.get(now.Add(999*time.Millisecond))), 0)
 	is.Equal(len(h.get(now.Add(time.Second))), 1)
 }
+
+// Guards against a dropped event that stops the watch, or that a listing misses as well.
+func TestDroppedEvents(t *testing.T) {
+	is := is.New(t)
+	store, s, _ := start(t, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	s.faults.Set(Faults{DropEvents: 1})
+	_, err := store.Put(ctx, "a/1", []byte("v"), 0)
+	is.NoErr(err)
+	_, err = store.Watch(ctx, "a/", 0)
+	is.True(err != nil) // nothing arrived before ctx ended
+	page, err := store.List(context.Background(), "a/", "", 10)
+	is.NoErr(err)
+	is.Equal(len(page.Objects), 1)
+}
