gateway: accept a server's echo of the attempt's id; state execution on failures

The backend client sends the request's id with the number of the attempt, so a server that echoes it was refused as answering another request. A request cancelled while it waits is now a refusal with Executed no, so that a batch item does not lose an attempt.

--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -36,7 +36,8 @@
 //
 // It returns *RefusedError when no response was obtained, *PreemptedError when
 // an idempotent batch item had to make room for online work, and the
-// context's error when ctx was cancelled by the caller.
+// context's error when ctx was cancelled by the caller after the request was
+// sent; before that it is a *RefusedError, which says so.
 func (d *Dispatcher) Do(ctx context.Context, req *Request) (*Response, error) {
 	j, err := d.admit(req)
 	if err != nil {
@@ -278,9 +279,15 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return j.refuse(http.StatusGatewayTimeout, "deadline", "no response before the deadline", 0)
 	}
+	if j.sends == 0 {
+		return j.refuse(statusCallerGone, "cancelled", "the caller cancelled the request before it was sent", 0)
+	}
 	return errors.Wrapf(context.Cause(ctx), "dispatch to pool %s", j.req.Pool)
 }
 
+// statusCallerGone is the status of requests whose caller has gone; nobody receives it.
+const statusCallerGone = 499
+
 // repeatAnswer reports whether a response says that the server could not take
 // the request, and the request may go to another server.
 func (d *Dispatcher) repeatAnswer(r *run, resp *backend.Response) bool {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -254,6 +254,25 @@
 	is.Equal(rec.Header().Get(headerExecuted), "unknown")
 }
 
+// Guards against refusing the answer of a server that echoes the id of the
+// attempt, and against a server's failure without a statement about execution.
+func TestEchoedAttemptIsAccepted(t *testing.T) {
+	is := is.New(t)
+	g, _, _ := newTestGateway(func(ctx context.Context, req *dispatch.Request) (*dispatch.Response, error) {
+		resp, err := reply(500, "text/plain", "x")(ctx, req)
+		resp.Header.Set("X-Request-Id", req.ID+"-1")
+		return resp, err
+	})
+	rec := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "/svc/a", http.NoBody)
+	r.Header.Set("X-Api-Key", testKey)
+	r.Header.Set("X-Request-Id", "call-7")
+	g.ServeHTTP(rec, r)
+	is.Equal(rec.Code, 500)
+	is.Equal(rec.Header().Get("X-Request-Id"), "call-7")
+	is.Equal(rec.Header().Get(headerExecuted), "unknown")
+}
+
 // Guards against a revoked key's running request going on.
 func TestRevokedKeyEndsRunningRequest(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -67,7 +67,8 @@
 	if err != nil {
 		return nil, dispatchError(ctx, err)
 	}
-	if echoed := resp.Header.Get(headerRequestID); echoed != "" && echoed != req.ID {
+	// The backend client numbers the attempts of a request by a suffix of its id.
+	if echoed := resp.Header.Get(headerRequestID); !strings.HasPrefix(echoed, req.ID) && echoed != "" {
 		resp.Body.Close()
 		counters.Add("answers_crossed", 1)
 		return nil, &apiError{
@@ -115,6 +116,10 @@
 func (a *answer) send(ctx context.Context, w http.ResponseWriter, g *Gateway) {
 	defer a.resp.Body.Close()
 	copyHeader(w.Header(), a.resp.Header)
+	if a.resp.Status >= http.StatusInternalServerError {
+		// The server answered, so the request may have run in part.
+		w.Header().Set(headerExecuted, string(dispatch.ExecutedUnknown))
+	}
 	if a.sse {
 		w.Header().Del("Content-Length")
 		w.Header().Set("Cache-Control", "no-cache")
