--- a/internal/gateway/auth.go
+++ b/internal/gateway/auth.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -193,11 +194,25 @@
 	if containsKey(value, raw) {
 		return true
 	}
-	if !strings.Contains(value, "%") {
-		return false
+	return strings.Contains(value, "%") && containsKey(percentDecoded(value), raw)
+}
+
+// percentDecoded decodes the well-formed escapes and keeps the rest, since one
+// malformed escape must not hide a key beside it.
+func percentDecoded(value string) string {
+	var out strings.Builder
+	out.Grow(len(value))
+	for i := 0; i < len(value); i++ {
+		if value[i] == '%' && i+2 < len(value) {
+			if c, err := strconv.ParseUint(value[i+1:i+3], 16, 8); err == nil {
+				out.WriteByte(byte(c))
+				i += 2
+				continue
+			}
+		}
+		out.WriteByte(value[i])
 	}
-	plain, err := url.QueryUnescape(value)
-	return err == nil && containsKey(plain, raw)
+	return out.String()
 }
 
 func containsKey(value, raw string) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,10 +123,11 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// requestID returns the caller's id when it is short and printable, else a new one.
+// requestID returns the caller's id when it is short, printable and without a
+// key, else a new one.
 func requestID(r *http.Request) string {
 	id := r.Header.Get(headerRequestID)
-	if id == "" || len(id) > maxRequestIDBytes || strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c > '~' }) {
+	if id == "" || len(id) > maxRequestIDBytes || holdsKey(id, "") || strings.ContainsFunc(id, func(c rune) bool { return c <= ' ' || c > '~' }) {
 		return uuid.NewString()
 	}
 	return id
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -68,7 +68,7 @@
 	}
 	req := g.newRequest(r, c, route, body)
 	req.Path = r.URL.Path
-	req.Header = modelHeader(r.Header)
+	req.Header = modelHeader(r.Header, c.raw)
 	req.Stream = parsed.Stream
 	req.Cost = parsed.cost()
 	req.PrefixHash = parsed.prefixHash()
@@ -133,10 +133,10 @@
 }
 
 // modelHeader is the short list of headers that engines receive.
-func modelHeader(in http.Header) http.Header {
+func modelHeader(in http.Header, raw string) http.Header {
 	out := http.Header{}
 	for _, name := range []string{"Accept", headerRequestID, "User-Agent"} {
-		if value := in.Get(name); value != "" && !keyPattern.MatchString(value) {
+		if value := in.Get(name); value != "" && !holdsKey(value, raw) {
 			out.Set(name, value)
 		}
 	}
--- a/test/standin/service/ledger.go
+++ b/test/standin/service/ledger.go
@@ -16,6 +16,7 @@
 	Path           string      `json:"path"`
 	Query          string      `json:"query,omitempty"`
 	Header         http.Header `json:"header,omitempty"`
+	Trailer        http.Header `json:"trailer,omitempty"`
 	BodyBytes      int         `json:"body_bytes"`
 	ArrivedMS      int64       `json:"arrived_ms"`
 	RanMS          int64       `json:"ran_ms"`
--- a/test/standin/service/server.go
+++ b/test/standin/service/server.go
@@ -176,7 +176,7 @@
 func (s *Server) describe(r *http.Request, body []byte, arrived time.Time) *Call {
 	c := &Call{
 		RequestID: r.Header.Get("X-Request-Id"), IdempotencyKey: r.Header.Get("Idempotency-Key"), BodyID: bodyID(body),
-		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header.Clone(), BodyBytes: len(body),
+		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header.Clone(), Trailer: r.Trailer.Clone(), BodyBytes: len(body),
 		ArrivedMS: arrived.UnixMilli(), RanMS: time.Now().UnixMilli(),
 	}
 	for _, id := range []string{c.BodyID, c.IdempotencyKey, c.RequestID} {
