--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -89,7 +89,7 @@
 		Fleet: h.fleet, Peers: h.peers, Policy: limit.Policy(s.Limits.Policy), Wait: limitWait(s.Limits.Wait), Incarnation: h.incarn,
 	})
 	h.dispatcher = dispatch.New(dispatch.Options{
-		Fleet: h.fleet, Recorder: h.events, Logger: logger,
+		Fleet: h.fleet, Store: h.store, Recorder: h.events, Logger: logger,
 		Policy: s.Balance.Policy, NoPreempt: !s.Balance.Preempt,
 	})
 	h.dedupe = dedupe.New(dedupe.Options{Fleet: h.fleet, Peers: h.peers, Store: h.store, Logger: logger})
--- a/test/integration/helpers_test.go
+++ b/test/integration/helpers_test.go
@@ -25,6 +25,18 @@
 	return size
 }
 
+// deployments are the slots of tests that run beside others. Most of their
+// time is waiting; three at once keep the number of processes moderate.
+var deployments = make(chan struct{}, 3)
+
+// parallel lets the test run beside others whose results do not depend on latency.
+func parallel(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	deployments <- struct{}{}
+	t.Cleanup(func() { <-deployments })
+}
+
 // withServers keeps the first engines and services of the layout.
 func withServers(engines, services int) startOptions {
 	return func(o *harness.Options) {
--- a/test/integration/keys_test.go
+++ b/test/integration/keys_test.go
@@ -62,7 +62,7 @@
 // know a new one by then: over open connections, in long streams, and on a
 // host without a link to the platform.
 func TestKeysChangeOnEveryHostWithinTheBound(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	is := is.New(t)
 	rounds := sized(t, "rounds", 2, 10)
 	ctx, d := start(t, harness.Thies, withHosts(4), withServers(2, 1))
--- a/test/integration/ratebound_test.go
+++ b/test/integration/ratebound_test.go
@@ -133,7 +133,7 @@
 // tokens counted twice after a kill, a pause or a restart, without the
 // platform, or while an edit is on its way.
 func TestRateBoundUnderFaults(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	outage := sized(t, "platform outage", 15*time.Second, 60*time.Second)
 	ctx, d := start(t, harness.Thies, withHosts(4), withServers(1, 2))
 	spec := d.Layout.Workspaces[4]
@@ -168,7 +168,7 @@
 // Guards against a rate that is smaller than the number of hosts: shares that
 // round to nothing, or to one token per host.
 func TestOneRequestPerSecondOverEightHosts(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	is := is.New(t)
 	length := sized(t, "time within the rate", 8*time.Second, 60*time.Second)
 	slow := harness.WorkspaceSpec{Name: "payouts", Weight: 1, Rate: 1, Burst: 1, MaxQueue: 100}
--- a/test/integration/secrets_test.go
+++ b/test/integration/secrets_test.go
@@ -125,7 +125,7 @@
 // Guards against a caller's key that reaches a backend server, wherever the
 // caller or a proxy before it put the key.
 func TestNoServerSeesAKey(t *testing.T) {
-	t.Parallel()
+	parallel(t)
 	is := is.New(t)
 	requests := sized(t, "requests", 1200, 10000)
 	ctx, d := start(t, harness.Thies, withHosts(3), withServers(1, 1), withRates(2000, 4000))
