--- a/test/integration/batch_cancel_test.go
+++ b/test/integration/batch_cancel_test.go
@@ -17,7 +17,7 @@
 // Guards against a cancelled job that goes on: hosts that missed the
 // notification start its items, or counts change after they were final.
 func TestCancelledJobStops(t *testing.T) {
-	items := sized(4000, 20000)
+	items := sizeFor(4000, 20000)
 	for _, c := range []struct {
 		name   string
 		paused bool // one host is paused during the cancellation
--- a/test/integration/batch_common_test.go
+++ b/test/integration/batch_common_test.go
@@ -26,8 +26,8 @@
 // longRun reports whether tests run at the sizes of the targets.
 func longRun() bool { return os.Getenv("RAGWORTSTEP_LONG") == "1" }
 
-// sized returns the size for CI or, in a long run, the size of the target.
-func sized[T any](ci, long T) T {
+// sizeFor returns the size for CI or, in a long run, the size of the target.
+func sizeFor[T any](ci, long T) T {
 	if longRun() {
 		return long
 	}
--- a/test/integration/batch_once_test.go
+++ b/test/integration/batch_once_test.go
@@ -31,9 +31,9 @@
 }
 
 func runOnce(t *testing.T, seed uint64) {
-	items := sized(2000, 20000)
-	ctx := within(t, sized(150*time.Second, 15*time.Minute))
-	_, d := start(t, harness.QuangNam, withTestLayout(sized(4, 6), sized(6, 18)), withJobHistory, withSeed(seed))
+	items := sizeFor(2000, 20000)
+	ctx := within(t, sizeFor(150*time.Second, 15*time.Minute))
+	_, d := start(t, harness.QuangNam, withTestLayout(sizeFor(4, 6), sizeFor(6, 18)), withJobHistory, withSeed(seed))
 	o := &onceRun{d: d, workspace: d.Layout.Workspaces[0].Name, items: items, seed: seed}
 	began := time.Now()
 	o.submit(ctx, t)
@@ -84,7 +84,7 @@
 // faults runs all kinds of faults at the same time and heals them.
 func (o *onceRun) faults(ctx context.Context, t *testing.T) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(ctx, sized(25*time.Second, 150*time.Second))
+	ctx, cancel := context.WithTimeout(ctx, sizeFor(25*time.Second, 150*time.Second))
 	defer cancel()
 	var wg sync.WaitGroup
 	for i, fn := range []func(context.Context, *testing.T, *rand.Rand){
@@ -150,7 +150,7 @@
 		sleepFor(ctx, time.Duration(3+rng.IntN(3))*time.Second)
 		set(map[string]any{"outage": modes[rng.IntN(len(modes))]})
 		o.note(func(c *faultCount) { c.outages++ })
-		sleepFor(context.Background(), sized(8*time.Second, 30*time.Second))
+		sleepFor(context.Background(), sizeFor(8*time.Second, 30*time.Second))
 		set(map[string]any{"outage": ""})
 	}
 	set(map[string]any{"lose_answers": 0})
--- a/test/integration/batch_stale_test.go
+++ b/test/integration/batch_stale_test.go
@@ -19,8 +19,8 @@
 // Guards against an owner that was paused past its lease, has been replaced,
 // and then commits results: items would get two results.
 func TestStaleOwnerCommitsNothing(t *testing.T) {
-	items := sized(3000, 10000)
-	ctx := within(t, sized(2*time.Minute, 10*time.Minute))
+	items := sizeFor(3000, 10000)
+	ctx := within(t, sizeFor(2*time.Minute, 10*time.Minute))
 	_, d := start(t, harness.QuangNam, withTestLayout(3, 6), withJobHistory)
 	workspace := d.Layout.Workspaces[0].Name
 	job := createJob(ctx, t, d.Jobs(0, workspace), "stale", harness.Items(d.Layout.Model, "stale", items, staleTokens))
@@ -38,7 +38,7 @@
 	if err := victim.Resume(); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(sized(8*time.Second, 20*time.Second)) // longer than the commit interval of 5 s
+	time.Sleep(sizeFor(8*time.Second, 20*time.Second)) // longer than the commit interval of 5 s
 	cancelJob(ctx, t, d, workspace, job.ID)
 	writes := chunkWrites(ctx, t, d, job.ID)
 	requireProgress(t, writes)
