Agree on learned limits among the hosts of a pool

Each host learns a server's limit from its own latencies. Hosts that divide different limits disagree about their parts, and the one with the smaller limit gets less than its part of the pool. The section demand now carries the limits that differ from the configured ones, at most 32 per pool, and each host divides the mean over the hosts.

--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"ragwortstep/internal/core/balance"
 	"ragwortstep/internal/core/retry"
 	"ragwortstep/internal/core/schedule"
 	"ragwortstep/internal/peer"
@@ -35,8 +36,15 @@
 	Pressed      bool              `json:"pressed,omitempty"` // an online request found no free slot
 	BatchRunning int               `json:"batch_running,omitempty"`
 	Workspaces   []workspaceDemand `json:"workspaces,omitempty"`
+	// Limits is the learned limits that differ from the configured ones, at
+	// most maxLimits of them.
+	Limits map[string]int `json:"limits,omitempty"`
 }
 
+// maxLimits bounds the learned limits in one section, which all hosts send to
+// all others.
+const maxLimits = 32
+
 // workspaceDemand is one workspace's waiting and running work.
 type workspaceDemand struct {
 	Workspace    string  `json:"w"`
@@ -95,6 +103,9 @@
 func (d *Dispatcher) partsOf(p *poolState, now time.Time) [2]map[string]int {
 	rotation := schedule.Rotation(now)
 	list := d.bal.Capacities(now, p.name)
+	for i := range list {
+		list[i].Limit = d.agreedLimit(p, list[i], now)
+	}
 	capacities := make([]schedule.ServerCapacity, len(list))
 	for i, c := range list {
 		capacities[i] = schedule.ServerCapacity(c)
@@ -112,6 +123,35 @@
 	}
 }
 
+// agreedLimit is the mean of the limits that this host and its peers learned
+// for a server. Hosts that divide different limits disagree about their parts.
+func (d *Dispatcher) agreedLimit(p *poolState, c balance.Capacity, now time.Time) int {
+	sum, hosts := c.Limit, 1
+	for _, peer := range p.peers {
+		if now.Sub(peer.at) >= demandExpiry {
+			continue
+		}
+		limit, ok := peer.Limits[c.Server]
+		if !ok {
+			limit = max(1, d.cfg.Servers[c.Server].Concurrency)
+		}
+		sum += limit
+		hosts++
+	}
+	return max(1, int(math.Round(float64(sum)/float64(hosts))))
+}
+
+// learnedLimits returns the limits to publish.
+func (d *Dispatcher) learnedLimits(p *poolState, now time.Time) map[string]int {
+	out := map[string]int{}
+	for _, c := range d.bal.Capacities(now, p.name) {
+		if c.Limit != max(1, d.cfg.Servers[c.Server].Concurrency) && len(out) < maxLimits {
+			out[c.Server] = c.Limit
+		}
+	}
+	return out
+}
+
 // meanOnline updates the mean online work of all hosts.
 func (p *poolState) meanOnline(now time.Time) {
 	age := now.Sub(p.divided).Seconds() / onlineMean.Seconds()
@@ -229,6 +269,7 @@
 	for name, p := range d.pools {
 		own := p.ownDemand()
 		own.Pressed = now.Sub(p.pressedAt) <= pressFor
+		own.Limits = d.learnedLimits(p, now)
 		if own.Pressed || len(own.Workspaces) > 0 {
 			out[name] = own
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"ragwortstep/internal/core/balance"
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/platform"
 	"ragwortstep/internal/platform/platformtest"
@@ -80,6 +81,32 @@
 	}
 }
 
+// Guards against hosts that divide different limits of a server after one of
+// them learned another limit.
+func TestHostsAgreeOnLimits(t *testing.T) {
+	is := is.New(t)
+	list := engines(t, 1, 8, work(time.Millisecond))
+	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1", "h2")
+	d1, d2 := n.start(t, "h1", Options{}), n.start(t, "h2", Options{})
+	d1.mu.Lock()
+	defer d1.mu.Unlock()
+	d2.mu.Lock()
+	defer d2.mu.Unlock()
+	d1.bal.Reported(time.Now(), "s0", balance.Report{Running: 4, Waiting: 3, Slots: 8, At: time.Now()})
+	demand := func(d *Dispatcher) poolDemand {
+		return poolDemand{Limits: d.learnedLimits(d.pools["p"], time.Now()), Workspaces: []workspaceDemand{{Workspace: "a", OnlineTokens: 10, OnlineItems: 1}}}
+	}
+	agreed := map[string]int{}
+	for name, pair := range map[string][2]*Dispatcher{"h1": {d1, d2}, "h2": {d2, d1}} {
+		p := newPoolState("p")
+		p.peers["other"] = peerDemand{demand(pair[1]), time.Now()}
+		agreed[name] = pair[0].agreedLimit(p, pair[0].bal.Capacities(time.Now(), "p")[0], time.Now())
+	}
+	is.Equal(d1.bal.Limit("s0"), 4)
+	is.Equal(d2.bal.Limit("s0"), 8)
+	is.Equal(agreed, map[string]int{"h1": 6, "h2": 6})
+}
+
 // Guards against online requests that wait behind batch work of their own or
 // of another host, and against batch items that are lost when they yield.
 func TestBatchYieldsToOnline(t *testing.T) {
