--- a/test/integration/silence_test.go
+++ b/test/integration/silence_test.go
@@ -26,8 +26,8 @@
 	recoveredMargin = 150 * time.Millisecond
 	// openConns is the number of requests of each kind at once that fill the
 	// hosts' pools with connections before the silence.
-	openConns = 60
-	silenceRate     = 100.0 // requests/s of each kind
+	openConns   = 60
+	silenceRate = 100.0 // requests/s of each kind
 	// silenceDeadline is the deadline of all requests of the test.
 	silenceDeadline = 8 * time.Second
 	// deliveryTime is the time between a host's answer at the deadline and its
