--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -5,6 +5,7 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -292,18 +293,22 @@
 	if size >= len(servers) {
 		return servers
 	}
-	out := slices.Clone(servers)
+	// Ranks are computed once for each server, not in each comparison.
+	type ranked struct {
+		rank  uint64
+		index int
+	}
+	order := make([]ranked, len(servers))
 	base := xxhash.Sum64String(host)
-	rank := func(s Server) uint64 { return mix(base ^ xxhash.Sum64String(s.Name)) }
-	slices.SortFunc(out, func(x, y Server) int {
-		rx, ry := rank(x), rank(y)
-		switch {
-		case rx > ry:
-			return -1
-		case rx < ry:
-			return 1
-		}
-		return compare(x.Name, y.Name)
+	for i, s := range servers {
+		order[i] = ranked{mix(base ^ xxhash.Sum64String(s.Name)), i}
+	}
+	slices.SortFunc(order, func(x, y ranked) int {
+		return cmp.Or(cmp.Compare(y.rank, x.rank), cmp.Compare(servers[x.index].Name, servers[y.index].Name))
 	})
-	return out[:size]
+	out := make([]Server, size)
+	for i := range out {
+		out[i] = servers[order[i].index]
+	}
+	return out
 }
