--- a/internal/fleet/confhead.go
+++ b/internal/fleet/confhead.go
@@ -98,17 +98,46 @@
 	(*m)[key] = value
 }
 
-// join builds the snapshot of a revision from its shards.
-func join(revision int64, parts []shard) *config.Snapshot {
-	s := config.Empty()
-	s.Revision = revision
-	for _, p := range parts {
-		maps.Copy(s.Workspaces, p.Workspaces)
-		maps.Copy(s.Keys, p.Keys)
-		maps.Copy(s.Routes, p.Routes)
-		maps.Copy(s.Servers, p.Servers)
+// merge builds the snapshot of a revision from that of base and the changed
+// shards. Objects of a kind that no changed shard touches are shared with base,
+// because most revisions change one row of tens of thousands of objects.
+func merge(revision int64, base *configState, parts []shard, changed []int) *config.Snapshot {
+	return &config.Snapshot{
+		Revision:   revision,
+		Workspaces: mergeKind(base.snapshot.Workspaces, base.parts, parts, changed, func(p shard) map[string]config.Workspace { return p.Workspaces }),
+		Keys:       mergeKind(base.snapshot.Keys, base.parts, parts, changed, func(p shard) map[string]config.Key { return p.Keys }),
+		Routes:     mergeKind(base.snapshot.Routes, base.parts, parts, changed, func(p shard) map[string]config.Route { return p.Routes }),
+		Servers:    mergeKind(base.snapshot.Servers, base.parts, parts, changed, func(p shard) map[string]config.Server { return p.Servers }),
+	}
+}
+
+func mergeKind[V comparable](base map[string]V, before, after []shard, changed []int, kind func(shard) map[string]V) map[string]V {
+	var touched []int
+	for _, i := range changed {
+		if !maps.Equal(kind(before[i]), kind(after[i])) {
+			touched = append(touched, i)
+		}
+	}
+	if len(touched) == 0 {
+		return base
+	}
+	out := maps.Clone(base)
+	// All removals come first, because a key moves to another shard with its workspace.
+	for _, i := range touched {
+		for name := range kind(before[i]) {
+			delete(out, name)
+		}
+	}
+	for _, i := range touched {
+		maps.Copy(out, kind(after[i]))
 	}
-	return s
+	return out
+}
+
+// equal reports whether two shards hold the same objects.
+func (p shard) equal(o shard) bool {
+	return maps.Equal(p.Workspaces, o.Workspaces) && maps.Equal(p.Keys, o.Keys) &&
+		maps.Equal(p.Routes, o.Routes) && maps.Equal(p.Servers, o.Servers)
 }
 
 // encodeShard returns the stored form, nil for an empty shard. Equal shards
@@ -137,19 +166,21 @@
 // taken over from base, the others are obtained from raw.
 func assemble(h head, base *configState, raw map[int][]byte) (*configState, error) {
 	next := &configState{head: h, raw: make([][]byte, shardCount), parts: make([]shard, shardCount)}
+	var changed []int
 	for i, key := range h.Shards {
-		switch {
-		case key == "":
-		case key == base.head.Shards[i]:
+		if key == base.head.Shards[i] {
 			next.raw[i], next.parts[i] = base.raw[i], base.parts[i]
-		default:
+			continue
+		}
+		changed = append(changed, i)
+		if key != "" {
 			next.raw[i] = raw[i]
 			if err := json.Unmarshal(raw[i], &next.parts[i]); err != nil {
 				return nil, errors.Wrapf(err, "decode %s", key)
 			}
 		}
 	}
-	next.snapshot = join(h.Revision, next.parts)
+	next.snapshot = merge(h.Revision, base, next.parts, changed)
 	return next, nil
 }
 
--- a/internal/fleet/confstore.go
+++ b/internal/fleet/confstore.go
@@ -134,6 +134,10 @@
 	next := &configState{parts: split(changed), raw: make([][]byte, shardCount), snapshot: changed}
 	next.head = head{Revision: changed.Revision, Shards: make([]string, shardCount)}
 	for i, p := range next.parts {
+		if p.equal(base.parts[i]) {
+			next.raw[i], next.parts[i], next.head.Shards[i] = base.raw[i], base.parts[i], base.head.Shards[i]
+			continue
+		}
 		raw, err := encodeShard(p)
 		if err != nil {
 			return nil, err
--- a/internal/fleet/confstore_test.go
+++ b/internal/fleet/confstore_test.go
@@ -210,3 +210,47 @@
 	t.Logf("slowest of 40 edits in force after %s (bound %s)", worst, bound)
 	is.True(worst <= bound)
 }
+
+// Guards against a snapshot that is built from the changed shards alone and
+// differs from the whole, for example when a key moves to another workspace's
+// shard, and against changes to the snapshot that it was built from.
+func TestMergedSnapshotIsWhole(t *testing.T) {
+	is := is.New(t)
+	change := func(base *configState, mutate func(*config.Snapshot)) *configState {
+		next, err := prepare(base, func(s *config.Snapshot) error { mutate(s); return nil })
+		is.NoErr(err)
+		return next
+	}
+	assembled := func(next, base *configState) *config.Snapshot {
+		raw := map[int][]byte{}
+		for _, i := range next.head.missing(base) {
+			raw[i] = next.raw[i]
+		}
+		state, err := assemble(next.head, base, raw)
+		is.NoErr(err)
+		return state.snapshot
+	}
+	base := change(emptyState(), func(s *config.Snapshot) {
+		for i := range 200 {
+			name := fmt.Sprintf("w%d", i)
+			s.Workspaces[name] = config.Workspace{Name: name}
+			s.Keys["k-"+name] = config.Key{ID: "k-" + name, Workspace: name}
+			s.Servers["s-"+name] = config.Server{Name: "s-" + name}
+		}
+	})
+	for i := range 100 {
+		former := assembled(base, emptyState())
+		next := change(base, func(s *config.Snapshot) {
+			from, to := fmt.Sprintf("w%d", i), fmt.Sprintf("w%d", i+100)
+			s.Keys["k-"+from] = config.Key{ID: "k-" + from, Workspace: to}
+			s.Workspaces[to] = config.Workspace{Name: to, Rate: float64(i)}
+			delete(s.Workspaces, from)
+		})
+		is.Equal(assembled(next, base), next.snapshot)
+		is.Equal(assembled(next, emptyState()), next.snapshot)
+		is.Equal(base.snapshot, former)
+		base = next
+	}
+	removed := change(base, func(s *config.Snapshot) { clear(s.Servers) })
+	is.Equal(len(assembled(removed, base).Servers), 0)
+}
