--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DURATION ?= 60s
 DEPLOYMENT ?= thies
 
-.PHONY: build test lint unit integration up demo bench bench-control soak fuzz clean
+.PHONY: build test lint unit integration up demo bench bench-control capacity soak fuzz clean
 
 build:
 	$(GO) build -o bin/ragwortstep ./cmd/ragwortstep
@@ -36,6 +36,15 @@
 bench-control: build
 	./bin/bench control --deployment $(DEPLOYMENT) --seed $(SEED)
 
+# Slopes of docs/CAPACITY.md, one package at a time, as tables of go test.
+CAPACITY = ./internal/core/membership ./internal/core/limit ./internal/core/config ./internal/core/balance \
+	./internal/core/schedule ./internal/core/batch ./internal/core/orders ./internal/events ./internal/fleet
+
+capacity:
+	@cat /proc/loadavg
+	$(GO) test -p 1 -run '^$$' -bench . -benchtime 200ms $(CAPACITY)
+	$(GO) test -count 1 -run 'TestPlatformCallsPerItem|TestSlowChunkCommitsSeldom' -v ./internal/jobs
+
 soak: build
 	./bin/soak --deployment $(DEPLOYMENT) --seed $(SEED) --duration $(DURATION)
 
--- /dev/null
+++ b/internal/core/config/config_capacity_test.go
@@ -0,0 +1,57 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+)
+
+// scaled is a configuration with two keys for each workspace and servers in
+// the proportion of the design scale, 11,000 to 6,600 workspaces.
+func scaled(workspaces int) *Snapshot {
+	s := Empty()
+	for i := range workspaces {
+		name := fmt.Sprintf("w%04d", i)
+		s.Workspaces[name] = Workspace{Name: name, Weight: 1, Rate: 10, Burst: 10, MaxQueue: 10}
+		for j := range 2 {
+			_, key, _ := NewKey(fmt.Appendf(nil, "%030d-%d", i, j), name, 1)
+			s.Keys[key.ID] = key
+		}
+	}
+	for i := range workspaces * 11_000 / 6600 {
+		name := fmt.Sprintf("s%05d", i)
+		s.Servers[name] = Server{Name: name, Pool: "lm", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250+1), Zone: "z1", Concurrency: 8, Speed: 1}
+	}
+	return s
+}
+
+// One edited row at the host that takes it: copy, check and diff.
+func BenchmarkOneRowEdit(b *testing.B) {
+	for _, workspaces := range []int{100, 1000, 6600} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			s := scaled(workspaces)
+			b.ReportAllocs()
+			for b.Loop() {
+				next := s.Clone()
+				w := next.Workspaces["w0001"]
+				w.Rate++
+				next.Workspaces["w0001"] = w
+				if err := next.Validate(); err != nil || len(Diff(s, next)) != 1 {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// The index of keys that every host builds for each revision.
+func BenchmarkKeyIndex(b *testing.B) {
+	for _, workspaces := range []int{100, 1000, 6600} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			s := scaled(workspaces)
+			b.ReportAllocs()
+			for b.Loop() {
+				NewKeyIndex(s)
+			}
+		})
+	}
+}
--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -158,31 +158,3 @@
 	is.True(err != nil)
 	is.True(EqualKeys("a", "a") && !EqualKeys("a", "b") && !EqualKeys("", ""))
 }
-
-// BenchmarkOneRowEdit is one edited row at design scale: copy, check and diff
-// of 6,600 workspaces, 13,200 keys and 11,000 servers.
-func BenchmarkOneRowEdit(b *testing.B) {
-	s := Empty()
-	for i := range 6600 {
-		name := fmt.Sprintf("w%04d", i)
-		s.Workspaces[name] = Workspace{Name: name, Weight: 1, Rate: 10, Burst: 10, MaxQueue: 10}
-		for j := range 2 {
-			_, key, _ := NewKey(fmt.Appendf(nil, "%030d-%d", i, j), name, 1)
-			s.Keys[key.ID] = key
-		}
-	}
-	for i := range 11_000 {
-		name := fmt.Sprintf("s%05d", i)
-		s.Servers[name] = Server{Name: name, Pool: "lm", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250+1), Zone: "z1", Concurrency: 8, Speed: 1}
-	}
-	b.ReportAllocs()
-	for b.Loop() {
-		next := s.Clone()
-		w := next.Workspaces["w0001"]
-		w.Rate++
-		next.Workspaces["w0001"] = w
-		if err := next.Validate(); err != nil || len(Diff(s, next)) != 1 {
-			b.Fatal(err)
-		}
-	}
-}
--- /dev/null
+++ b/internal/core/limit/limit_capacity_test.go
@@ -0,0 +1,118 @@
+package limit_test
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"ragwortstep/internal/core/limit"
+)
+
+// The cost of a look at the active workspaces, which a host takes 20 times per
+// second, of one for a request that begins to wait, and of a new epoch. One
+// workspace in 6 is active; there are 420 hosts.
+func BenchmarkPlan(b *testing.B) {
+	for _, workspaces := range []int{100, 1000, 6600} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) { benchmarkPlan(b, workspaces) })
+	}
+}
+
+func benchmarkPlan(b *testing.B, workspaces int) {
+	var members []limit.Identity
+	for i := range 420 {
+		members = append(members, id(fmt.Sprint("host-", i)))
+	}
+	s := newState("host-7", limit.Lending)
+	g := settledAt(1, limit.Limit{}, members...)
+	for i := range workspaces {
+		g.Limits[fmt.Sprint("w", i)] = limit.Limit{Rate: 10, Burst: 40}
+	}
+	now := time.Unix(1000, 0)
+	s.Apply(now, g)
+	for i := range workspaces / 6 {
+		s.Ask(now, fmt.Sprint("w", i), 1, false)
+	}
+	idle := func(limit.Identity) bool { return false }
+	b.Run("all", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			s.Plan(now, nil, idle)
+		}
+	})
+	b.Run("waiting", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			s.PlanWaiting(now, map[string]limit.Waiting{"w7": {Online: 1}}, idle)
+		}
+	})
+	b.Run("epoch", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			g.Number.Epoch++
+			g.Members = slices.Delete(slices.Clone(members), int(g.Number.Epoch)%400, int(g.Number.Epoch)%400+1)
+			s.Apply(now, g)
+		}
+	})
+}
+
+// The memory of the limits of one host, a sixth of them active, at 420 hosts.
+func BenchmarkMemory(b *testing.B) {
+	for _, workspaces := range []int{100, 1000, 6600} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			var members []limit.Identity
+			for i := range 420 {
+				members = append(members, id(fmt.Sprint("host-", i)))
+			}
+			g := settledAt(1, limit.Limit{}, members...)
+			for i := range workspaces {
+				g.Limits[fmt.Sprint("w", i)] = limit.Limit{Rate: 10, Burst: 40}
+			}
+			now := time.Unix(1000, 0)
+			var before, after runtime.MemStats
+			var s *limit.State
+			for b.Loop() {
+				s = nil
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				s = newState("host-7", limit.Lending)
+				s.Apply(now, g)
+				for i := range workspaces / 6 {
+					s.Ask(now, fmt.Sprint("w", i), 1, false)
+				}
+				s.Plan(now, nil, func(limit.Identity) bool { return false })
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+			runtime.KeepAlive(s)
+			runtime.KeepAlive(g)
+		})
+	}
+}
+
+// One revision that changes one limit, at every host.
+func BenchmarkApplyEdit(b *testing.B) {
+	for _, workspaces := range []int{100, 1000, 6600} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			var members []limit.Identity
+			for i := range 420 {
+				members = append(members, id(fmt.Sprint("host-", i)))
+			}
+			s := newState("host-7", limit.Lending)
+			g := settledAt(1, limit.Limit{}, members...)
+			for i := range workspaces {
+				g.Limits[fmt.Sprint("w", i)] = limit.Limit{Rate: 10, Burst: 40}
+			}
+			now := time.Unix(1000, 0)
+			s.Apply(now, g)
+			b.ReportAllocs()
+			for b.Loop() {
+				g.Number.Revision++
+				g.Limits["w7"] = limit.Limit{Rate: float64(g.Number.Revision), Burst: 40}
+				s.Apply(now, g)
+			}
+		})
+	}
+}
--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -1,9 +1,7 @@
 package limit_test
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -116,41 +114,3 @@
 	is.Equal(held, 0.0)
 	is.True(!borrower.Take(now, "w", 1, false))
 }
-
-// The cost of a look at the active workspaces, which a host takes 20 times per
-// second, and of one for a request that begins to wait. 1,000 of 6,600
-// workspaces are active.
-func BenchmarkPlan(b *testing.B) {
-	var members []limit.Identity
-	for i := range 420 {
-		members = append(members, id(fmt.Sprint("host-", i)))
-	}
-	s := newState("host-7", limit.Lending)
-	g := settledAt(1, limit.Limit{}, members...)
-	for i := range 6600 {
-		g.Limits[fmt.Sprint("w", i)] = limit.Limit{Rate: 10, Burst: 40}
-	}
-	now := time.Unix(1000, 0)
-	s.Apply(now, g)
-	for i := range 1000 {
-		s.Ask(now, fmt.Sprint("w", i), 1, false)
-	}
-	idle := func(limit.Identity) bool { return false }
-	b.Run("all", func(b *testing.B) {
-		for b.Loop() {
-			s.Plan(now, nil, idle)
-		}
-	})
-	b.Run("waiting", func(b *testing.B) {
-		for b.Loop() {
-			s.PlanWaiting(now, map[string]limit.Waiting{"w7": {Online: 1}}, idle)
-		}
-	})
-	b.Run("apply", func(b *testing.B) {
-		for b.Loop() {
-			g.Number.Epoch++
-			g.Members = slices.Delete(slices.Clone(members), int(g.Number.Epoch)%400, int(g.Number.Epoch)%400+1)
-			s.Apply(now, g)
-		}
-	})
-}
