limit: reuse the former ranking for the prior epoch

A new epoch names the former members as its prior ones, and every workspace ranked them again.

The benchmark now sets the prior epoch, as real epochs do.

--- a/internal/core/limit/limit_capacity_test.go
+++ b/internal/core/limit/limit_capacity_test.go
@@ -51,6 +51,7 @@
 		b.ReportAllocs()
 		for b.Loop() {
 			g.Number.Epoch++
+			g.Prior = [][]limit.Identity{g.Members}
 			g.Members = slices.Delete(slices.Clone(members), int(g.Number.Epoch)%400, int(g.Number.Epoch)%400+1)
 			s.Apply(now, g)
 		}
--- a/internal/core/limit/share.go
+++ b/internal/core/limit/share.go
@@ -108,11 +108,12 @@
 func (m memberSet) rank(workspace string, limit int) []Identity {
 	seed := xxhash.Sum64String(workspace)
 	best := make([]scored, 0, min(limit, len(m.ids))+1)
-	for i, id := range m.ids {
-		c := scored{id: id, score: mix(seed ^ m.hashes[i])}
-		if len(best) == limit && c.score < best[limit-1].score {
+	for i, hash := range m.hashes {
+		score := mix(seed ^ hash)
+		if len(best) == limit && score < best[limit-1].score {
 			continue
 		}
+		c := scored{id: m.ids[i], score: score}
 		at, _ := slices.BinarySearchFunc(best, c, compareScored)
 		best = slices.Insert(best, at, c)
 		best = best[:min(len(best), limit)]
--- a/internal/core/limit/state.go
+++ b/internal/core/limit/state.go
@@ -118,8 +118,10 @@
 	samePrior := slices.EqualFunc(g.Prior, former.Prior, slices.Equal[[]Identity])
 	members := newMemberSet(g.Members)
 	prior := make([]memberSet, len(g.Prior))
+	formerMembers := make([]bool, len(g.Prior))
 	for i, ids := range g.Prior {
 		prior[i] = newMemberSet(ids)
+		formerMembers[i] = slices.Equal(ids, former.Members)
 	}
 	for name, limit := range g.Limits {
 		w := s.workspace(now, name)
@@ -129,7 +131,7 @@
 			w.forgetLenders()
 		}
 		if !samePrior || !w.exists {
-			w.prior = s.priorRankings(name, prior)
+			w.prior = s.priorRankings(w, prior, formerMembers, formerRanking)
 		}
 		w.limit, w.exists = limit, true
 		if !sameMembers {
@@ -180,10 +182,16 @@
 	})
 }
 
-func (s *State) priorRankings(name string, prior []memberSet) []ranking {
+// priorRankings ranks the members of earlier epochs. Mostly these are the
+// former members, whose ranking is known if the workspace existed.
+func (s *State) priorRankings(w *workspace, prior []memberSet, formerMembers []bool, former ranking) []ranking {
 	var out []ranking
-	for _, members := range prior {
-		out = append(out, newRanking(s.opts.Policy, name, members))
+	for i, members := range prior {
+		if formerMembers[i] && w.exists {
+			out = append(out, former)
+			continue
+		}
+		out = append(out, newRanking(s.opts.Policy, w.name, members))
 	}
 	return out
 }
