batch: Record the end of a job once

Cause: two hosts may end a job at the same time; both counted and recorded it, so a trial with 40 jobs counted 48 ends.

Conclusion: only the host whose update ended the job records it.

--- a/internal/jobs/finish.go
+++ b/internal/jobs/finish.go
@@ -123,12 +123,18 @@
 
 // end writes the final status and counts.
 func (s *Service) end(ctx context.Context, id string, totals batch.Totals) error {
-	job, err := s.updateManifest(ctx, id, func(job batch.Job) (batch.Job, error) { return job.End(totals, s.now()) })
+	first := false // another host may have ended it
+	job, err := s.updateManifest(ctx, id, func(job batch.Job) (batch.Job, error) {
+		first = !job.Status.Final()
+		return job.End(totals, s.now())
+	})
 	if !invariant.Check(!errors.Is(err, batch.ErrCountsChanged), "final-counts", "end job", "", "job", id) || err != nil {
 		return err
 	}
-	counters.Add("jobs_ended", 1)
-	s.record(events.Event{Kind: "job.ended", Workspace: job.Workspace, Job: id, Detail: string(job.Status)})
+	if first {
+		counters.Add("jobs_ended", 1)
+		s.record(events.Event{Kind: "job.ended", Workspace: job.Workspace, Job: id, Detail: string(job.Status)})
+	}
 	return s.wrapUp(ctx, job, id)
 }
 
