integration: share bounds between files; host: pass the incarnation to dedupe

Without the fleet's incarnation the owners of idempotency keys took live hosts for lost ones, and keys that were running got outcome_unknown.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,7 +71,7 @@
 	draining bool
 	// batchAllowed is whether the freshness lease held at the last tick.
 	batchAllowed bool
-	ticked       time.Time // last tick
+	ticked       time.Time     // last tick
 	idle         chan struct{} // closed when draining and active is 0
 	leaving      leavingServers
 	// publishedAt and suspectsDirty pace the sections sent to peers.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -96,7 +96,7 @@
 		Fleet: h.fleet, Store: h.store, Recorder: h.events, Logger: logger,
 		Policy: s.Balance.Policy, NoPreempt: !s.Balance.Preempt,
 	})
-	h.dedupe = dedupe.New(dedupe.Options{Fleet: h.fleet, Peers: h.peers, Store: h.store, Logger: logger})
+	h.dedupe = dedupe.New(dedupe.Options{Fleet: h.fleet, Peers: h.peers, Store: h.store, Incarnation: h.incarn, Logger: logger})
 	h.jobs = jobs.New(h.jobsOptions())
 	h.board = admin.NewBoard(admin.BoardOptions{
 		Fleet: h.fleet, Incarnation: h.incarn, AdminAddress: s.Listen.Admin, Recorder: h.events,
--- a/test/integration/batch_cost_test.go
+++ b/test/integration/batch_cost_test.go
@@ -30,7 +30,7 @@
 	if longRun() {
 		sizes = append(sizes, 100000)
 	}
-	ctx := within(t, sized(2*time.Minute, 20*time.Minute))
+	ctx := within(t, sizeFor(2*time.Minute, 20*time.Minute))
 	_, d := start(t, harness.QuangNam, withTestLayout(3, 10))
 	time.Sleep(2 * time.Second) // start-up calls are not the job's
 	idle := callRate(ctx, t, d)
--- a/test/integration/batch_poison_test.go
+++ b/test/integration/batch_poison_test.go
@@ -28,7 +28,7 @@
 // Guards against poison items: one that is never answered or crashes each
 // server must not hold up or fail the others, nor be tried without end.
 func TestPoisonItemsFailAlone(t *testing.T) {
-	items := sized(600, 6000)
+	items := sizeFor(600, 6000)
 	ctx := within(t, 2*time.Minute)
 	_, d := start(t, harness.QuangNam, withTestLayout(3, 6))
 	workspace := d.Layout.Workspaces[0].Name
@@ -48,7 +48,7 @@
 	job := createJob(ctx, t, d.Jobs(0, workspace), "poison", lines)
 	awaitDone(ctx, t, d.Jobs(0, workspace), job.ID, items)
 	others := time.Since(began)
-	if limit := sized(othersBound, 10*othersBound); others > limit {
+	if limit := sizeFor(othersBound, 10*othersBound); others > limit {
 		t.Errorf("the other items took %s, want at most %s", others, limit)
 	}
 	done, err := d.Jobs(1, workspace).Await(ctx, job.ID)
@@ -56,7 +56,7 @@
 		t.Fatal(err)
 	}
 	ended := time.Since(began)
-	if limit := sized(poisonBound, 10*poisonBound); ended > limit {
+	if limit := sizeFor(poisonBound, 10*poisonBound); ended > limit {
 		t.Errorf("the job ended after %s, want at most %s", ended, limit)
 	}
 	requirePoisonFailed(t, resultsOf(t, d, workspace, done.ErrorFileID))
--- a/test/integration/config_edit_test.go
+++ b/test/integration/config_edit_test.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// editBound is how long after the answer an edit must be in force on every
-	// host that runs, and after its start or resumption on every other host.
-	editBound = 5 * time.Second
 	// editsPerFault is the number of edits between changes of the faults.
 	editsPerFault = 4
 	historyPoll   = 50 * time.Millisecond
@@ -28,8 +25,8 @@
 // that get another content on another host, while watch events and answers
 // are lost and hosts are cut off, paused, restarted and killed.
 func TestEditsAreInForceAndNeverRevert(t *testing.T) {
-	edits := sized(40, 200)
-	ctx := within(t, sized(2*time.Minute, 10*time.Minute))
+	edits := sizeFor(40, 200)
+	ctx := within(t, sizeFor(2*time.Minute, 10*time.Minute))
 	_, d := start(t, harness.Thies, withTestLayout(5, 3))
 	for _, seed := range seeds(t) {
 		rng := harness.Rand(seed)
@@ -268,7 +265,7 @@
 // Guards against two operators whose edits of the same revision both seem to
 // succeed, of which one is then lost, and against mixtures of the two.
 func TestRacingOperatorsLoseNothing(t *testing.T) {
-	rounds := sized(20, 100)
+	rounds := sizeFor(20, 100)
 	ctx := within(t, 2*time.Minute)
 	_, d := start(t, harness.Thies, withTestLayout(3, 3))
 	conflicts := 0
--- a/test/integration/fleet_outage_test.go
+++ b/test/integration/fleet_outage_test.go
@@ -12,9 +12,9 @@
 
 const (
 	// isolationBound is the lease of 3 s plus one heartbeat of 500 ms.
-	isolationBound = 3500 * time.Millisecond
-	probePause     = 25 * time.Millisecond
-	restartWait    = 45 * time.Second
+	isolationBound    = 3500 * time.Millisecond
+	probePause        = 25 * time.Millisecond
+	outageRestartWait = 45 * time.Second
 )
 
 func setOutage(ctx context.Context, t *testing.T, d *harness.Deployment, mode string) {
@@ -67,7 +67,7 @@
 	requireServing(ctx, t, d, "start in an outage")
 	for i, h := range d.Hosts {
 		began := time.Now()
-		requireNoError(t, h.Restart(ctx, restartWait))
+		requireNoError(t, h.Restart(ctx, outageRestartWait))
 		requireRow(ctx, t, d, []int{i}, row, result.Revision, "restart in an outage")
 		t.Logf("%s restarted in %s", h.Name, time.Since(began).Round(10*time.Millisecond))
 	}
@@ -137,7 +137,7 @@
 // Guards against hosts that stop serving in an outage of the platform, and
 // against configuration changes that are acknowledged in one.
 func TestFleetServesThroughAPlatformOutage(t *testing.T) {
-	length := sized(20*time.Second, 10*time.Minute)
+	length := sizeFor(20*time.Second, 10*time.Minute)
 	ctx := within(t, length+2*time.Minute)
 	_, d := start(t, harness.Thies, withTestLayout(4, 3))
 	setOutage(ctx, t, d, "silent")
