--- a/test/integration/shutdown_test.go
+++ b/test/integration/shutdown_test.go
@@ -83,16 +83,30 @@
 		return caller.Complete(ctx, harness.Completion{Tokens: 200, Stream: true})
 	case 1, 2, 3:
 		return caller.Complete(ctx, harness.Completion{Tokens: 5, Stream: n%2 == 0})
-	case 4, 5:
-		return caller.Call(ctx, http.MethodPost, d.Layout.Prefix+"s", harness.NewTag(), harness.NewTag())
 	default:
 		return caller.Call(ctx, http.MethodPost, d.Layout.Prefix+"s", harness.NewTag(), "")
 	}
 }
 
+// sendKeyed sends a call with an idempotency key that no other call has.
+func sendKeyed(ctx context.Context, d *harness.Deployment, caller *harness.Caller, _ int) harness.Answer {
+	return caller.Call(ctx, http.MethodPost, d.Layout.Prefix+"s", harness.NewTag(), harness.NewTag())
+}
+
 // Guards against a graceful shutdown that cuts requests, and against hosts
 // that refuse requests while another host leaves or joins.
 func TestRollingRestartInterruptsNoRequest(t *testing.T) {
+	rollingRestart(t, sendMixed)
+}
+
+// Guards against calls with a new idempotency key that are refused while the
+// owner of the key's record changes.
+func TestRollingRestartRefusesNoKeyedCall(t *testing.T) {
+	rollingRestart(t, sendKeyed)
+}
+
+func rollingRestart(t *testing.T, send func(context.Context, *harness.Deployment, *harness.Caller, int) harness.Answer) {
+	t.Helper()
 	is := is.New(t)
 	rounds := sized(t, "restarts of each host", 1, 5)
 	ctx, d := start(t, harness.Thies, withHosts(3), withServers(6, 2))
@@ -111,7 +125,7 @@
 				t.Error("no host is ready")
 				return
 			}
-			a := sendMixed(ctx, d, balancer.callers[host], n)
+			a := send(ctx, d, balancer.callers[host], n)
 			seen.add(outcome{Answer: a, Sent: sent, Host: host})
 		})
 	})
