--- a/test/integration/helpers_test.go
+++ b/test/integration/helpers_test.go
@@ -14,11 +14,13 @@
 // longVariable selects the full size of the tests when it is set to 1.
 const longVariable = "RAGWORTSTEP_LONG"
 
+func longRun() bool { return os.Getenv(longVariable) == "1" }
+
 // sized returns the size of a test in CI, or its full size in a long run, and logs it.
 func sized[T any](t *testing.T, what string, short, long T) T {
 	t.Helper()
 	size := short
-	if os.Getenv(longVariable) == "1" {
+	if longRun() {
 		size = long
 	}
 	t.Logf("size: %s = %v (full size %v)", what, size, long)
--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -53,7 +53,11 @@
 	for _, change := range options {
 		change(&opts)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
+	limit := 4 * time.Minute
+	if longRun() {
+		limit = 20 * time.Minute
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	d, err := harness.Start(ctx, opts)
 	if err != nil {
 		cancel()
