dispatch: start no batch item after a pause before the lease is looked at

A host that was paused past its lease sent 3 to 5 items of a job that had been cancelled meanwhile, because grants and waiting items were older than the last look at the lease. Non-idempotent items are not covered by the check between grant and send.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,10 @@
 
 const (
 	tickInterval = 100 * time.Millisecond
+	// maxTickAge is the age of the last tick from which batch items wait for
+	// the next one. A process that was paused past its lease would otherwise
+	// start items before the tick looks at the lease again.
+	maxTickAge = time.Second
 	// noServerWait is how long an online request waits while no server of its
 	// pool is usable, so that a restart of a small pool refuses nothing.
 	noServerWait    = 2 * time.Second
@@ -67,6 +71,7 @@
 	draining bool
 	// batchAllowed is whether the freshness lease held at the last tick.
 	batchAllowed bool
+	ticked       time.Time     // last tick
 	idle         chan struct{} // closed when draining and active is 0
 	leaving      leavingServers
 	// publishedAt and suspectsDirty pace the sections sent to peers.
@@ -132,7 +137,7 @@
 func (d *Dispatcher) tick(now time.Time) {
 	fresh := d.opts.Fleet.MayAdmit(now) == nil
 	d.mu.Lock()
-	d.batchAllowed = fresh
+	d.batchAllowed, d.ticked = fresh, now
 	for _, p := range d.pools {
 		d.divideIfDue(p, now)
 		d.refuseHopeless(p, now)
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -185,6 +185,11 @@
 	j := r.job
 	invariant.Check(j.req.Idempotent || j.sends == 0, "I10", "send", r.server, "request", j.req.ID)
 	j.attempts++
+	if j.class == schedule.Batch && j.req.Idempotent && time.Since(r.started) > maxTickAge {
+		// The process was paused after the grant; the lease may have expired
+		// and the item's job may be cancelled.
+		r.cancel(&PreemptedError{Server: r.server})
+	}
 	resp, err := d.client.Do(r.ctx, r.server, &backend.Request{
 		ID:     j.req.ID + "-" + strconv.Itoa(j.attempts),
 		Method: j.req.Method, Path: j.req.Path, Header: j.req.Header, Body: j.req.Body,
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -132,7 +132,7 @@
 		d.press(p, now)
 		return
 	}
-	if now.Before(p.holdUntil) || !d.batchAllowed {
+	if now.Before(p.holdUntil) || !d.batchAllowed || now.Sub(d.ticked) > maxTickAge {
 		return
 	}
 	for d.startNext(p, schedule.Batch, now) {
