jobs: apply the route's timeout to attempts of items

Attempts used the default of 10 min even where the route sets a timeout, so that an item that is never answered held its job for 30 min.

--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -231,7 +231,7 @@
 	if !ok || r.ctx.Err() != nil || r.s.current() != nil {
 		return outcome{unsent: true, delay: r.s.o.RetryDelay}
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, r.s.o.ItemTimeout)
+	ctx, cancel := context.WithTimeout(r.ctx, r.s.attemptTimeout(route))
 	defer cancel()
 	resp, err := r.s.o.Dispatcher.Do(ctx, r.request(item, line, route))
 	if err != nil {
@@ -245,6 +245,15 @@
 	return r.answered(item, resp, body, route.Idempotent)
 }
 
+// attemptTimeout is the deadline of one attempt, waiting for a slot included.
+// An attempt that ends before anything was sent does not count.
+func (s *Service) attemptTimeout(route config.Route) time.Duration {
+	if route.TimeoutMS > 0 {
+		return time.Duration(route.TimeoutMS) * time.Millisecond
+	}
+	return s.o.ItemTimeout
+}
+
 // failed judges an attempt without a complete answer.
 func (r *chunkRun) failed(item int, err error, idempotent bool) outcome {
 	var refused *dispatch.RefusedError
