host: have a written configuration in force before the answer

An operator who read the revision at the same host after an acknowledged write could get the former one: TestRacingOperatorsLoseNothing then had both edits refused with 412, against revision 16 while the head was at 17.

--- a/internal/host/configwriter.go
+++ b/internal/host/configwriter.go
@@ -25,11 +25,11 @@
 // configWriter commits configuration changes and their history. It implements
 // admin.ConfigWriter.
 type configWriter struct {
-	store  platform.Store
-	writer *platform.Writer
-	now    func() time.Time
-	// committed takes a new revision into force at this host without waiting for a poll.
-	committed func()
+	store platform.Store
+	now   func() time.Time
+	// commit writes a change that is in force at this host when it returns, so
+	// that an operator who reads the revision there next does not get the former one.
+	commit func(ctx context.Context, expected int64, mutate func(*config.Snapshot) error) (*config.Snapshot, error)
 }
 
 // Write implements admin.ConfigWriter. The history entry is stored before the
@@ -37,7 +37,7 @@
 // committed removes its entry.
 func (w *configWriter) Write(ctx context.Context, expected int64, author, note string, mutate func(*config.Snapshot) error) (*config.Snapshot, error) {
 	var entry string
-	next, err := fleet.WriteSnapshot(ctx, w.store, w.writer, expected, func(s *config.Snapshot) error {
+	next, err := w.commit(ctx, expected, func(s *config.Snapshot) error {
 		before := s.Clone()
 		if err := mutate(s); err != nil {
 			return err
@@ -61,7 +61,6 @@
 	if err != nil {
 		return nil, err
 	}
-	w.committed()
 	return next, nil
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -269,7 +269,7 @@
 func (h *Host) adminHandler() http.Handler {
 	return admin.New(admin.Options{
 		Config: h.fleet,
-		Writer: &configWriter{store: h.store, writer: h.writer, now: time.Now, committed: h.fleet.Refresh},
+		Writer: &configWriter{store: h.store, now: time.Now, commit: h.fleet.WriteSnapshot},
 		Status: statusSource{h.fleet}, Events: h.events,
 		Orders:      orders.NewDesired(h.store, h.writer),
 		OperatorKey: h.settings.Admin.Key, Logger: h.logger,
