--- a/test/harness/job.go
+++ b/test/harness/job.go
@@ -37,6 +37,7 @@
 type Batch struct {
 	ID           string `json:"id"`
 	Status       string `json:"status"`
+	InputFileID  string `json:"input_file_id"`
 	OutputFileID string `json:"output_file_id"`
 	ErrorFileID  string `json:"error_file_id"`
 	Counts       struct {
