host: end a drained shutdown that cannot leave the epoch

In an outage of the platform a graceful shutdown took 32 s, its whole drain time, because it waited to leave the epoch.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -276,6 +276,11 @@
 	})
 }
 
+// leaveGrace is how long a drained host still tries to leave the epoch. It is
+// longer than the lease and its margin; in an outage of the platform the host
+// cannot leave, and ends without.
+const leaveGrace = 5 * time.Second
+
 // shutdown drains the host: not ready first, so that the balancer sends
 // nothing new, then open requests to their end, then the parts.
 func (h *Host) shutdown(servers []httpServer) {
@@ -284,14 +289,17 @@
 	h.gateway.StartDraining()
 	drain, cancel := context.WithTimeout(context.Background(), h.settings.Gateway.Unready+h.settings.Gateway.Drain)
 	defer cancel()
+	leave, stopLeaving := context.WithCancel(drain)
+	defer stopLeaving()
 	left := make(chan error, 1)
-	go func() { left <- h.fleet.Leave(drain) }() // hands over shares and roles while the balancer reacts
+	go func() { left <- h.fleet.Leave(leave) }() // hands over shares and roles while the balancer reacts
 	time.Sleep(h.settings.Gateway.Unready)
 	h.logErr("hand back batch work", h.jobs.Close(drain))
 	for _, srv := range servers {
 		h.logErr("drain "+srv.name, srv.server.Shutdown(drain))
 	}
 	h.logErr("drain requests", h.dispatcher.Drain(drain))
+	time.AfterFunc(leaveGrace, stopLeaving)
 	h.logErr("leave the epoch", <-left)
 	h.events.Record(events.Event{Kind: "host.stopped"})
 	h.logErr("stop the fleet", h.fleet.Close())
