--- a/test/integration/batch_cancel_test.go
+++ b/test/integration/batch_cancel_test.go
@@ -22,7 +22,10 @@
 		name   string
 		paused bool // one host is paused during the cancellation
 	}{{"all hosts running", false}, {"one host paused", true}} {
-		t.Run(c.name, func(t *testing.T) { runCancel(t, items, c.paused) })
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			runCancel(t, items, c.paused)
+		})
 	}
 }
 
--- a/test/integration/batch_stale_test.go
+++ b/test/integration/batch_stale_test.go
@@ -19,6 +19,7 @@
 // Guards against an owner that was paused past its lease, has been replaced,
 // and then commits results: items would get two results.
 func TestStaleOwnerCommitsNothing(t *testing.T) {
+	t.Parallel()
 	items := sized(3000, 10000)
 	ctx := within(t, sized(2*time.Minute, 10*time.Minute))
 	_, d := start(t, harness.QuangNam, withTestLayout(3, 6), withJobHistory)
