--- a/test/integration/fleet_outage_test.go
+++ b/test/integration/fleet_outage_test.go
@@ -47,10 +47,10 @@
 }
 
 // Guards against a host that starts with an old or empty configuration while
-// the platform is down, and against a fleet that loses the newest revision
-// when its hosts are restarted one after another in an outage.
-func TestRestartsDuringAnOutageKeepTheConfiguration(t *testing.T) {
-	ctx := within(t, 3*time.Minute)
+// the platform is down.
+func TestHostStartedInAnOutageServes(t *testing.T) {
+	t.Parallel()
+	ctx := within(t, time.Minute)
 	_, d := start(t, harness.Thies, withTestLayout(4, 3))
 	victim := 1
 	requireNoError(t, d.Hosts[victim].Kill())
@@ -65,6 +65,20 @@
 	requireNoError(t, d.Hosts[victim].AwaitReady(ctx))
 	requireRow(ctx, t, d, []int{victim}, row, result.Revision, "start in an outage")
 	requireServing(ctx, t, d, "start in an outage")
+}
+
+// Guards against a fleet that loses the newest revision, or stops serving,
+// when its hosts are restarted one after another in an outage.
+func TestRestartsDuringAnOutageKeepTheConfiguration(t *testing.T) {
+	ctx := within(t, 2*time.Minute)
+	_, d := start(t, harness.Thies, withTestLayout(4, 3))
+	row := d.Layout.Workspaces[0]
+	row.Weight = 77
+	result, err := d.Operator(0).PutTable(ctx, []harness.WorkspaceSpec{row}, 0)
+	requireNoError(t, err)
+	_, err = d.AwaitRevision(ctx, result.Revision, editBound)
+	requireNoError(t, err)
+	setOutage(ctx, t, d, "refuse")
 	for i, h := range d.Hosts {
 		began := time.Now()
 		requireNoError(t, h.Restart(ctx, restartWait))
@@ -86,6 +100,7 @@
 // Guards against a host that goes on admitting with old keys and limits when
 // it reaches neither the platform nor its peers.
 func TestIsolatedHostStopsAdmitting(t *testing.T) {
+	t.Parallel()
 	ctx := within(t, 2*time.Minute)
 	_, d := start(t, harness.Thies, withTestLayout(4, 3))
 	alone := d.Hosts[0]
@@ -137,6 +152,7 @@
 // Guards against hosts that stop serving in an outage of the platform, and
 // against configuration changes that are acknowledged in one.
 func TestFleetServesThroughAPlatformOutage(t *testing.T) {
+	t.Parallel()
 	length := sized(20*time.Second, 10*time.Minute)
 	ctx := within(t, length+2*time.Minute)
 	_, d := start(t, harness.Thies, withTestLayout(4, 3))
