--- a/test/integration/batch_common_test.go
+++ b/test/integration/batch_common_test.go
@@ -23,9 +23,6 @@
 	callPause = 200 * time.Millisecond
 )
 
-// longRun reports whether tests run at the sizes of the targets.
-func longRun() bool { return os.Getenv("RAGWORTSTEP_LONG") == "1" }
-
 // sizeFor returns the size for CI or, in a long run, the size of the target.
 func sizeFor[T any](ci, long T) T {
 	if longRun() {
