dedupe: answer a stored claim that its former owner could not

Cause: around an epoch change an owner stores a claim and then refuses it, since the epoch is no longer its own. The new owner loaded the record as unknown, also for the claim that asks again with its own id, so new keys were refused with outcome_unknown in every rolling restart. A claim that was answered as fresh is always stored before, so when it is the only stored claim of its key, its claimer may still be answered; with a second stored claim the record stays unknown for all.

--- a/internal/core/retry/idempotency.go
+++ b/internal/core/retry/idempotency.go
@@ -20,6 +20,10 @@
 	Claim   string    // id of the claim that may run the request
 	Claimer string    // incarnation of the host that made the claim
 	At      time.Time // of the claim
+	// Sole is set on a loaded record when no other claim of the key is stored.
+	// A claim that was answered as fresh is always stored before, so the
+	// record's claim is then the only one that may run the request.
+	Sole bool
 }
 
 // ClaimAnswer is what a claim finds.
@@ -35,12 +39,17 @@
 
 // Answer returns what a claim with the given id finds in the record. alive
 // tells whether the incarnation that made the first claim is still a member.
-// A claim that is repeated with its own id, after a lost answer, finds itself.
+// A claim that is repeated with its own id finds itself: after a lost answer,
+// or at a new owner when the former one stored it and could not answer. Its
+// claimer has no answer yet, so it has not sent the request.
 func (r IdempotencyRecord) Answer(claim string, alive bool) ClaimAnswer {
 	switch r.State {
 	case RecordDone:
 		return ClaimDone
 	case RecordUnknown:
+		if r.Sole && r.Claim == claim {
+			return ClaimFresh
+		}
 		return ClaimUnknown
 	}
 	switch {
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -214,3 +214,14 @@
 		}
 	})
 }
+
+// Guards against refusing a claim that the former owner stored and could not
+// answer, and against running a key twice when another claim of it is stored.
+func TestLoadedRecordAnswersOnlyItsSoleClaim(t *testing.T) {
+	is := is.New(t)
+	rec := IdempotencyRecord{State: RecordUnknown, Claim: "a", Sole: true}
+	is.Equal(rec.Answer("a", true), ClaimFresh)
+	is.Equal(rec.Answer("b", true), ClaimUnknown)
+	rec.Sole = false
+	is.Equal(rec.Answer("a", true), ClaimUnknown)
+}
--- a/internal/dedupe/dedupe_test.go
+++ b/internal/dedupe/dedupe_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -13,7 +15,10 @@
 
 	"github.com/matryer/is"
 
+	"ragwortstep/internal/core/retry"
+	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/peer"
+	"ragwortstep/internal/platform"
 )
 
 var background = context.Background()
@@ -331,3 +336,26 @@
 	t.Logf("%d of %d keys ran, %d epochs, %d writes", ran, keys, c.epoch, c.store.Calls("put"))
 	is.True(ran > keys/2)
 }
+
+// Guards against a new owner that takes one of several stored claims of a key
+// for the only one, and lets its request run beside another's.
+func TestLoadedClaimsOfOneKeyAreUnknown(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(Options{Retention: time.Hour, Logger: slog.Default()})
+	one, two := hashKey("w", "one"), hashKey("w", "two")
+	claims := []claimEntry{{Key: one, Claim: "a"}, {Key: two, Claim: "b"}}
+	view := fleet.View{Self: "h1", Members: []fleet.Member{{Host: "h1"}}}
+	found := map[keyHash]*loaded{}
+	for seq, content := range []object{
+		{AtMS: time.Now().UnixMilli(), Claims: claims},
+		{AtMS: time.Now().UnixMilli(), Claims: []claimEntry{{Key: two, Claim: "c"}}},
+	} {
+		raw, err := json.Marshal(content)
+		is.NoErr(err)
+		o.collect(view, found, platform.Object{Key: fmt.Sprintf("%sh0/1/%d", prefix, seq), Value: raw})
+	}
+	o.adopt(view, found)
+	is.Equal(o.records[one].Answer("a", true), retry.ClaimFresh)
+	is.Equal(o.records[two].Answer("b", true), retry.ClaimUnknown)
+	is.Equal(o.records[two].Answer("c", true), retry.ClaimUnknown)
+}
--- a/internal/dedupe/load.go
+++ b/internal/dedupe/load.go
@@ -82,6 +82,7 @@
 	at      time.Time
 	place   place
 	doneFor map[string]bool // claims that completed
+	several bool            // more than one claim is stored
 }
 
 // place orders objects of one key by time of writing.
@@ -126,7 +127,9 @@
 		if to, _ := ownerOf(view, c.Key); to != view.Self {
 			continue
 		}
-		if l := entry(c.Key); l.claim.Claim == "" || l.place.before(here) {
+		l := entry(c.Key)
+		l.several = l.several || (l.claim.Claim != "" && l.claim.Claim != c.Claim)
+		if l.claim.Claim == "" || l.place.before(here) {
 			l.claim, l.place, l.at = c, here, at
 		}
 	}
@@ -168,6 +171,7 @@
 		o.drop(k)
 		rec = &record{IdempotencyRecord: retry.IdempotencyRecord{
 			State: retry.RecordUnknown, Claim: l.claim.Claim, Claimer: l.claim.Claimer, At: l.at,
+			Sole: !l.several,
 		}}
 		o.records[k] = rec
 	}
--- a/internal/dedupe/owner.go
+++ b/internal/dedupe/owner.go
@@ -96,13 +96,14 @@
 // when the claim finds itself before it is stored. The caller holds mu.
 func (o *owner) answer(rec *record, q claimRequest, view fleet.View, now time.Time) (reply, *group) {
 	if rec.State != retry.RecordDone && now.Sub(rec.At) > o.opts.RunFor {
-		rec.State = retry.RecordUnknown
+		rec.State, rec.Sole = retry.RecordUnknown, false
 	}
 	switch rec.Answer(q.Claim, alive(view, rec.Claimer)) {
 	case retry.ClaimFresh:
 		if rec.State == retry.RecordWriting {
 			return reply{}, rec.group
 		}
+		rec.State, rec.Sole = retry.RecordRunning, false
 		return reply{State: Fresh}, nil
 	case retry.ClaimDone:
 		out := reply{State: Done}
