schedule: reserve slots where online requests go

Cause: batch work left the mean online work free on fast servers by the square of their speed, but prefix affinity sends online requests elsewhere too, so reserved slots stayed idle while batch items met online requests on other servers.

--- a/internal/core/schedule/division.go
+++ b/internal/core/schedule/division.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sort"
@@ -266,30 +267,40 @@
 	Server  string
 	Limit   int
 	Service float64 // service time, in any unit
+	Online  float64 // mean online work that this host has there
 }
 
+// reservePrior is the part of the reserve that goes to fast servers whatever
+// the online work was so far, so that a server without any gets some.
+const reservePrior = 0.1
+
 // Reserve returns the slots of each server that batch work leaves to online
 // work, whose mean number in the pool is given. The pool keeps the mean and
 // its square root, the usual deviation of independent arrivals, free, so that
 // online requests seldom have to preempt a batch item and waste its work. The
-// reserve is where online requests go: on fast servers.
+// reserve is where this host's online requests go, which prefix affinity
+// decides as well as speed; without any it is on fast servers.
 func Reserve(mean float64, servers []ServerCapacity) map[string]int {
-	var slots, weights float64
+	var slots float64
 	for _, s := range servers {
 		slots += float64(s.Limit)
-		weights += s.weight()
 	}
 	total := min(slots, max(mean+math.Sqrt(mean), reserveLeast*slots))
+	list := reserveWeights(servers)
+	weights := 0.0
+	for _, s := range list {
+		weights += s.weight
+	}
 	out := make(map[string]int, len(servers))
 	var given float64
-	for _, s := range bySpeed(servers) {
+	for _, s := range list {
 		part := 0.0
 		if weights > 0 {
-			part = min(float64(s.Limit), total*s.weight()/weights)
+			part = min(float64(s.Limit), total*s.weight/weights)
 		}
-		// What a full server cannot take falls to the slower ones.
+		// What a full server cannot take falls to the ones with less weight per slot.
 		total -= part
-		weights -= s.weight()
+		weights -= s.weight
 		before := math.Round(given)
 		given += part
 		out[s.Server] = min(s.Limit, int(math.Round(given)-before))
@@ -297,20 +308,33 @@
 	return out
 }
 
-func (s ServerCapacity) weight() float64 {
-	return float64(s.Limit) / max(s.Service*s.Service, 1e-12)
+// weighted is a server with its weight in the reserve.
+type weighted struct {
+	ServerCapacity
+	weight float64
 }
 
-func bySpeed(servers []ServerCapacity) []ServerCapacity {
-	out := slices.Clone(servers)
-	slices.SortFunc(out, func(a, b ServerCapacity) int {
-		switch {
-		case a.Service < b.Service:
-			return -1
-		case a.Service > b.Service:
-			return 1
+// reserveWeights returns the servers in falling order of weight per slot.
+func reserveWeights(servers []ServerCapacity) []weighted {
+	var online, speed float64
+	for _, s := range servers {
+		online += s.Online
+		speed += s.speedWeight()
+	}
+	out := make([]weighted, len(servers))
+	for i, s := range servers {
+		prior := s.speedWeight() / speed
+		out[i] = weighted{s, prior}
+		if online > 0 {
+			out[i].weight = (1-reservePrior)*s.Online/online + reservePrior*prior
 		}
-		return compare(a.Server, b.Server)
+	}
+	slices.SortFunc(out, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight*float64(a.Limit), a.weight*float64(b.Limit)), compare(a.Server, b.Server))
 	})
 	return out
 }
+
+func (s ServerCapacity) speedWeight() float64 {
+	return float64(s.Limit) / max(s.Service*s.Service, 1e-12)
+}
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -268,7 +268,7 @@
 		var servers []ServerCapacity
 		slots := 0
 		for i := range rapid.IntRange(1, 20).Draw(t, "servers") {
-			s := ServerCapacity{fmt.Sprint("s", i), rapid.IntRange(1, 16).Draw(t, "limit"), rapid.Float64Range(0.001, 1).Draw(t, "service")}
+			s := ServerCapacity{fmt.Sprint("s", i), rapid.IntRange(1, 16).Draw(t, "limit"), rapid.Float64Range(0.001, 1).Draw(t, "service"), rapid.Float64Range(0, 20).Draw(t, "online")}
 			slots += s.Limit
 			servers = append(servers, s)
 		}
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -109,7 +109,7 @@
 	}
 	capacities := make([]schedule.ServerCapacity, len(list))
 	for i, c := range list {
-		capacities[i] = schedule.ServerCapacity(c)
+		capacities[i] = schedule.ServerCapacity{Server: c.Server, Limit: c.Limit, Service: c.Service, Online: p.onlineMeans[c.Server]}
 	}
 	reserve := schedule.Reserve(p.online, capacities)
 	online := make([]schedule.ServerLimit, len(list))
@@ -124,6 +124,27 @@
 	}
 }
 
+// onlineAtMean is the time constant of the mean online work at each server. It
+// is long because one host has only a few requests at each.
+const onlineAtMean = 10 * time.Second
+
+// meanOnlineAt updates the mean of this host's online work at each server.
+func (p *poolState) meanOnlineAt(age time.Duration) {
+	keep := math.Exp(-age.Seconds() / onlineAtMean.Seconds())
+	for server, mean := range p.onlineMeans {
+		p.onlineMeans[server] = keep * mean
+		if mean < minOnlineMean && p.onlineAt[server] == 0 {
+			delete(p.onlineMeans, server)
+		}
+	}
+	for server, n := range p.onlineAt {
+		p.onlineMeans[server] += (1 - keep) * float64(n)
+	}
+}
+
+// minOnlineMean is the mean online work at a server that is forgotten.
+const minOnlineMean = 0.01
+
 // agreedLimit is the mean of the limits that this host and its peers learned
 // for a server. Hosts that divide different limits disagree about their parts.
 func (d *Dispatcher) agreedLimit(p *poolState, c balance.Capacity, now time.Time) int {
@@ -158,6 +179,7 @@
 	age := now.Sub(p.divided).Seconds() / onlineMean.Seconds()
 	keep := math.Exp(-max(age, 0))
 	p.online = keep*p.online + (1-keep)*float64(p.division.OnlineItems)
+	p.meanOnlineAt(now.Sub(p.divided))
 }
 
 // assumedDemand is batch demand like the own one for hosts that have reported
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -28,16 +28,18 @@
 
 // poolState is the queue and the work in flight of one pool.
 type poolState struct {
-	name     string
-	queue    *schedule.Queue
-	waiting  map[uint64]*job
-	runs     map[*run]struct{}
-	batchAt  map[string]int // batch work in flight by server
-	running  map[flowKey]schedule.Amount
-	inFlight [2]int // by class
-	division schedule.Division
-	parts    [2]map[string]int // own part of each server's slots, by class
-	online   float64           // mean online work of all hosts
+	name        string
+	queue       *schedule.Queue
+	waiting     map[uint64]*job
+	runs        map[*run]struct{}
+	onlineAt    map[string]int // online work in flight by server
+	onlineMeans map[string]float64
+	batchAt     map[string]int // batch work in flight by server
+	running     map[flowKey]schedule.Amount
+	inFlight    [2]int // by class
+	division    schedule.Division
+	parts       [2]map[string]int // own part of each server's slots, by class
+	online      float64           // mean online work of all hosts
 	// contended is whether the online work of all hosts exceeds the slots.
 	contended bool
 	divided   time.Time
@@ -66,14 +68,16 @@
 
 func newPoolState(name string) *poolState {
 	return &poolState{
-		name:    name,
-		queue:   schedule.NewQueue(),
-		waiting: map[uint64]*job{},
-		runs:    map[*run]struct{}{},
-		batchAt: map[string]int{},
-		running: map[flowKey]schedule.Amount{},
-		peers:   map[peer.HostID]peerDemand{},
-		dirty:   true,
+		name:        name,
+		queue:       schedule.NewQueue(),
+		waiting:     map[uint64]*job{},
+		runs:        map[*run]struct{}{},
+		batchAt:     map[string]int{},
+		onlineAt:    map[string]int{},
+		onlineMeans: map[string]float64{},
+		running:     map[flowKey]schedule.Amount{},
+		peers:       map[peer.HostID]peerDemand{},
+		dirty:       true,
 	}
 }
 
@@ -292,6 +296,8 @@
 	p.running[key] = schedule.Amount{Tokens: sum.Tokens + j.cost, Items: sum.Items + 1}
 	if j.class == schedule.Batch {
 		p.batchAt[server]++
+	} else {
+		p.onlineAt[server]++
 	}
 	return r
 }
@@ -335,6 +341,9 @@
 		p.running[key] = sum
 	}
 	if j.class != schedule.Batch {
+		if p.onlineAt[r.server]--; p.onlineAt[r.server] <= 0 {
+			delete(p.onlineAt, r.server)
+		}
 		return
 	}
 	p.batchAt[r.server]--
