orders: keep one driver of a role's lease

internal/fleet had a second driver of core/lease that nothing used; the order controller has its own, which also gives the role back at shutdown. The unused one is removed, and its test of takeovers with lost answers now runs against the driver in use.

--- a/internal/fleet/role_test.go
+++ b/internal/orders/role_test.go
@@ -1,15 +1,15 @@
-package fleet
+package orders
 
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/core/lease"
-	"ragwortstep/internal/platform"
 	"ragwortstep/internal/platform/platformtest"
 )
 
@@ -18,19 +18,21 @@
 func TestRoleIsTakenOver(t *testing.T) {
 	is := is.New(t)
 	store := platformtest.New()
-	var roles []*Role
+	var roles []*role
 	var stops []context.CancelFunc
 	for i := range 3 {
-		r := NewRole(RoleOptions{
-			Name: "controller", Store: store, Writer: platform.NewWriter(fmt.Sprint("host/", i)),
-			Lease: lease.Options{
-				Duration: 300 * time.Millisecond, Renew: 100 * time.Millisecond, Slack: 50 * time.Millisecond,
-				OrderTimeout: 100 * time.Millisecond, Retry: 20 * time.Millisecond,
-			},
-		})
+		opts := lease.Options{
+			Self:     fmt.Sprint("host/", i),
+			Duration: 300 * time.Millisecond, Renew: 100 * time.Millisecond, Slack: 50 * time.Millisecond,
+			OrderTimeout: 100 * time.Millisecond, Retry: 20 * time.Millisecond,
+		}
+		r := &role{
+			store: store, opts: opts, core: lease.New(opts), logger: slog.Default(),
+			candidate: func() bool { return true }, onChange: func(bool, uint64) {},
+		}
 		ctx, stop := context.WithCancel(context.Background())
 		t.Cleanup(stop)
-		go r.Run(ctx)
+		go r.run(ctx)
 		roles, stops = append(roles, r), append(stops, stop)
 	}
 	last, stopped := uint64(0), map[int]bool{}
@@ -40,7 +42,7 @@
 			is.True(time.Now().Before(deadline))
 			held, now := 0, time.Now()
 			for i, r := range roles {
-				if epoch, ok := r.heldAt(now); ok {
+				if epoch, ok := heldBy(r, now); ok {
 					held++
 					if !stopped[i] && epoch > last {
 						holder, last = i, epoch
@@ -51,10 +53,8 @@
 			if holder >= 0 {
 				store.LoseAnswers(1)
 				time.Sleep(150 * time.Millisecond)
-				_, still := roles[holder].Held()
-				is.True(still) // a renewal with a lost answer is repeated
-				_, may := roles[holder].MayOrder(true)
-				is.True(may)
+				is.True(roles[holder].heldAt(last)) // a renewal with a lost answer is repeated
+				is.True(roles[holder].mayOrder(last, true))
 				stops[holder]()
 				stopped[holder] = true
 			}
@@ -62,3 +62,11 @@
 	}
 	is.True(last >= 2)
 }
+
+// heldBy returns the epoch of a role at one moment, which is the same for all
+// roles that are compared.
+func heldBy(r *role, now time.Time) (epoch uint64, held bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Held(now)
+}
