--- a/Makefile
+++ b/Makefile
@@ -48,5 +48,9 @@
 soak: build
 	./bin/soak --deployment $(DEPLOYMENT) --seed $(SEED) --duration $(DURATION)
 
+# Fuzzes one target for longer: make fuzz PACKAGE=./internal/gateway TARGET=FuzzStripQuery
+fuzz:
+	$(GO) test -run '^$$' -fuzz '^$(TARGET)$$' -fuzztime $(DURATION) $(PACKAGE)
+
 clean:
 	rm -rf bin out
