--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -20,8 +20,8 @@
 	"ragwortstep/internal/core/config"
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/orders"
-	"ragwortstep/internal/platform"
-	"ragwortstep/internal/platform/platformtest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 )
 
 const (
@@ -95,7 +95,7 @@
 	recorder.Record(events.Event{Kind: "lease.lapsed"})
 	handler := New(Options{
 		Config: fleet, Writer: fleet, Status: fleet, Events: recorder, OperatorKey: firstKey,
-		Orders: orders.NewDesired(platformtest.New(), platform.NewWriter("h1/1")),
+		Orders: orders.NewDesired(storetest.New(), store.NewWriter("h1/1")),
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	return &testAPI{t, fleet, handler}
@@ -394,12 +394,12 @@
 func TestPlatformErrors(t *testing.T) {
 	is := is.New(t)
 	a := newTestAPI(t)
-	for _, err := range []error{platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrRateLimited, context.DeadlineExceeded} {
+	for _, err := range []error{store.ErrUnavailable, store.ErrUnknownOutcome, store.ErrRateLimited, context.DeadlineExceeded} {
 		a.fleet.fail = errors.Wrap(err, "update config/head")
 		detail := a.expectError(a.do("PUT", "/table", 0, tableCSV), 503, "platform_unavailable")
 		is.True(strings.Contains(detail.Message, "whether the change was applied"))
 	}
-	a.fleet.fail = platform.ErrTooLarge
+	a.fleet.fail = store.ErrTooLarge
 	a.expectError(a.do("PUT", "/table", 0, tableCSV), 413, "configuration_too_large")
 	a.fleet.fail = errors.New("unexpected")
 	a.expectError(a.do("PUT", "/table", 0, tableCSV), 500, "internal")
--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -11,7 +11,7 @@
 	"ragwortstep/internal/core/config"
 	coreorders "ragwortstep/internal/core/orders"
 	"ragwortstep/internal/orders"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // codeUnavailable is the code of requests that failed at the platform.
@@ -112,12 +112,12 @@
 // have lost the answer of an earlier attempt.
 func describePlatform(err error) (int, ErrorDetail) {
 	switch {
-	case errors.IsAny(err, platform.ErrUnknownOutcome, platform.ErrUnavailable, platform.ErrRateLimited, context.DeadlineExceeded, context.Canceled):
+	case errors.IsAny(err, store.ErrUnknownOutcome, store.ErrUnavailable, store.ErrRateLimited, context.DeadlineExceeded, context.Canceled):
 		return http.StatusServiceUnavailable, ErrorDetail{
 			Code:    codeUnavailable,
 			Message: "the platform does not answer; read the configuration to see whether the change was applied",
 		}
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, store.ErrTooLarge):
 		return http.StatusRequestEntityTooLarge, ErrorDetail{Code: "configuration_too_large", Message: "the configuration does not fit into the platform"}
 	default:
 		return http.StatusInternalServerError, ErrorDetail{Code: "internal", Message: err.Error()}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -22,9 +22,9 @@
 	"ragwortstep/internal/core/config"
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/orders"
-	"ragwortstep/internal/platform"
-	"ragwortstep/internal/platform/platformtest"
 	"ragwortstep/internal/settings"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 )
 
 const (
@@ -90,7 +90,7 @@
 	fleet := &fakeFleet{snap: config.Empty()}
 	server := httptest.NewServer(admin.New(admin.Options{
 		Config: fleet, Writer: fleet, Status: fleet, OperatorKey: operatorKey,
-		Orders: orders.NewDesired(platformtest.New(), platform.NewWriter("h1/1")),
+		Orders: orders.NewDesired(storetest.New(), store.NewWriter("h1/1")),
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}))
 	t.Cleanup(server.Close)
--- a/internal/dedupe/dedupe.go
+++ b/internal/dedupe/dedupe.go
@@ -19,7 +19,7 @@
 
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // counters holds the package's expvar counters.
@@ -70,12 +70,12 @@
 
 // Options configures Records. Zero fields take the stated defaults.
 type Options struct {
-	Fleet       fleet.Service  // required
-	Peers       peer.Caller    // required: New registers dedupe.claim, dedupe.complete and dedupe.abandon
-	Store       platform.Store // required
-	Incarnation string         // this process's incarnation in the fleet, default a random one
-	Logger      *slog.Logger   // default slog.Default()
-	Retention   time.Duration  // how long a record is kept, default 1 h
+	Fleet       fleet.Service // required
+	Peers       peer.Caller   // required: New registers dedupe.claim, dedupe.complete and dedupe.abandon
+	Store       store.Store   // required
+	Incarnation string        // this process's incarnation in the fleet, default a random one
+	Logger      *slog.Logger  // default slog.Default()
+	Retention   time.Duration // how long a record is kept, default 1 h
 	// RunFor is the longest time a claimed request may run, after which its
 	// record is unknown instead of running, default 10 min.
 	RunFor time.Duration
--- a/internal/dedupe/dedupe_test.go
+++ b/internal/dedupe/dedupe_test.go
@@ -18,7 +18,7 @@
 	"ragwortstep/internal/core/retry"
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 var background = context.Background()
@@ -352,7 +352,7 @@
 	} {
 		raw, err := json.Marshal(content)
 		is.NoErr(err)
-		o.collect(view, found, platform.Object{Key: fmt.Sprintf("%sh0/1/%d", prefix, seq), Value: raw})
+		o.collect(view, found, store.Object{Key: fmt.Sprintf("%sh0/1/%d", prefix, seq), Value: raw})
 	}
 	o.adopt(view, found)
 	is.Equal(o.records[one].Answer("a", true), retry.ClaimFresh)
--- a/internal/dedupe/fakes_test.go
+++ b/internal/dedupe/fakes_test.go
@@ -15,15 +15,15 @@
 	"ragwortstep/internal/core/config"
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
-	"ragwortstep/internal/platform/platformtest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 )
 
 // cluster is hosts with fake fleets, connected by a fake peer transport, over
 // one fake platform.
 type cluster struct {
 	t     *testing.T
-	store *platformtest.Fake
+	store *storetest.Fake
 	opts  Options
 	hosts map[peer.HostID]*host
 	epoch uint64
@@ -46,7 +46,7 @@
 }
 
 func newCluster(t *testing.T, names ...peer.HostID) *cluster {
-	c := &cluster{t: t, store: platformtest.New(), hosts: map[peer.HostID]*host{}}
+	c := &cluster{t: t, store: storetest.New(), hosts: map[peer.HostID]*host{}}
 	for _, name := range names {
 		c.hosts[name] = &host{c: c, id: name}
 		c.start(name, c.store)
@@ -57,11 +57,11 @@
 }
 
 // start starts a new incarnation of a host.
-func (c *cluster) start(name peer.HostID, store platform.Store) {
+func (c *cluster) start(name peer.HostID, objects store.Store) {
 	h := c.hosts[name]
 	h.handlers = map[string]peer.HandlerFunc{}
 	opts := c.opts
-	opts.Fleet, opts.Peers, opts.Store = h, h, store
+	opts.Fleet, opts.Peers, opts.Store = h, h, objects
 	h.records = New(opts)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
@@ -187,13 +187,13 @@
 
 // slowStore holds back writes until they are released.
 type slowStore struct {
-	platform.Store
+	store.Store
 	held    chan struct{} // receives when a write is held
 	release chan struct{}
 }
 
-// Put implements platform.Store.
-func (s *slowStore) Put(ctx context.Context, key string, value []byte, ifVersion int64) (platform.Object, error) {
+// Put implements store.Store.
+func (s *slowStore) Put(ctx context.Context, key string, value []byte, ifVersion int64) (store.Object, error) {
 	s.held <- struct{}{}
 	<-s.release
 	return s.Store.Put(ctx, key, value, ifVersion)
--- a/internal/dedupe/load.go
+++ b/internal/dedupe/load.go
@@ -11,7 +11,7 @@
 
 	"ragwortstep/internal/core/retry"
 	"ragwortstep/internal/fleet"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -104,7 +104,7 @@
 }
 
 // collect adds the entries of one object that belong to this owner.
-func (o *owner) collect(view fleet.View, found map[keyHash]*loaded, obj platform.Object) {
+func (o *owner) collect(view fleet.View, found map[keyHash]*loaded, obj store.Object) {
 	var content object
 	if err := json.Unmarshal(obj.Value, &content); err != nil {
 		counters.Add("bad_objects", 1)
@@ -216,7 +216,7 @@
 			if age <= r.opts.Retention+cleanInterval {
 				continue
 			}
-			if err := r.opts.Store.Delete(ctx, obj.Key, obj.Version); err != nil && !errors.Is(err, platform.ErrNotFound) {
+			if err := r.opts.Store.Delete(ctx, obj.Key, obj.Version); err != nil && !errors.Is(err, store.ErrNotFound) {
 				return errors.Wrapf(err, "delete %s", obj.Key)
 			}
 			if err := sleep(ctx, cleanDelay); err != nil {
--- a/internal/dedupe/write.go
+++ b/internal/dedupe/write.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -177,7 +177,7 @@
 		switch {
 		case err == nil:
 			return nil
-		case errors.IsAny(err, platform.ErrConflict, platform.ErrUnknownOutcome):
+		case errors.IsAny(err, store.ErrConflict, store.ErrUnknownOutcome):
 			var applied, taken bool
 			if applied, taken = o.readBack(ctx, key); applied {
 				return nil
@@ -185,7 +185,7 @@
 			if taken {
 				seq = o.skipSeq()
 			}
-		case !errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited):
+		case !errors.IsAny(err, store.ErrUnavailable, store.ErrRateLimited):
 			return errors.Wrapf(err, "store claims in %s", key)
 		}
 		if sleep(ctx, writeDelay) != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,7 +16,7 @@
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -38,7 +38,7 @@
 // Options configures a Dispatcher. Zero fields take the stated defaults.
 type Options struct {
 	Fleet    fleet.Service    // required: configuration, view and sections
-	Store    platform.Store   // list of leaving servers; may be nil
+	Store    store.Store      // list of leaving servers; may be nil
 	Recorder *events.Recorder // may be nil
 	Logger   *slog.Logger     // default slog.Default()
 	// Policy is two_choices (default), round_robin, least_outstanding or
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -17,8 +17,8 @@
 
 	"ragwortstep/internal/core/balance"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
-	"ragwortstep/internal/platform/platformtest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 )
 
 func engines(t *testing.T, n, slots int, handle func(*engine, http.ResponseWriter, *http.Request, []byte)) []*engine {
@@ -362,10 +362,10 @@
 	is := is.New(t)
 	list := engines(t, 2, 4, work(time.Millisecond))
 	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1", "h2", "h3")
-	store := platformtest.New()
-	d := n.start(t, "h3", Options{Store: store}) // not a watcher itself
-	n.start(t, "h1", Options{Store: store})
-	store.SetHosts([]platform.HostEntry{{Name: "s0", Kind: "server", State: "leaving"}})
+	objects := storetest.New()
+	d := n.start(t, "h3", Options{Store: objects}) // not a watcher itself
+	n.start(t, "h1", Options{Store: objects})
+	objects.SetHosts([]store.HostEntry{{Name: "s0", Kind: "server", State: "leaving"}})
 	time.Sleep(4 * time.Second)
 	before := list[0].running.Load()
 	for range 50 {
--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -13,8 +13,8 @@
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/peer/peertest"
-	"ragwortstep/internal/platform"
-	"ragwortstep/internal/platform/platformtest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 )
 
 // Timers of the tests, a tenth of the defaults.
@@ -28,8 +28,8 @@
 type cluster struct {
 	t      *testing.T
 	net    *peertest.Network
-	store  *platformtest.Fake
-	stores map[string]platform.Store // of hosts that do not use store
+	store  *storetest.Fake
+	stores map[string]store.Store // of hosts that do not use store
 	hosts  map[string]*testHost
 }
 
@@ -41,7 +41,7 @@
 
 func newCluster(t *testing.T, names ...string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, net: peertest.New(), store: platformtest.New(), stores: map[string]platform.Store{}, hosts: map[string]*testHost{}}
+	c := &cluster{t: t, net: peertest.New(), store: storetest.New(), stores: map[string]store.Store{}, hosts: map[string]*testHost{}}
 	for _, name := range names {
 		c.start(name)
 	}
@@ -52,13 +52,13 @@
 func (c *cluster) prepare(name string, seeds ...string) *testHost {
 	c.t.Helper()
 	h := &testHost{recorder: events.NewRecorder(name, nil)}
-	var store platform.Store = c.store
+	var objects store.Store = c.store
 	if s, ok := c.stores[name]; ok {
-		store = s
+		objects = s
 	}
 	h.Fleet = New(Options{
 		Self:  Member{Host: peer.HostID(name), PeerAddress: name, Zone: "zone-" + name[len(name)-1:]},
-		Store: store, Peers: c.net.Node(peer.HostID(name)), Seeds: seeds,
+		Store: objects, Peers: c.net.Node(peer.HostID(name)), Seeds: seeds,
 		Heartbeat: testBeat, Lease: testLease, Margin: 20 * time.Millisecond, Poll: testPoll,
 		Recorder: h.recorder,
 		Now:      func() time.Time { return time.Now().Add(time.Duration(h.skew.Load())) },
@@ -124,7 +124,7 @@
 
 func (c *cluster) write(mutate func(*config.Snapshot)) *config.Snapshot {
 	c.t.Helper()
-	s, err := WriteSnapshot(context.Background(), c.store, platform.NewWriter("test"), AnyRevision, func(s *config.Snapshot) error {
+	s, err := WriteSnapshot(context.Background(), c.store, store.NewWriter("test"), AnyRevision, func(s *config.Snapshot) error {
 		mutate(s)
 		return nil
 	})
--- a/internal/fleet/confhead.go
+++ b/internal/fleet/confhead.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/core/config"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -150,8 +150,8 @@
 	if string(raw) == "{}" {
 		return nil, nil
 	}
-	if len(raw) > platform.MaxValueBytes {
-		return nil, errors.Wrapf(platform.ErrTooLarge, "configuration shard of %d bytes", len(raw))
+	if len(raw) > store.MaxValueBytes {
+		return nil, errors.Wrapf(store.ErrTooLarge, "configuration shard of %d bytes", len(raw))
 	}
 	return raw, nil
 }
--- a/internal/fleet/confstore.go
+++ b/internal/fleet/confstore.go
@@ -14,7 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ragwortstep/internal/core/config"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -44,8 +44,8 @@
 
 // ReadSnapshot reads the configuration from the platform. Without one it
 // returns an empty snapshot of revision 0.
-func ReadSnapshot(ctx context.Context, store platform.Store) (*config.Snapshot, error) {
-	state, err := readState(ctx, store, emptyState())
+func ReadSnapshot(ctx context.Context, objects store.Store) (*config.Snapshot, error) {
+	state, err := readState(ctx, objects, emptyState())
 	if err != nil {
 		return nil, err
 	}
@@ -59,9 +59,9 @@
 // mutate again to the new revision instead, a limited number of times. An
 // error of mutate is returned as is. A lost answer of the platform is resolved
 // by reading back, so an error means that the change was not committed, unless
-// it wraps platform.ErrUnknownOutcome.
-func WriteSnapshot(ctx context.Context, store platform.Store, writer *platform.Writer, expectedRevision int64, mutate func(*config.Snapshot) error) (*config.Snapshot, error) {
-	next, err := writeState(ctx, store, writer, emptyState(), expectedRevision, mutate)
+// it wraps store.ErrUnknownOutcome.
+func WriteSnapshot(ctx context.Context, objects store.Store, writer *store.Writer, expectedRevision int64, mutate func(*config.Snapshot) error) (*config.Snapshot, error) {
+	next, err := writeState(ctx, objects, writer, emptyState(), expectedRevision, mutate)
 	if err != nil {
 		return nil, err
 	}
@@ -87,9 +87,9 @@
 
 // writeState repeats a change that is based on no particular revision when
 // another is committed meanwhile.
-func writeState(ctx context.Context, store platform.Store, writer *platform.Writer, known *configState, expectedRevision int64, mutate func(*config.Snapshot) error) (*configState, error) {
+func writeState(ctx context.Context, objects store.Store, writer *store.Writer, known *configState, expectedRevision int64, mutate func(*config.Snapshot) error) (*configState, error) {
 	for attempt := 1; ; attempt++ {
-		next, err := tryWrite(ctx, store, writer, known, expectedRevision, mutate)
+		next, err := tryWrite(ctx, objects, writer, known, expectedRevision, mutate)
 		var conflict *ConflictError
 		if expectedRevision != AnyRevision || attempt == conflictAttempts || !errors.As(err, &conflict) {
 			return next, err
@@ -102,8 +102,8 @@
 	}
 }
 
-func tryWrite(ctx context.Context, store platform.Store, writer *platform.Writer, known *configState, expectedRevision int64, mutate func(*config.Snapshot) error) (*configState, error) {
-	base, err := readState(ctx, store, known)
+func tryWrite(ctx context.Context, objects store.Store, writer *store.Writer, known *configState, expectedRevision int64, mutate func(*config.Snapshot) error) (*configState, error) {
+	base, err := readState(ctx, objects, known)
 	if err != nil {
 		return nil, err
 	}
@@ -114,13 +114,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := writeShards(ctx, store, base, next); err != nil {
+	if err := writeShards(ctx, objects, base, next); err != nil {
 		return nil, err
 	}
-	if err := commitHead(ctx, store, writer, base, next); err != nil {
+	if err := commitHead(ctx, objects, writer, base, next); err != nil {
 		return nil, err
 	}
-	collectShards(ctx, store, base, next)
+	collectShards(ctx, objects, base, next)
 	return next, nil
 }
 
@@ -167,14 +167,14 @@
 
 // writeShards stores the shards that the next head refers to and the base's
 // does not. They are invisible until the head is committed.
-func writeShards(ctx context.Context, store platform.Store, base, next *configState) error {
+func writeShards(ctx context.Context, objects store.Store, base, next *configState) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(shardCalls)
 	for _, i := range next.head.missing(base) {
 		group.Go(func() error {
 			return retry(ctx, writeAttempts, func() error {
-				_, err := store.Put(ctx, next.head.Shards[i], next.raw[i], 0)
-				if errors.Is(err, platform.ErrConflict) {
+				_, err := objects.Put(ctx, next.head.Shards[i], next.raw[i], 0)
+				if errors.Is(err, store.ErrConflict) {
 					return nil // written by an earlier attempt; the key contains the content's hash
 				}
 				return errors.Wrapf(err, "platform put %s", next.head.Shards[i])
@@ -185,20 +185,20 @@
 }
 
 // commitHead updates the head if it is still the base's.
-func commitHead(ctx context.Context, store platform.Store, writer *platform.Writer, base, next *configState) error {
+func commitHead(ctx context.Context, objects store.Store, writer *store.Writer, base, next *configState) error {
 	raw, err := json.Marshal(next.head)
 	if err != nil {
 		return errors.Wrap(err, "encode configuration head")
 	}
 	token := next.head.Recent[len(next.head.Recent)-1].Token
 	sent := false
-	_, _, err = platform.Update(ctx, store, writer, headKey, func(current json.RawMessage, exists bool) (json.RawMessage, error) {
+	_, _, err = store.Update(ctx, objects, writer, headKey, func(current json.RawMessage, exists bool) (json.RawMessage, error) {
 		h, err := decodeHead(current, exists)
 		switch {
 		case err != nil:
 			return nil, err
 		case h.committed(token):
-			return nil, platform.ErrNoChange // applied, and followed by another change
+			return nil, store.ErrNoChange // applied, and followed by another change
 		case h.Revision != base.head.Revision:
 			return nil, &ConflictError{Expected: base.head.Revision, Actual: h.Revision}
 		}
@@ -210,15 +210,15 @@
 		return err
 	}
 	// The last error may hide an earlier write whose answer was lost.
-	return errors.Mark(err, platform.ErrUnknownOutcome)
+	return errors.Mark(err, store.ErrUnknownOutcome)
 }
 
 // collectShards deletes the objects that the committed head replaced. A host
 // that still reads the former head finds them missing and reads the head again.
-func collectShards(ctx context.Context, store platform.Store, base, next *configState) {
+func collectShards(ctx context.Context, objects store.Store, base, next *configState) {
 	for i, key := range base.head.Shards {
 		if key != "" && key != next.head.Shards[i] {
-			_ = store.Delete(ctx, key, platform.AnyVersion) // an object left over only costs space
+			_ = objects.Delete(ctx, key, store.AnyVersion) // an object left over only costs space
 		}
 	}
 }
@@ -236,10 +236,10 @@
 
 // readState reads head and changed shards. It returns base itself when the
 // head is not newer.
-func readState(ctx context.Context, store platform.Store, base *configState) (*configState, error) {
+func readState(ctx context.Context, objects store.Store, base *configState) (*configState, error) {
 	var state *configState
 	err := retry(ctx, readAttempts, func() error {
-		_, env, exists, err := platform.ReadEnvelope(ctx, store, headKey)
+		_, env, exists, err := store.ReadEnvelope(ctx, objects, headKey)
 		if err != nil {
 			return err
 		}
@@ -247,14 +247,14 @@
 		if err != nil {
 			return err
 		}
-		state, err = loadState(ctx, store, base, h)
+		state, err = loadState(ctx, objects, base, h)
 		return err
 	})
 	return state, err
 }
 
 // loadState reads the shards of a head that base does not hold.
-func loadState(ctx context.Context, store platform.Store, base *configState, h head) (*configState, error) {
+func loadState(ctx context.Context, objects store.Store, base *configState, h head) (*configState, error) {
 	if h.Revision <= base.head.Revision {
 		return base, nil
 	}
@@ -264,7 +264,7 @@
 	group.SetLimit(shardCalls)
 	for _, i := range h.missing(base) {
 		group.Go(func() error {
-			obj, err := store.Get(ctx, h.Shards[i])
+			obj, err := objects.Get(ctx, h.Shards[i])
 			if err != nil {
 				return errors.Wrapf(err, "platform get %s", h.Shards[i])
 			}
@@ -286,7 +286,7 @@
 	var err error
 	for range attempts {
 		err = fn()
-		if err == nil || !errors.IsAny(err, platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrRateLimited, platform.ErrNotFound) {
+		if err == nil || !errors.IsAny(err, store.ErrUnavailable, store.ErrUnknownOutcome, store.ErrRateLimited, store.ErrNotFound) {
 			return err
 		}
 		select {
--- a/internal/fleet/confstore_test.go
+++ b/internal/fleet/confstore_test.go
@@ -13,8 +13,8 @@
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/core/config"
-	"ragwortstep/internal/platform"
-	"ragwortstep/internal/platform/platformtest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 )
 
 func addWorkspace(name string) func(*config.Snapshot) error {
@@ -28,8 +28,8 @@
 // platform's objects, and against an edit of one row that rewrites all of it.
 func TestFullSizeConfigurationFits(t *testing.T) {
 	is := is.New(t)
-	ctx, store, w := context.Background(), platformtest.New(), platform.NewWriter("t")
-	_, err := WriteSnapshot(ctx, store, w, 0, func(s *config.Snapshot) error {
+	ctx, objects, w := context.Background(), storetest.New(), store.NewWriter("t")
+	_, err := WriteSnapshot(ctx, objects, w, 0, func(s *config.Snapshot) error {
 		for i := range 6600 {
 			name := fmt.Sprintf("workspace-%04d", i)
 			s.Workspaces[name] = config.Workspace{Name: name, Weight: 1.5, Rate: 12.5, Burst: 50, MaxQueue: 100, Note: "a note of some length"}
@@ -46,22 +46,22 @@
 	})
 	is.NoErr(err)
 	largest, total := 0, 0
-	page, err := store.List(ctx, "config/", "", 1000)
+	page, err := objects.List(ctx, "config/", "", 1000)
 	is.NoErr(err)
 	for _, obj := range page.Objects {
 		largest, total = max(largest, len(obj.Value)), total+len(obj.Value)
 	}
 	t.Logf("%d objects, %d bytes, largest %d", len(page.Objects), total, largest)
-	is.True(largest < platform.MaxValueBytes/4)
+	is.True(largest < store.MaxValueBytes/4)
 
-	before := store.Calls("put")
-	s, err := WriteSnapshot(ctx, store, w, 1, addWorkspace("one-more"))
+	before := objects.Calls("put")
+	s, err := WriteSnapshot(ctx, objects, w, 1, addWorkspace("one-more"))
 	is.NoErr(err)
-	is.Equal(store.Calls("put")-before, 2) // a shard and the head
-	read, err := ReadSnapshot(ctx, store)
+	is.Equal(objects.Calls("put")-before, 2) // a shard and the head
+	read, err := ReadSnapshot(ctx, objects)
 	is.NoErr(err)
 	is.Equal(read, s)
-	page, err = store.List(ctx, shardPrefix, "", 1000)
+	page, err = objects.List(ctx, shardPrefix, "", 1000)
 	is.NoErr(err)
 	is.Equal(len(page.Objects), shardCount) // the replaced shard was deleted
 }
@@ -70,16 +70,16 @@
 // the platform loses answers, and against one of two writers overwriting the other.
 func TestConcurrentWritersWithLostAnswers(t *testing.T) {
 	is := is.New(t)
-	ctx, store := context.Background(), platformtest.New()
+	ctx, objects := context.Background(), storetest.New()
 	const writers, edits = 4, 12
 	var applied, calls atomic.Int64
 	var wg sync.WaitGroup
 	for i := range writers {
 		wg.Go(func() {
-			w := platform.NewWriter(fmt.Sprint("writer/", i))
+			w := store.NewWriter(fmt.Sprint("writer/", i))
 			for n := range edits {
-				store.LoseAnswers(1)
-				_, err := WriteSnapshot(ctx, store, w, AnyRevision, func(s *config.Snapshot) error {
+				objects.LoseAnswers(1)
+				_, err := WriteSnapshot(ctx, objects, w, AnyRevision, func(s *config.Snapshot) error {
 					calls.Add(1)
 					return addWorkspace(fmt.Sprintf("w%d-%d", i, n))(s)
 				})
@@ -92,7 +92,7 @@
 		})
 	}
 	wg.Wait()
-	s, err := ReadSnapshot(ctx, store)
+	s, err := ReadSnapshot(ctx, objects)
 	is.NoErr(err)
 	is.Equal(len(s.Workspaces), writers*edits)
 	is.Equal(s.Revision, applied.Load()) // every success is one revision, every failure none
@@ -102,32 +102,32 @@
 // Guards against a change that is based on a state its author has not seen.
 func TestConflictNamesBothRevisions(t *testing.T) {
 	is := is.New(t)
-	ctx, store, w := context.Background(), platformtest.New(), platform.NewWriter("t")
+	ctx, objects, w := context.Background(), storetest.New(), store.NewWriter("t")
 	for range 3 {
-		_, err := WriteSnapshot(ctx, store, w, AnyRevision, addWorkspace("x"))
+		_, err := WriteSnapshot(ctx, objects, w, AnyRevision, addWorkspace("x"))
 		is.NoErr(err)
 	}
-	_, err := WriteSnapshot(ctx, store, w, 2, addWorkspace("y"))
+	_, err := WriteSnapshot(ctx, objects, w, 2, addWorkspace("y"))
 	var conflict *ConflictError
 	is.True(errors.As(err, &conflict))
 	is.Equal(*conflict, ConflictError{Expected: 2, Actual: 3})
 	refused := errors.New("weight must be positive")
-	_, err = WriteSnapshot(ctx, store, w, 3, func(*config.Snapshot) error { return refused })
+	_, err = WriteSnapshot(ctx, objects, w, 3, func(*config.Snapshot) error { return refused })
 	is.True(errors.Is(err, refused))
-	store.SetDown(true)
-	_, err = WriteSnapshot(ctx, store, w, 3, addWorkspace("y"))
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	objects.SetDown(true)
+	_, err = WriteSnapshot(ctx, objects, w, 3, addWorkspace("y"))
+	is.True(errors.Is(err, store.ErrUnavailable))
 }
 
 // outageAfterPut is a platform that fails for good after it applied a write of
 // the head whose answer it lost.
-type outageAfterPut struct{ *platformtest.Fake }
+type outageAfterPut struct{ *storetest.Fake }
 
-func (s outageAfterPut) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+func (s outageAfterPut) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
 	obj, err := s.Fake.Put(ctx, key, value, version)
 	if key == headKey && err == nil {
 		s.SetDown(true)
-		return platform.Object{}, platform.ErrUnknownOutcome
+		return store.Object{}, store.ErrUnknownOutcome
 	}
 	return obj, err
 }
@@ -135,9 +135,9 @@
 // Guards against reporting a change as not made that was made.
 func TestUnresolvedWriteIsReportedAsUnknown(t *testing.T) {
 	is := is.New(t)
-	fake := platformtest.New()
-	_, err := WriteSnapshot(context.Background(), outageAfterPut{fake}, platform.NewWriter("t"), 0, addWorkspace("x"))
-	is.True(errors.Is(err, platform.ErrUnknownOutcome))
+	fake := storetest.New()
+	_, err := WriteSnapshot(context.Background(), outageAfterPut{fake}, store.NewWriter("t"), 0, addWorkspace("x"))
+	is.True(errors.Is(err, store.ErrUnknownOutcome))
 	fake.SetDown(false)
 	s, err := ReadSnapshot(context.Background(), fake)
 	is.NoErr(err)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,7 +12,7 @@
 	"ragwortstep/internal/core/config"
 	"ragwortstep/internal/core/membership"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // Fleet implements Service. It is safe for concurrent use.
@@ -23,7 +23,7 @@
 // except OnConfig and OnView.
 type Fleet struct {
 	opts   Options
-	writer *platform.Writer
+	writer *store.Writer
 
 	// Published state, read without locks.
 	view       atomic.Pointer[View]
@@ -58,7 +58,7 @@
 	opts = opts.withDefaults()
 	f := &Fleet{
 		opts:          opts,
-		writer:        platform.NewWriter(string(opts.Self.Host) + "/" + opts.Self.Incarnation),
+		writer:        store.NewWriter(string(opts.Self.Host) + "/" + opts.Self.Incarnation),
 		earlier:       map[string][]Limit{},
 		limitsUnknown: true,
 		gone:          map[string]time.Time{},
@@ -125,7 +125,7 @@
 func (f *Fleet) Incarnation() string { return f.opts.Self.Incarnation }
 
 // Writer returns the writer for conditional updates of this process.
-func (f *Fleet) Writer() *platform.Writer { return f.writer }
+func (f *Fleet) Writer() *store.Writer { return f.writer }
 
 // View implements Service. The maps and slices of the result must not be changed.
 func (f *Fleet) View() View { return *f.view.Load() }
--- a/internal/fleet/fleet_capacity_test.go
+++ b/internal/fleet/fleet_capacity_test.go
@@ -10,8 +10,8 @@
 
 	"ragwortstep/internal/core/config"
 	"ragwortstep/internal/core/membership"
-	"ragwortstep/internal/platform"
-	"ragwortstep/internal/platform/platformtest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 )
 
 // scaled is a configuration with two keys for each workspace and servers in
@@ -188,28 +188,28 @@
 
 // The platform calls of one edited row at a writer that holds the former revision.
 func BenchmarkEditCalls(b *testing.B) {
-	store := platformtest.New()
-	writer := platform.NewWriter("host-007/1")
+	objects := storetest.New()
+	writer := store.NewWriter("host-007/1")
 	known := emptyState()
 	calls := func() (sum int) {
 		for _, op := range []string{"get", "list", "put", "delete"} {
-			sum += store.Calls(op)
+			sum += objects.Calls(op)
 		}
 		return sum
 	}
 	edit := func(mutate func(*config.Snapshot) error) {
-		next, err := writeState(context.Background(), store, writer, known, AnyRevision, mutate)
+		next, err := writeState(context.Background(), objects, writer, known, AnyRevision, mutate)
 		if err != nil {
 			b.Fatal(err)
 		}
 		known = next
 	}
 	edit(func(s *config.Snapshot) error { *s = *scaled(100); return nil })
-	before, puts, edits := calls(), store.Calls("put"), 0
+	before, puts, edits := calls(), objects.Calls("put"), 0
 	for b.Loop() {
 		edit(editRow)
 		edits++
 	}
 	b.ReportMetric(float64(calls()-before)/float64(edits), "calls/edit")
-	b.ReportMetric(float64(store.Calls("put")-puts)/float64(edits), "puts/edit")
+	b.ReportMetric(float64(objects.Calls("put")-puts)/float64(edits), "puts/edit")
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -11,26 +11,26 @@
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // downStore is a platform that cannot be reached.
-type downStore struct{ platform.Store }
+type downStore struct{ store.Store }
 
-func (downStore) Get(context.Context, string) (platform.Object, error) {
-	return platform.Object{}, platform.ErrUnavailable
+func (downStore) Get(context.Context, string) (store.Object, error) {
+	return store.Object{}, store.ErrUnavailable
 }
 
-func (downStore) Put(context.Context, string, []byte, int64) (platform.Object, error) {
-	return platform.Object{}, platform.ErrUnavailable
+func (downStore) Put(context.Context, string, []byte, int64) (store.Object, error) {
+	return store.Object{}, store.ErrUnavailable
 }
 
-func (downStore) Watch(context.Context, string, int64) (platform.WatchResult, error) {
-	return platform.WatchResult{}, platform.ErrUnavailable
+func (downStore) Watch(context.Context, string, int64) (store.WatchResult, error) {
+	return store.WatchResult{}, store.ErrUnavailable
 }
 
-func (downStore) Hosts(context.Context) ([]platform.HostEntry, error) {
-	return nil, platform.ErrUnavailable
+func (downStore) Hosts(context.Context) ([]store.HostEntry, error) {
+	return nil, store.ErrUnavailable
 }
 
 func (h *testHost) has(kind, peer string) bool {
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -10,7 +10,7 @@
 
 	"ragwortstep/internal/core/membership"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const epochKey = "fleet/epoch"
@@ -131,7 +131,7 @@
 	if err != nil {
 		return e, head{}, err
 	}
-	obj, env, exists, err := platform.ReadEnvelope(ctx, f.opts.Store, headKey)
+	obj, env, exists, err := store.ReadEnvelope(ctx, f.opts.Store, headKey)
 	if err != nil {
 		return e, head{}, err
 	}
@@ -161,7 +161,7 @@
 
 // readEpoch returns the platform's epoch, with Number 0 when there is none.
 func (f *Fleet) readEpoch(ctx context.Context) (membership.Epoch, error) {
-	obj, env, exists, err := platform.ReadEnvelope(ctx, f.opts.Store, epochKey)
+	obj, env, exists, err := store.ReadEnvelope(ctx, f.opts.Store, epochKey)
 	if err != nil {
 		return membership.Epoch{}, err
 	}
@@ -215,7 +215,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	stats.Add("proposals", 1)
-	_, raw, err := platform.Update(ctx, f.opts.Store, f.writer, epochKey, f.nextEpoch)
+	_, raw, err := store.Update(ctx, f.opts.Store, f.writer, epochKey, f.nextEpoch)
 	if err != nil {
 		stats.Add("proposal_failures", 1)
 		return
@@ -236,7 +236,7 @@
 	next, change := f.machine.Propose(f.opts.Now(), e, exists)
 	f.mu.Unlock()
 	if !change {
-		return nil, platform.ErrNoChange
+		return nil, store.ErrNoChange
 	}
 	raw, err := json.Marshal(next)
 	return raw, errors.Wrap(err, "encode epoch")
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -12,7 +12,7 @@
 	"ragwortstep/internal/core/membership"
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // ErrNotFresh is returned by MayAdmit while the freshness lease does not hold.
@@ -49,7 +49,7 @@
 	// Self describes this host. An empty Incarnation is replaced by a new
 	// unique one; a Size of 0 by 1.
 	Self  Member
-	Store platform.Store
+	Store store.Store
 	Peers Transport
 	Seeds []string // addresses of peers to ask at start when the platform is down
 
--- a/internal/host/configwriter.go
+++ b/internal/host/configwriter.go
@@ -13,7 +13,7 @@
 	"ragwortstep/internal/admin"
 	"ragwortstep/internal/core/config"
 	"ragwortstep/internal/fleet"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -29,9 +29,9 @@
 // configWriter commits configuration changes and their history. It implements
 // admin.ConfigWriter.
 type configWriter struct {
-	fleet *fleet.Fleet
-	store platform.Store
-	now   func() time.Time
+	fleet   *fleet.Fleet
+	objects store.Store
+	now     func() time.Time
 }
 
 // Write implements admin.ConfigWriter. The history entry is stored before the
@@ -53,7 +53,7 @@
 	var conflict *fleet.ConflictError
 	if errors.As(err, &conflict) {
 		if entry != "" {
-			_ = w.store.Delete(ctx, entry, platform.AnyVersion) // a leftover entry is hidden by History
+			_ = w.objects.Delete(ctx, entry, store.AnyVersion) // a leftover entry is hidden by History
 		}
 		return nil, errors.Wrap(&admin.ConflictError{Expected: conflict.Expected, Current: conflict.Actual}, "write configuration")
 	}
@@ -72,12 +72,12 @@
 	if revision < 1 {
 		return
 	}
-	page, err := w.store.List(ctx, historyPrefix, revisionPrefix(revision), 2*trimEvery)
+	page, err := w.objects.List(ctx, historyPrefix, revisionPrefix(revision), 2*trimEvery)
 	if err != nil {
 		return
 	}
 	for _, obj := range page.Objects {
-		_ = w.store.Delete(ctx, obj.Key, platform.AnyVersion)
+		_ = w.objects.Delete(ctx, obj.Key, store.AnyVersion)
 	}
 }
 
@@ -92,7 +92,7 @@
 		return "", errors.Wrap(err, "encode history entry")
 	}
 	key := revisionPrefix(change.Revision) + uuid.NewString()
-	_, err = w.store.Put(ctx, key, raw, platform.AnyVersion)
+	_, err = w.objects.Put(ctx, key, raw, store.AnyVersion)
 	return key, errors.Wrapf(err, "platform put %s", key)
 }
 
@@ -101,7 +101,7 @@
 // current revision were not committed.
 func (w *configWriter) History(ctx context.Context, limit int) ([]config.Change, error) {
 	current := w.fleet.Config()
-	page, err := w.store.List(ctx, historyPrefix, "", min(historyPage, 2*limit+1))
+	page, err := w.objects.List(ctx, historyPrefix, "", min(historyPage, 2*limit+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "platform list "+historyPrefix)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -29,8 +29,8 @@
 	"ragwortstep/internal/limiter"
 	"ragwortstep/internal/orders"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
 	"ragwortstep/internal/settings"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -47,7 +47,7 @@
 	id       peer.HostID
 	incarn   string
 
-	store      platform.Store
+	store      store.Store
 	events     *events.Recorder
 	peers      *peer.Node
 	fleet      *fleet.Fleet
@@ -76,7 +76,7 @@
 // build makes all parts. Nothing listens or runs yet.
 func build(s *settings.Settings, logger *slog.Logger) (*Host, error) {
 	h := &Host{settings: s, logger: logger, id: peer.HostID(s.Host.Name), incarn: uuid.NewString()}
-	h.store = platform.NewHTTPStore(s.Platform.URL, s.Host.Name)
+	h.store = store.NewHTTPStore(s.Platform.URL, s.Host.Name)
 	if err := h.openEvents(); err != nil {
 		return nil, err
 	}
@@ -295,7 +295,7 @@
 func (h *Host) adminHandler() http.Handler {
 	return admin.New(admin.Options{
 		Config: h.fleet,
-		Writer: &configWriter{fleet: h.fleet, store: h.store, now: time.Now},
+		Writer: &configWriter{fleet: h.fleet, objects: h.store, now: time.Now},
 		Status: h.board, Events: h.events, Recorder: h.events,
 		Orders:      h.orders.Desired(),
 		OperatorKey: h.settings.Admin.Key, Logger: h.logger,
--- a/internal/jobs/batches.go
+++ b/internal/jobs/batches.go
@@ -13,7 +13,7 @@
 
 	"ragwortstep/internal/core/batch"
 	"ragwortstep/internal/events"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // Bounds of a batch request, as in OpenAI's API.
@@ -172,11 +172,11 @@
 
 // createManifest creates the manifest; an existing one is returned with created false.
 func (s *Service) createManifest(ctx context.Context, job batch.Job) (stored batch.Job, created bool, err error) {
-	_, raw, err := platform.Update(ctx, s.store, s.writer, manifestKey(job.ID),
+	_, raw, err := store.Update(ctx, s.store, s.writer, manifestKey(job.ID),
 		func(_ json.RawMessage, exists bool) (json.RawMessage, error) {
 			if exists {
 				created = false
-				return nil, platform.ErrNoChange
+				return nil, store.ErrNoChange
 			}
 			created = true
 			return json.Marshal(job)
@@ -196,7 +196,7 @@
 		return errors.Wrap(err, "encode active entry")
 	}
 	// An entry that is there may carry a cancellation and is kept.
-	if err := s.putOnce(ctx, activeKey(job.ID), active); err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err := s.putOnce(ctx, activeKey(job.ID), active); err != nil && !errors.Is(err, store.ErrConflict) {
 		return err
 	}
 	index, err := json.Marshal(jobIndex{ID: job.ID, Workspace: job.Workspace, CreatedAt: job.CreatedAt})
@@ -244,7 +244,7 @@
 
 func (s *Service) manifest(ctx context.Context, id string) (batch.Job, bool, error) {
 	var job batch.Job
-	_, env, exists, err := platform.ReadEnvelope(ctx, s.store, manifestKey(id))
+	_, env, exists, err := store.ReadEnvelope(ctx, s.store, manifestKey(id))
 	if err != nil || !exists {
 		return job, false, err
 	}
@@ -255,10 +255,10 @@
 // an error to leave it as it is.
 func (s *Service) updateManifest(ctx context.Context, id string, change func(batch.Job) (batch.Job, error)) (batch.Job, error) {
 	var next batch.Job
-	_, _, err := platform.Update(ctx, s.store, s.writer, manifestKey(id),
+	_, _, err := store.Update(ctx, s.store, s.writer, manifestKey(id),
 		func(raw json.RawMessage, exists bool) (json.RawMessage, error) {
 			if !exists {
-				return nil, platform.ErrNotFound
+				return nil, store.ErrNotFound
 			}
 			var current batch.Job
 			if err := json.Unmarshal(raw, &current); err != nil {
@@ -270,7 +270,7 @@
 			}
 			encoded, err := json.Marshal(next)
 			if err == nil && slices.Equal(encoded, raw) {
-				return nil, platform.ErrNoChange
+				return nil, store.ErrNoChange
 			}
 			return encoded, err
 		})
@@ -316,7 +316,7 @@
 // listActive reads the whole index of unfinished jobs.
 func (s *Service) listActive(ctx context.Context) ([]activeEntry, error) {
 	var out []activeEntry
-	err := s.listAll(ctx, prefixActive, func(obj platform.Object) error {
+	err := s.listAll(ctx, prefixActive, func(obj store.Object) error {
 		var entry activeEntry
 		if err := json.Unmarshal(obj.Value, &entry); err != nil {
 			return errors.Wrapf(err, "decode %s", obj.Key)
@@ -331,11 +331,11 @@
 const listPage = 1000
 
 // listAll visits every object with the prefix, page by page.
-func (s *Service) listAll(ctx context.Context, prefix string, visit func(platform.Object) error) error {
+func (s *Service) listAll(ctx context.Context, prefix string, visit func(store.Object) error) error {
 	return s.listPages(ctx, prefix, listPage, visit)
 }
 
-func (s *Service) listPages(ctx context.Context, prefix string, limit int, visit func(platform.Object) error) error {
+func (s *Service) listPages(ctx context.Context, prefix string, limit int, visit func(store.Object) error) error {
 	after := ""
 	for {
 		page, err := s.store.List(ctx, prefix, after, limit)
@@ -356,7 +356,7 @@
 
 // listChunks visits the progress of every chunk of the job that was ever claimed.
 func (s *Service) listChunks(ctx context.Context, id string, visit func(version int64, c batch.Chunk) error) error {
-	return s.listAll(ctx, chunkPrefix(id), func(obj platform.Object) error {
+	return s.listAll(ctx, chunkPrefix(id), func(obj store.Object) error {
 		chunk, err := decodeChunk(obj)
 		if err != nil {
 			return err
@@ -365,8 +365,8 @@
 	})
 }
 
-func decodeChunk(obj platform.Object) (batch.Chunk, error) {
-	var env platform.Envelope
+func decodeChunk(obj store.Object) (batch.Chunk, error) {
+	var env store.Envelope
 	var chunk batch.Chunk
 	if err := json.Unmarshal(obj.Value, &env); err != nil {
 		return chunk, errors.Wrapf(err, "decode envelope of %s", obj.Key)
--- a/internal/jobs/chunkrun.go
+++ b/internal/jobs/chunkrun.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/core/batch"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -183,7 +183,7 @@
 				return nil, nil
 			}
 			return lines, nil
-		case errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited, platform.ErrUnknownOutcome):
+		case errors.IsAny(err, store.ErrUnavailable, store.ErrRateLimited, store.ErrUnknownOutcome):
 			if !sleep(r.feedCtx, jitter(min(putBaseDelay<<min(attempt, 10), putMaxDelay))) {
 				return nil, r.feedCtx.Err()
 			}
--- a/internal/jobs/commit.go
+++ b/internal/jobs/commit.go
@@ -10,7 +10,7 @@
 
 	"ragwortstep/internal/core/batch"
 	"ragwortstep/internal/invariant"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // errLost reports that the chunk has another owner or was sealed.
@@ -39,7 +39,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "encode chunk")
 	}
-	env := platform.Envelope{Writer: s.writer.ID + "/chunk", Seq: chunkSeq.Add(1), Data: data}
+	env := store.Envelope{Writer: s.writer.ID + "/chunk", Seq: chunkSeq.Add(1), Data: data}
 	key := chunkKey(job, next.Index)
 	unresolved := false
 	for attempt := 0; ; attempt++ {
@@ -57,14 +57,14 @@
 				continue
 			}
 		}
-		stored, err := platform.PutEnvelope(ctx, s.store, key, env, version)
+		stored, err := store.PutEnvelope(ctx, s.store, key, env, version)
 		switch {
 		case err == nil:
 			counters.Add("chunk_puts", 1)
 			return stored.Version, nil
-		case errors.IsAny(err, platform.ErrConflict, platform.ErrUnknownOutcome):
+		case errors.IsAny(err, store.ErrConflict, store.ErrUnknownOutcome):
 			unresolved = true
-		case errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited):
+		case errors.IsAny(err, store.ErrUnavailable, store.ErrRateLimited):
 			s.pace.failure()
 		default:
 			return 0, errors.Wrapf(err, "platform put %s", key)
@@ -74,8 +74,8 @@
 
 // resolve tells whether the write was applied. errLost means that another
 // writer has replaced the object.
-func (s *Service) resolve(ctx context.Context, key string, version int64, env platform.Envelope) (int64, bool, error) {
-	obj, found, exists, err := platform.ReadEnvelope(ctx, s.store, key)
+func (s *Service) resolve(ctx context.Context, key string, version int64, env store.Envelope) (int64, bool, error) {
+	obj, found, exists, err := store.ReadEnvelope(ctx, s.store, key)
 	switch {
 	case err != nil:
 		return 0, false, err
@@ -233,11 +233,11 @@
 		if err := r.s.beforePut(ctx, attempt); err != nil {
 			return errors.Wrapf(err, "platform put %s", key)
 		}
-		_, err := r.s.store.Put(ctx, key, packed, platform.AnyVersion)
+		_, err := r.s.store.Put(ctx, key, packed, store.AnyVersion)
 		switch {
 		case err == nil:
 			return nil
-		case errors.IsAny(err, platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrRateLimited):
+		case errors.IsAny(err, store.ErrUnavailable, store.ErrUnknownOutcome, store.ErrRateLimited):
 			r.s.pace.failure()
 		default:
 			return errors.Wrapf(err, "platform put %s", key)
--- a/internal/jobs/errors.go
+++ b/internal/jobs/errors.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/dispatch"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // headerExecuted tells a caller whether a refused request took effect.
@@ -59,7 +59,7 @@
 		return err
 	}
 	executed := dispatch.ExecutedNo
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, store.ErrUnknownOutcome) {
 		executed = dispatch.ExecutedUnknown
 	}
 	return &APIError{
@@ -74,7 +74,7 @@
 	if err == nil {
 		return nil
 	}
-	return platformError(errors.Mark(err, platform.ErrUnknownOutcome))
+	return platformError(errors.Mark(err, store.ErrUnknownOutcome))
 }
 
 type errorBody struct {
--- a/internal/jobs/files.go
+++ b/internal/jobs/files.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -71,7 +71,7 @@
 	}
 	var meta fileMeta
 	err := s.getJSON(ctx, fileMetaKey(id), &meta)
-	if errors.Is(err, platform.ErrNotFound) || err == nil && meta.Workspace != workspace {
+	if errors.Is(err, store.ErrNotFound) || err == nil && meta.Workspace != workspace {
 		return fileMeta{}, notFound("file", id)
 	}
 	return meta, platformError(err)
@@ -125,7 +125,7 @@
 
 // acceptedFiles returns the files of index entries; a file that was never
 // accepted has an empty id.
-func (s *Service) acceptedFiles(ctx context.Context, objects []platform.Object) ([]fileMeta, error) {
+func (s *Service) acceptedFiles(ctx context.Context, objects []store.Object) ([]fileMeta, error) {
 	out := make([]fileMeta, len(objects))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(parallelReads)
@@ -217,8 +217,8 @@
 // count as removed.
 func (s *Service) remove(ctx context.Context, key string) error {
 	err := s.retry(ctx, func() error {
-		err := s.store.Delete(ctx, key, platform.AnyVersion)
-		if errors.Is(err, platform.ErrNotFound) {
+		err := s.store.Delete(ctx, key, store.AnyVersion)
+		if errors.Is(err, store.ErrNotFound) {
 			return nil
 		}
 		return err
--- a/internal/jobs/fill.go
+++ b/internal/jobs/fill.go
@@ -9,7 +9,7 @@
 
 	"ragwortstep/internal/core/batch"
 	"ragwortstep/internal/events"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -237,7 +237,7 @@
 // readChunk returns the chunk's progress, or a new one with version 0.
 func (s *Service) readChunk(ctx context.Context, job *activeJob, chunk int) (batch.Chunk, int64, error) {
 	progress := batch.NewChunk(chunk, job.entry.Parts[chunk])
-	obj, env, exists, err := platform.ReadEnvelope(ctx, s.store, chunkKey(job.entry.ID, chunk))
+	obj, env, exists, err := store.ReadEnvelope(ctx, s.store, chunkKey(job.entry.ID, chunk))
 	if err != nil || !exists {
 		return progress, 0, err
 	}
--- a/internal/jobs/finish.go
+++ b/internal/jobs/finish.go
@@ -11,7 +11,7 @@
 	"ragwortstep/internal/core/batch"
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/invariant"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -192,8 +192,8 @@
 		key := segmentKey(id, c.Index, epoch, number)
 		found := true
 		err := s.retry(ctx, func() error {
-			err := s.store.Delete(ctx, key, platform.AnyVersion)
-			if errors.Is(err, platform.ErrNotFound) {
+			err := s.store.Delete(ctx, key, store.AnyVersion)
+			if errors.Is(err, store.ErrNotFound) {
 				found = false
 				return nil
 			}
@@ -239,7 +239,7 @@
 func (s *Service) markCancelled(ctx context.Context, job batch.Job) error {
 	var entry activeEntry
 	err := s.getJSON(ctx, activeKey(job.ID), &entry)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		var file fileMeta
 		if err := s.getJSON(ctx, fileMetaKey(job.InputFile), &file); err != nil {
 			return err
--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -24,8 +24,8 @@
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/limiter"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
-	"ragwortstep/internal/platform/platformtest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 )
 
 const (
@@ -40,7 +40,7 @@
 // cluster is several hosts over one store, with a ledger of all item runs.
 type cluster struct {
 	t     *testing.T
-	store *platformtest.Fake
+	store *storetest.Fake
 	audit *audit
 	ctx   context.Context
 
@@ -77,7 +77,7 @@
 func newCluster(t *testing.T) *cluster {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	c := &cluster{t: t, store: platformtest.New(), ctx: ctx, nodes: map[peer.HostID]*node{}, runs: map[string]int{}, peers: true, beats: true}
+	c := &cluster{t: t, store: storetest.New(), ctx: ctx, nodes: map[peer.HostID]*node{}, runs: map[string]int{}, peers: true, beats: true}
 	c.audit = &audit{Store: c.store, chunks: map[string]batch.Chunk{}}
 	c.serve = func(string) answer { return answer{status: 200} }
 	t.Cleanup(func() {
@@ -283,32 +283,32 @@
 		hook(op, key)
 	}
 	if n.Service != nil && n.ctx.Err() != nil {
-		return platform.ErrUnavailable // a killed process sends nothing
+		return store.ErrUnavailable // a killed process sends nothing
 	}
 	return nil
 }
 
-func (s *nodeStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *nodeStore) Get(ctx context.Context, key string) (store.Object, error) {
 	if err := s.at("get", key); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return s.c.audit.Get(ctx, key)
 }
 
-func (s *nodeStore) List(ctx context.Context, prefix, after string, limit int) (platform.Page, error) {
+func (s *nodeStore) List(ctx context.Context, prefix, after string, limit int) (store.Page, error) {
 	if err := s.at("list", prefix); err != nil {
-		return platform.Page{}, err
+		return store.Page{}, err
 	}
 	return s.c.audit.List(ctx, prefix, after, limit)
 }
 
-func (s *nodeStore) Put(ctx context.Context, key string, value []byte, v int64) (platform.Object, error) {
+func (s *nodeStore) Put(ctx context.Context, key string, value []byte, v int64) (store.Object, error) {
 	if err := s.at("put", key); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	obj, err := s.c.audit.Put(ctx, key, value, v)
 	if s.at("stored", key) != nil {
-		return platform.Object{}, platform.ErrUnknownOutcome
+		return store.Object{}, store.ErrUnknownOutcome
 	}
 	return obj, err
 }
@@ -320,30 +320,30 @@
 	return s.c.audit.Delete(ctx, key, v)
 }
 
-func (s *nodeStore) Watch(ctx context.Context, prefix string, from int64) (platform.WatchResult, error) {
+func (s *nodeStore) Watch(ctx context.Context, prefix string, from int64) (store.WatchResult, error) {
 	return s.c.audit.Watch(ctx, prefix, from)
 }
 
-func (s *nodeStore) Hosts(ctx context.Context) ([]platform.HostEntry, error) {
+func (s *nodeStore) Hosts(ctx context.Context) ([]store.HostEntry, error) {
 	return s.c.audit.Hosts(ctx)
 }
 
 // audit checks every accepted update of a chunk against its predecessor.
 type audit struct {
-	platform.Store
+	store.Store
 	mu     sync.Mutex
 	chunks map[string]batch.Chunk
 	faults []string
 }
 
-func (a *audit) Put(ctx context.Context, key string, value []byte, v int64) (platform.Object, error) {
+func (a *audit) Put(ctx context.Context, key string, value []byte, v int64) (store.Object, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	obj, err := a.Store.Put(ctx, key, value, v)
-	if err != nil && !errors.Is(err, platform.ErrUnknownOutcome) || !strings.Contains(key, "/chunk/") {
+	if err != nil && !errors.Is(err, store.ErrUnknownOutcome) || !strings.Contains(key, "/chunk/") {
 		return obj, err
 	}
-	next, decodeErr := decodeChunk(platform.Object{Key: key, Value: value})
+	next, decodeErr := decodeChunk(store.Object{Key: key, Value: value})
 	prev, known := a.chunks[key]
 	if decodeErr != nil {
 		a.faults = append(a.faults, decodeErr.Error())
--- a/internal/jobs/options.go
+++ b/internal/jobs/options.go
@@ -11,7 +11,7 @@
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/limiter"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // Dispatcher runs one item at a backend server. A refusal is a
@@ -46,7 +46,7 @@
 	Host        peer.HostID // this host's name, as in fleet.View.Members
 	Incarnation string      // new for each process start, as in fleet.Member.Incarnation
 
-	Store      platform.Store
+	Store      store.Store
 	Fleet      Fleet
 	Peers      peer.Caller // optional: without it, hosts learn of jobs by listing only
 	Dispatcher Dispatcher
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -23,12 +23,12 @@
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/limiter"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
-	"ragwortstep/internal/platform/platformtest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 )
 
 // storeCalls counts all calls, as the platform's rate limit does.
-func storeCalls(f *platformtest.Fake) int {
+func storeCalls(f *storetest.Fake) int {
 	sum := 0
 	for _, op := range []string{"get", "list", "put", "delete", "watch", "hosts"} {
 		sum += f.Calls(op)
@@ -87,9 +87,9 @@
 
 // discard is a store that keeps no values above 64 KB, to measure what an
 // upload keeps itself.
-type discard struct{ platform.Store }
+type discard struct{ store.Store }
 
-func (d discard) Put(ctx context.Context, key string, value []byte, v int64) (platform.Object, error) {
+func (d discard) Put(ctx context.Context, key string, value []byte, v int64) (store.Object, error) {
 	if strings.Contains(key, "/part/") {
 		value = nil
 	}
@@ -119,7 +119,7 @@
 // uploadPeak returns the largest growth of the live heap during an upload.
 func uploadPeak(t *testing.T, items int) int64 {
 	is := is.New(t)
-	s := New(Options{Store: discard{platformtest.New()}})
+	s := New(Options{Store: discard{storetest.New()}})
 	var stats runtime.MemStats
 	live := func() int64 {
 		runtime.GC()
--- a/internal/jobs/service.go
+++ b/internal/jobs/service.go
@@ -19,7 +19,7 @@
 
 	"ragwortstep/internal/core/batch"
 	"ragwortstep/internal/events"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // cleanupTimeout bounds the removal of what a failed request wrote.
@@ -34,8 +34,8 @@
 // Service stores files and runs batch jobs on one host.
 type Service struct {
 	o        Options
-	store    platform.Store
-	writer   *platform.Writer
+	store    store.Store
+	writer   *store.Writer
 	owner    batch.Owner
 	registry *registry
 	uploads  chan struct{}
@@ -67,7 +67,7 @@
 	s := &Service{
 		o:        o,
 		store:    o.Store,
-		writer:   platform.NewWriter(string(o.Host) + "/" + o.Incarnation),
+		writer:   store.NewWriter(string(o.Host) + "/" + o.Incarnation),
 		owner:    batch.Owner{Host: string(o.Host), Incarnation: o.Incarnation},
 		uploads:  make(chan struct{}, o.MaxUploads),
 		slots:    newSlots(o.Workers),
--- a/internal/jobs/sweep.go
+++ b/internal/jobs/sweep.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/core/batch"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -47,7 +47,7 @@
 
 // repair completes the index of jobs whose host died while it created them.
 func (s *Service) repair(ctx context.Context) error {
-	return s.listAll(ctx, prefixNew, func(obj platform.Object) error {
+	return s.listAll(ctx, prefixNew, func(obj store.Object) error {
 		var entry jobIndex
 		if err := json.Unmarshal(obj.Value, &entry); err != nil {
 			return errors.Wrapf(err, "decode %s", obj.Key)
@@ -92,17 +92,17 @@
 	for _, entry := range active {
 		inUse[entry.InputFile] = true
 	}
-	if err := s.listAll(ctx, prefixJobIndex, func(obj platform.Object) error { return s.sweepJob(ctx, obj) }); err != nil {
+	if err := s.listAll(ctx, prefixJobIndex, func(obj store.Object) error { return s.sweepJob(ctx, obj) }); err != nil {
 		return err
 	}
-	return s.listAll(ctx, prefixFileIndex, func(obj platform.Object) error { return s.sweepFile(ctx, obj, inUse) })
+	return s.listAll(ctx, prefixFileIndex, func(obj store.Object) error { return s.sweepFile(ctx, obj, inUse) })
 }
 
 func (s *Service) expired(createdMS int64) bool {
 	return s.now().Sub(time.UnixMilli(createdMS)) > s.o.Retention
 }
 
-func (s *Service) sweepJob(ctx context.Context, obj platform.Object) error {
+func (s *Service) sweepJob(ctx context.Context, obj store.Object) error {
 	var entry jobIndex
 	if err := json.Unmarshal(obj.Value, &entry); err != nil {
 		return errors.Wrapf(err, "decode %s", obj.Key)
@@ -141,10 +141,10 @@
 	if err != nil {
 		return err
 	}
-	return s.listPages(ctx, "jobs/"+id+"/", valuePage, func(obj platform.Object) error { return s.remove(ctx, obj.Key) })
+	return s.listPages(ctx, "jobs/"+id+"/", valuePage, func(obj store.Object) error { return s.remove(ctx, obj.Key) })
 }
 
-func (s *Service) sweepFile(ctx context.Context, obj platform.Object, inUse map[string]bool) error {
+func (s *Service) sweepFile(ctx context.Context, obj store.Object, inUse map[string]bool) error {
 	var entry fileIndex
 	if err := json.Unmarshal(obj.Value, &entry); err != nil {
 		return errors.Wrapf(err, "decode %s", obj.Key)
@@ -159,7 +159,7 @@
 	var meta fileMeta
 	err := s.getJSON(ctx, fileMetaKey(entry.File.ID), &meta)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return s.sweepParts(ctx, entry.File.ID, obj.Key)
 	case err != nil:
 		return err
@@ -172,7 +172,7 @@
 // sweepParts removes the parts of an upload that was cut off.
 func (s *Service) sweepParts(ctx context.Context, id, indexEntry string) error {
 	prefix := strings.TrimSuffix(filePartKey(id, 0), fmt.Sprintf("%06d", 0))
-	err := s.listPages(ctx, prefix, valuePage, func(obj platform.Object) error { return s.remove(ctx, obj.Key) })
+	err := s.listPages(ctx, prefix, valuePage, func(obj store.Object) error { return s.remove(ctx, obj.Key) })
 	if err != nil {
 		return err
 	}
--- a/internal/jobs/upload.go
+++ b/internal/jobs/upload.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // Bounds of one part of a file.
@@ -126,7 +126,7 @@
 		return nil
 	}
 	packed := compress(raw)
-	if len(packed) > platform.MaxValueBytes {
+	if len(packed) > store.MaxValueBytes {
 		first := items / 2
 		cut := offsetOfLine(raw, first)
 		if err := u.put(ctx, raw[:cut], first); err != nil {
@@ -193,10 +193,10 @@
 	lost := false
 	err := s.retry(ctx, func() error {
 		_, err := s.store.Put(ctx, key, value, 0)
-		if lost && errors.Is(err, platform.ErrConflict) {
+		if lost && errors.Is(err, store.ErrConflict) {
 			return nil
 		}
-		lost = lost || errors.Is(err, platform.ErrUnknownOutcome)
+		lost = lost || errors.Is(err, store.ErrUnknownOutcome)
 		return err
 	})
 	return errors.Wrapf(err, "platform put %s", key)
@@ -205,7 +205,7 @@
 // putAny overwrites an object.
 func (s *Service) putAny(ctx context.Context, key string, value []byte) error {
 	err := s.retry(ctx, func() error {
-		_, err := s.store.Put(ctx, key, value, platform.AnyVersion)
+		_, err := s.store.Put(ctx, key, value, store.AnyVersion)
 		return err
 	})
 	return errors.Wrapf(err, "platform put %s", key)
@@ -221,13 +221,13 @@
 			break
 		}
 		err = call()
-		lost = lost || errors.Is(err, platform.ErrUnknownOutcome)
-		if !errors.IsAny(err, platform.ErrUnavailable, platform.ErrUnknownOutcome, platform.ErrRateLimited) {
+		lost = lost || errors.Is(err, store.ErrUnknownOutcome)
+		if !errors.IsAny(err, store.ErrUnavailable, store.ErrUnknownOutcome, store.ErrRateLimited) {
 			return err
 		}
 	}
 	if lost {
-		return errors.Mark(err, platform.ErrUnknownOutcome)
+		return errors.Mark(err, store.ErrUnknownOutcome)
 	}
 	return err
 }
--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -20,8 +20,8 @@
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/limiter"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
-	"ragwortstep/internal/platform/platformtest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 )
 
 // node is one host with its real transport over loopback.
@@ -37,7 +37,7 @@
 	scale  time.Duration // divides the default timers
 }
 
-func startNode(t testing.TB, store platform.Store, name string, o nodeOptions) *node {
+func startNode(t testing.TB, objects store.Store, name string, o nodeOptions) *node {
 	t.Helper()
 	address := freeAddress(t)
 	peers, err := peer.New(peer.Options{
@@ -49,7 +49,7 @@
 	n := &node{peers: peers}
 	n.fleet = fleet.New(fleet.Options{
 		Self:  fleet.Member{Host: peer.HostID(name), PeerAddress: address, Zone: "z" + name[len(name)-1:]},
-		Store: store, Peers: peers,
+		Store: objects, Peers: peers,
 		Heartbeat: 500 * time.Millisecond / o.scale, Lease: 3 * time.Second / o.scale,
 		Margin: 200 * time.Millisecond / o.scale, Poll: time.Second / o.scale,
 	})
@@ -90,9 +90,9 @@
 	_ = n.peers.Close()
 }
 
-func mustWrite(t testing.TB, store platform.Store, limits map[string]limit.Limit) {
+func mustWrite(t testing.TB, objects store.Store, limits map[string]limit.Limit) {
 	t.Helper()
-	_, err := fleet.WriteSnapshot(context.Background(), store, platform.NewWriter("t"), fleet.AnyRevision, func(s *config.Snapshot) error {
+	_, err := fleet.WriteSnapshot(context.Background(), objects, store.NewWriter("t"), fleet.AnyRevision, func(s *config.Snapshot) error {
 		for name, l := range limits {
 			s.Workspaces[name] = config.Workspace{Name: name, Weight: 1, Rate: l.Rate, Burst: l.Burst}
 		}
@@ -193,15 +193,15 @@
 		t.Skip("runs for 12s")
 	}
 	is := is.New(t)
-	store := platformtest.New()
+	objects := storetest.New()
 	limits := map[string]limit.Limit{
 		"slow": {Rate: 1, Burst: 5}, "small": {Rate: 10, Burst: 10},
 		"middle": {Rate: 100, Burst: 50}, "large": {Rate: 400, Burst: 400},
 	}
-	mustWrite(t, store, limits)
+	mustWrite(t, objects, limits)
 	var nodes []*node
 	for i := range 8 {
-		nodes = append(nodes, startNode(t, store, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1}))
+		nodes = append(nodes, startNode(t, objects, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1}))
 	}
 	formed(t, nodes)
 	const filling = 5500 * time.Millisecond // of the slowest bucket
@@ -209,7 +209,7 @@
 	time.Sleep(filling)
 	t.Logf("idle, per host and second: %.0f bytes sent", float64(counterOf("peer", "bytes_sent")-idle)/float64(len(nodes))/filling.Seconds())
 	bytes, calls, borrows := counterOf("peer", "bytes_sent"), counterOf("peer", "calls"), counterOf("limiter", "borrow_calls")
-	polls := store.Calls("get")
+	polls := objects.Calls("get")
 	const lasting = 6 * time.Second
 	var mu sync.Mutex
 	refused, entitled := 0, 0
@@ -228,7 +228,7 @@
 	perHost := float64(len(nodes)) * lasting.Seconds()
 	t.Logf("per host and second: %.0f bytes sent, %.1f calls, of which %.1f limit.borrow; %.2f platform reads",
 		float64(counterOf("peer", "bytes_sent")-bytes)/perHost, float64(counterOf("peer", "calls")-calls)/perHost,
-		float64(counterOf("limiter", "borrow_calls")-borrows)/perHost, float64(store.Calls("get")-polls)/perHost)
+		float64(counterOf("limiter", "borrow_calls")-borrows)/perHost, float64(objects.Calls("get")-polls)/perHost)
 	is.True(entitled > 2000)
 	is.True(float64(refused) <= 0.001*float64(entitled))
 }
@@ -240,14 +240,14 @@
 		t.Skip("runs for 20s")
 	}
 	is := is.New(t)
-	store := platformtest.New()
+	objects := storetest.New()
 	limits := map[string]limit.Limit{
 		"slow": {Rate: 1, Burst: 5}, "small": {Rate: 10, Burst: 20}, "middle": {Rate: 100, Burst: 50}, "large": {Rate: 400, Burst: 400},
 	}
-	mustWrite(t, store, limits)
+	mustWrite(t, objects, limits)
 	var nodes []*node
 	for i := range 8 {
-		nodes = append(nodes, startNode(t, store, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1}))
+		nodes = append(nodes, startNode(t, objects, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1}))
 	}
 	formed(t, nodes)
 	time.Sleep(5500 * time.Millisecond) // the slowest bucket fills
@@ -283,12 +283,12 @@
 // fails, and the limit is edited.
 func TestWindowBoundWithProcesses(t *testing.T) {
 	is := is.New(t)
-	store := platformtest.New()
+	objects := storetest.New()
 	l := limit.Limit{Rate: 40, Burst: 24}
-	mustWrite(t, store, map[string]limit.Limit{"w": l})
+	mustWrite(t, objects, map[string]limit.Limit{"w": l})
 	const hosts = 4
 	nodes := make([]*node, hosts)
-	start := func(i int) { nodes[i] = startNode(t, store, fmt.Sprintf("host-%d", i), nodeOptions{scale: 5}) }
+	start := func(i int) { nodes[i] = startNode(t, objects, fmt.Sprintf("host-%d", i), nodeOptions{scale: 5}) }
 	for i := range hosts {
 		start(i)
 	}
@@ -322,12 +322,12 @@
 		i := round % hosts
 		nodes[i].close()
 		time.Sleep(time.Duration(round) * 150 * time.Millisecond)
-		store.SetDown(round == 3)
+		objects.SetDown(round == 3)
 		time.Sleep(300 * time.Millisecond)
-		store.SetDown(false)
+		objects.SetDown(false)
 		start(i)
 		load(nodes[i])
-		mustWrite(t, store, map[string]limit.Limit{"w": {Rate: l.Rate, Burst: l.Burst - float64(round%2)}})
+		mustWrite(t, objects, map[string]limit.Limit{"w": {Rate: l.Rate, Burst: l.Burst - float64(round%2)}})
 		time.Sleep(900 * time.Millisecond)
 	}
 	cancel()
@@ -361,14 +361,14 @@
 		t.Skip("runs for 25s")
 	}
 	is := is.New(t)
-	store := platformtest.New()
+	objects := storetest.New()
 	limits := map[string]limit.Limit{
 		"slow": {Rate: 1, Burst: 5}, "small": {Rate: 10, Burst: 20}, "middle": {Rate: 100, Burst: 50},
 	}
-	mustWrite(t, store, limits)
+	mustWrite(t, objects, limits)
 	nodes := make([]*node, 4)
 	for i := range nodes {
-		nodes[i] = startNode(t, store, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1})
+		nodes[i] = startNode(t, objects, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1})
 	}
 	formed(t, nodes)
 	time.Sleep(5500 * time.Millisecond) // the slowest bucket fills
@@ -402,7 +402,7 @@
 		mu.Unlock()
 		time.Sleep(1500 * time.Millisecond) // the requests in it end
 		nodes[i].close()
-		fresh := startNode(t, store, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1})
+		fresh := startNode(t, objects, fmt.Sprintf("host-%d", i), nodeOptions{scale: 1})
 		mu.Lock()
 		nodes[i] = fresh
 		ready = slices.Clone(nodes)
--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -15,7 +15,7 @@
 	"ragwortstep/internal/core/lease"
 	"ragwortstep/internal/core/orders"
 	"ragwortstep/internal/events"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -37,8 +37,8 @@
 
 // Options configures a Controller. Store, Writer, Config and Candidate are required.
 type Options struct {
-	Store  platform.Store
-	Writer *platform.Writer // its ID is the holder's name in the lease
+	Store  store.Store
+	Writer *store.Writer // its ID is the holder's name in the lease
 	// Config returns the configuration in force, for the servers' addresses
 	// and whether they check fencing numbers.
 	Config func() *config.Snapshot
--- a/internal/orders/desired.go
+++ b/internal/orders/desired.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/core/orders"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // Order and Entry are the types of the core, for users of this package.
@@ -31,13 +31,13 @@
 // Desired is the desired state of all engines, stored in the platform. It is
 // safe for concurrent use by several hosts.
 type Desired struct {
-	store  platform.Store
-	writer *platform.Writer
+	objects store.Store
+	writer  *store.Writer
 }
 
 // NewDesired returns the desired state kept in the store.
-func NewDesired(store platform.Store, writer *platform.Writer) *Desired {
-	return &Desired{store: store, writer: writer}
+func NewDesired(objects store.Store, writer *store.Writer) *Desired {
+	return &Desired{objects: objects, writer: writer}
 }
 
 // serverOrders is the stored object of one server, by slot.
@@ -54,7 +54,7 @@
 	var out []Entry
 	var version int64
 	for after := ""; ; {
-		page, err := d.store.List(ctx, desiredPrefix, after, listLimit)
+		page, err := d.objects.List(ctx, desiredPrefix, after, listLimit)
 		if err != nil {
 			return nil, 0, errors.Wrapf(err, "platform list %s", desiredPrefix)
 		}
@@ -85,8 +85,8 @@
 	})
 }
 
-func decodeObject(obj platform.Object) ([]Entry, error) {
-	var env platform.Envelope
+func decodeObject(obj store.Object) ([]Entry, error) {
+	var env store.Envelope
 	if err := json.Unmarshal(obj.Value, &env); err != nil {
 		return nil, errors.Wrapf(err, "decode envelope of %s", obj.Key)
 	}
@@ -143,7 +143,7 @@
 // update changes the orders of one server by one conditional update.
 func (d *Desired) update(ctx context.Context, server string, change func(serverOrders) error) error {
 	key := desiredPrefix + server
-	_, _, err := platform.Update(ctx, d.store, d.writer, key, func(current json.RawMessage, _ bool) (json.RawMessage, error) {
+	_, _, err := store.Update(ctx, d.objects, d.writer, key, func(current json.RawMessage, _ bool) (json.RawMessage, error) {
 		slots, err := decodeSlots(current, key)
 		if err != nil {
 			return nil, err
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -21,8 +21,8 @@
 	"ragwortstep/internal/core/orders"
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/peer"
-	"ragwortstep/internal/platform"
-	"ragwortstep/internal/platform/platformtest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 )
 
 // testTimes keep the ratios of the real times at a tenth of their length.
@@ -79,16 +79,16 @@
 
 // pausable is a store whose calls stop while its process is paused.
 type pausable struct {
-	platform.Store
+	store.Store
 	gate *gate
 }
 
-func (p *pausable) Get(ctx context.Context, key string) (platform.Object, error) {
+func (p *pausable) Get(ctx context.Context, key string) (store.Object, error) {
 	p.gate.pass()
 	return p.Store.Get(ctx, key)
 }
 
-func (p *pausable) Put(ctx context.Context, key string, value []byte, ifVersion int64) (platform.Object, error) {
+func (p *pausable) Put(ctx context.Context, key string, value []byte, ifVersion int64) (store.Object, error) {
 	p.gate.pass()
 	return p.Store.Put(ctx, key, value, ifVersion)
 }
@@ -124,13 +124,13 @@
 // fixture is a platform with one fencing and one other engine.
 type fixture struct {
 	t       *testing.T
-	store   *platformtest.Fake
+	store   *storetest.Fake
 	engines map[string]*engine
 	snap    *config.Snapshot
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, store: platformtest.New(), snap: config.Empty()}
+	f := &fixture{t: t, store: storetest.New(), snap: config.Empty()}
 	f.engines = map[string]*engine{"checks": newEngine(t, true), "ignores": newEngine(t, false)}
 	for name, e := range f.engines {
 		f.snap.Servers[name] = config.Server{Name: name, Address: strings.TrimPrefix(e.URL, "http://"), Fencing: e.fencing}
@@ -151,7 +151,7 @@
 	h := &host{}
 	h.active.Store(true)
 	o := Options{
-		Store: &pausable{f.store, &h.gate}, Writer: platform.NewWriter(name), Config: func() *config.Snapshot { return f.snap },
+		Store: &pausable{f.store, &h.gate}, Writer: store.NewWriter(name), Config: func() *config.Snapshot { return f.snap },
 		Candidate: h.active.Load, Lease: testTimes, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	if afterCheck != nil {
@@ -177,14 +177,14 @@
 
 func (f *fixture) order(server, model string) {
 	f.t.Helper()
-	d := NewDesired(f.store, platform.NewWriter("operator"))
+	d := NewDesired(f.store, store.NewWriter("operator"))
 	if _, err := d.Set(context.Background(), Order{Server: server, Kind: orders.LoadVersion, Model: "m", Version: model}); err != nil {
 		f.t.Fatal(err)
 	}
 }
 
 func (f *fixture) settled() bool {
-	entries, err := NewDesired(f.store, platform.NewWriter("reader")).List(context.Background())
+	entries, err := NewDesired(f.store, store.NewWriter("reader")).List(context.Background())
 	if err != nil {
 		return false
 	}
@@ -367,8 +367,8 @@
 func TestDesired(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store := platformtest.New()
-	d := NewDesired(store, platform.NewWriter("a"))
+	objects := storetest.New()
+	d := NewDesired(objects, store.NewWriter("a"))
 	_, err := d.Set(ctx, Order{Server: "s", Kind: "x"})
 	is.True(err != nil)
 	order := Order{Server: "s", Kind: orders.SetRole, Role: "decode"}
--- a/internal/orders/role.go
+++ b/internal/orders/role.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/core/lease"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 const (
@@ -25,7 +25,7 @@
 
 // role drives the lease of the order controller. It is safe for concurrent use.
 type role struct {
-	store     platform.Store
+	store     store.Store
 	opts      lease.Options
 	candidate func() bool
 	logger    *slog.Logger
@@ -70,7 +70,7 @@
 }
 
 func (r *role) read(ctx context.Context) {
-	obj, env, exists, err := platform.ReadEnvelope(ctx, r.store, RoleKey)
+	obj, env, exists, err := store.ReadEnvelope(ctx, r.store, RoleKey)
 	var record lease.Record
 	if err == nil && exists {
 		err = errors.Wrapf(json.Unmarshal(env.Data, &record), "decode %s", RoleKey)
@@ -92,8 +92,8 @@
 		return
 	}
 	r.seq++ // one goroutine writes
-	env := platform.Envelope{Writer: r.opts.Self, Seq: r.seq, Data: raw}
-	obj, err := platform.PutEnvelope(ctx, r.store, RoleKey, env, step.Version)
+	env := store.Envelope{Writer: r.opts.Self, Seq: r.seq, Data: raw}
+	obj, err := store.PutEnvelope(ctx, r.store, RoleKey, env, step.Version)
 	if err != nil {
 		r.fail()
 		return
--- a/internal/orders/role_test.go
+++ b/internal/orders/role_test.go
@@ -10,14 +10,14 @@
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/core/lease"
-	"ragwortstep/internal/platform/platformtest"
+	"ragwortstep/internal/store/storetest"
 )
 
 // Guards against a role that is held twice, not taken over, or taken over with
 // the same epoch, when answers are lost and the holder stops without notice.
 func TestRoleIsTakenOver(t *testing.T) {
 	is := is.New(t)
-	store := platformtest.New()
+	objects := storetest.New()
 	var roles []*role
 	var stops []context.CancelFunc
 	for i := range 3 {
@@ -27,7 +27,7 @@
 			OrderTimeout: 100 * time.Millisecond, Retry: 20 * time.Millisecond,
 		}
 		r := &role{
-			store: store, opts: opts, core: lease.New(opts), logger: slog.Default(),
+			store: objects, opts: opts, core: lease.New(opts), logger: slog.Default(),
 			candidate: func() bool { return true }, onChange: func(bool, uint64) {},
 		}
 		ctx, stop := context.WithCancel(context.Background())
@@ -51,7 +51,7 @@
 			}
 			is.True(held <= 1)
 			if holder >= 0 {
-				store.LoseAnswers(1)
+				objects.LoseAnswers(1)
 				time.Sleep(150 * time.Millisecond)
 				is.True(roles[holder].heldAt(last)) // a renewal with a lost answer is repeated
 				is.True(roles[holder].mayOrder(last, true))
--- a/internal/platform/platform.go
+++ b/internal/store/store.go
@@ -1,8 +1,8 @@
-// Package platform is the client side of the platform's object API: the only
+// Package store is the client side of the platform's object API: the only
 // durable state that hosts share. It defines the Store interface, an HTTP
 // client for it, and Update, which resolves conditional updates whose answer
 // was lost. The in-memory fake is in platformtest.
-package platform
+package store
 
 import (
 	"context"
--- a/internal/platform/platformtest/fake.go
+++ b/internal/store/storetest/fake.go
@@ -1,6 +1,6 @@
-// Package platformtest provides an in-memory platform.Store for tests, with
+// Package storetest provides an in-memory store.Store for tests, with
 // switches for outages and lost answers.
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 )
 
 // watchWait is how long Watch waits for an event before it returns an empty set.
@@ -19,20 +19,20 @@
 type Fake struct {
 	mu         sync.Mutex
 	version    int64
-	objects    map[string]platform.Object
-	events     []platform.Event
+	objects    map[string]store.Object
+	events     []store.Event
 	changed    chan struct{}
-	hosts      []platform.HostEntry
+	hosts      []store.HostEntry
 	down       bool
 	loseWrites int
 	calls      map[string]int
 }
 
-var _ platform.Store = (*Fake)(nil)
+var _ store.Store = (*Fake)(nil)
 
 // New returns an empty store.
 func New() *Fake {
-	return &Fake{objects: map[string]platform.Object{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Fake{objects: map[string]store.Object{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // SetDown makes every call fail with ErrUnavailable while down is true.
@@ -50,7 +50,7 @@
 }
 
 // SetHosts sets the list that Hosts returns.
-func (f *Fake) SetHosts(hosts []platform.HostEntry) {
+func (f *Fake) SetHosts(hosts []store.HostEntry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hosts = hosts
@@ -67,31 +67,31 @@
 func (f *Fake) enter(op string) error {
 	f.calls[op]++
 	if f.down {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
 
-// Get implements platform.Store.
-func (f *Fake) Get(_ context.Context, key string) (platform.Object, error) {
+// Get implements store.Store.
+func (f *Fake) Get(_ context.Context, key string) (store.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.enter("get"); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	obj, ok := f.objects[key]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return store.Object{}, store.ErrNotFound
 	}
 	return obj, nil
 }
 
-// List implements platform.Store.
-func (f *Fake) List(_ context.Context, prefix, after string, limit int) (platform.Page, error) {
+// List implements store.Store.
+func (f *Fake) List(_ context.Context, prefix, after string, limit int) (store.Page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.enter("list"); err != nil {
-		return platform.Page{}, err
+		return store.Page{}, err
 	}
 	var keys []string
 	for key := range f.objects {
@@ -100,7 +100,7 @@
 		}
 	}
 	sort.Strings(keys)
-	var page platform.Page
+	var page store.Page
 	if limit > 0 && len(keys) > limit {
 		keys = keys[:limit]
 		page.Next = keys[limit-1]
@@ -111,27 +111,27 @@
 	return page, nil
 }
 
-// Put implements platform.Store.
-func (f *Fake) Put(_ context.Context, key string, value []byte, ifVersion int64) (platform.Object, error) {
+// Put implements store.Store.
+func (f *Fake) Put(_ context.Context, key string, value []byte, ifVersion int64) (store.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.enter("put"); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
-	if len(value) > platform.MaxValueBytes {
-		return platform.Object{}, platform.ErrTooLarge
+	if len(value) > store.MaxValueBytes {
+		return store.Object{}, store.ErrTooLarge
 	}
-	if ifVersion != platform.AnyVersion && f.objects[key].Version != ifVersion {
-		return platform.Object{}, platform.ErrConflict
+	if ifVersion != store.AnyVersion && f.objects[key].Version != ifVersion {
+		return store.Object{}, store.ErrConflict
 	}
 	f.version++
-	obj := platform.Object{Key: key, Version: f.version, Value: append([]byte(nil), value...)}
+	obj := store.Object{Key: key, Version: f.version, Value: append([]byte(nil), value...)}
 	f.objects[key] = obj
-	f.publish(platform.Event{Object: obj})
+	f.publish(store.Event{Object: obj})
 	return obj, f.loseAnswer()
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (f *Fake) Delete(_ context.Context, key string, ifVersion int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -140,19 +140,19 @@
 	}
 	obj, ok := f.objects[key]
 	if !ok {
-		return platform.ErrNotFound
+		return store.ErrNotFound
 	}
-	if ifVersion != platform.AnyVersion && obj.Version != ifVersion {
-		return platform.ErrConflict
+	if ifVersion != store.AnyVersion && obj.Version != ifVersion {
+		return store.ErrConflict
 	}
 	f.version++
 	delete(f.objects, key)
-	f.publish(platform.Event{Object: platform.Object{Key: key, Version: f.version}, Deleted: true})
+	f.publish(store.Event{Object: store.Object{Key: key, Version: f.version}, Deleted: true})
 	return f.loseAnswer()
 }
 
-// Watch implements platform.Store.
-func (f *Fake) Watch(ctx context.Context, prefix string, from int64) (platform.WatchResult, error) {
+// Watch implements store.Store.
+func (f *Fake) Watch(ctx context.Context, prefix string, from int64) (store.WatchResult, error) {
 	deadline := time.After(watchWait)
 	for {
 		result, changed, err := f.eventsAfter(prefix, from)
@@ -169,13 +169,13 @@
 	}
 }
 
-func (f *Fake) eventsAfter(prefix string, from int64) (platform.WatchResult, chan struct{}, error) {
+func (f *Fake) eventsAfter(prefix string, from int64) (store.WatchResult, chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.enter("watch"); err != nil {
-		return platform.WatchResult{}, nil, err
+		return store.WatchResult{}, nil, err
 	}
-	result := platform.WatchResult{Version: f.version}
+	result := store.WatchResult{Version: f.version}
 	for _, ev := range f.events {
 		if ev.Version > from && strings.HasPrefix(ev.Key, prefix) {
 			result.Events = append(result.Events, ev)
@@ -184,17 +184,17 @@
 	return result, f.changed, nil
 }
 
-// Hosts implements platform.Store.
-func (f *Fake) Hosts(context.Context) ([]platform.HostEntry, error) {
+// Hosts implements store.Store.
+func (f *Fake) Hosts(context.Context) ([]store.HostEntry, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.enter("hosts"); err != nil {
 		return nil, err
 	}
-	return append([]platform.HostEntry(nil), f.hosts...), nil
+	return append([]store.HostEntry(nil), f.hosts...), nil
 }
 
-func (f *Fake) publish(ev platform.Event) {
+func (f *Fake) publish(ev store.Event) {
 	f.events = append(f.events, ev)
 	close(f.changed)
 	f.changed = make(chan struct{})
@@ -205,5 +205,5 @@
 		return nil
 	}
 	f.loseWrites--
-	return platform.ErrUnknownOutcome
+	return store.ErrUnknownOutcome
 }
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -13,8 +13,8 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	client "ragwortstep/internal/platform"
 	"ragwortstep/internal/settings"
+	client "ragwortstep/internal/store"
 	"ragwortstep/test/standin/relay"
 )
 
--- a/test/harness/standins.go
+++ b/test/harness/standins.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-resty/resty/v2"
 
-	client "ragwortstep/internal/platform"
+	client "ragwortstep/internal/store"
 	"ragwortstep/test/standin/engine"
 	"ragwortstep/test/standin/platform"
 	"ragwortstep/test/standin/relay"
--- a/test/integration/batch_common_test.go
+++ b/test/integration/batch_common_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"ragwortstep/internal/core/batch"
-	"ragwortstep/internal/platform"
+	"ragwortstep/internal/store"
 	"ragwortstep/test/harness"
 	"ragwortstep/test/standin/engine"
 )
@@ -170,7 +170,7 @@
 		if w.Op != "put" {
 			continue
 		}
-		var env platform.Envelope
+		var env store.Envelope
 		cw := chunkWrite{AtMS: w.AtMS, Key: w.Key}
 		if err := json.Unmarshal(w.Value, &env); err != nil {
 			t.Fatalf("write of %s: %v", w.Key, err)
--- a/test/standin/platform/hosts.go
+++ b/test/standin/platform/hosts.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	client "ragwortstep/internal/platform"
+	client "ragwortstep/internal/store"
 )
 
 // hostList is the platform's list of hosts and servers. A change becomes
--- a/test/standin/platform/server.go
+++ b/test/standin/platform/server.go
@@ -13,7 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	client "ragwortstep/internal/platform"
+	client "ragwortstep/internal/store"
 	"ragwortstep/test/standin/control"
 )
 
--- a/test/standin/platform/server_test.go
+++ b/test/standin/platform/server_test.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	client "ragwortstep/internal/platform"
+	client "ragwortstep/internal/store"
 )
 
 func start(t *testing.T, change func(*Options)) (*client.HTTPStore, *Server, string) {
--- a/test/standin/platform/store.go
+++ b/test/standin/platform/store.go
@@ -5,7 +5,7 @@
 	"strings"
 	"sync"
 
-	client "ragwortstep/internal/platform"
+	client "ragwortstep/internal/store"
 )
 
 const (
