Serve the cooperative platform through platform/

Cause: the users' platform has its own store, settings, balancer and protocol; nothing of the program spoke it. Ruled out: running the present membership epochs, configuration shards and chunked jobs over the platform's store: they cost calls per host and second, and need an agreement that the store's conditional writes already give. Conclusion: core/routing, quota, placement, freshness, itemlist decide; cluster, informer, slots, online, upstream, bulk and entry act; platform/ only translates.

--- a/cmd/ragwortstep/main.go
+++ b/cmd/ragwortstep/main.go
@@ -7,11 +7,12 @@
 
 	"ragwortstep/internal/cli"
 	"ragwortstep/internal/host"
+	"ragwortstep/platform"
 )
 
 // version is set by the linker: -ldflags "-X main.version=1.2.3".
 var version = "dev"
 
 func main() {
-	os.Exit(cli.Run(context.Background(), os.Args, cli.Options{Version: version, Serve: host.Serve}))
+	os.Exit(cli.Run(context.Background(), os.Args, cli.Options{Version: version, Serve: host.Serve, Platform: platform.Program{}}))
 }
--- /dev/null
+++ b/internal/bulk/records.go
@@ -0,0 +1,259 @@
+package bulk
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"ragwortstep/internal/core/itemlist"
+	"ragwortstep/internal/store"
+)
+
+const (
+	// headPrefix is the collection of heads; every host follows it.
+	headPrefix = "fleet-state/"
+	headName   = "job."
+	// payloadPrefix and segmentPrefix are read by name only.
+	payloadPrefix = "job-payloads/"
+	segmentPrefix = "job-results/"
+	// valueTarget leaves room for the object's frame below the store's limit
+	// of 1 MiB a value, and for base64 in bodies.
+	valueTarget = 600 << 10
+	// writeTimeout bounds one write; slow stores take 200 ms.
+	writeTimeout = 1500 * time.Millisecond
+	readTimeout  = time.Second
+	// writeTries bounds the tries of one write whose outcome is unknown.
+	writeTries = 3
+)
+
+// HeadKey is the key of a job's head.
+func HeadKey(id string) string { return headPrefix + headName + id }
+
+// JobOfKey returns the job whose head has the key.
+func JobOfKey(key string) (string, bool) { return strings.CutPrefix(key, headPrefix+headName) }
+
+func payloadKey(id string, part int) string { return fmt.Sprintf("%s%s.%d", payloadPrefix, id, part) }
+func segmentKey(id string, n int) string    { return fmt.Sprintf("%s%s.%d", segmentPrefix, id, n) }
+
+// records reads and writes the objects of jobs.
+type records struct {
+	store store.Store
+}
+
+// create writes an object that must not exist. Written reports whether the
+// object now in the store is the given one; if not, current is the one there.
+// An unknown outcome is settled by trying again: the object shows who wrote it.
+func (r records) create(ctx context.Context, key string, value any) (written bool, current store.Object, err error) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return false, store.Object{}, errors.Wrapf(err, "encode %s", key)
+	}
+	unknown := false
+	for try := range writeTries {
+		if try > 0 {
+			if err := pause(ctx, time.Duration(try)*50*time.Millisecond); err != nil {
+				break
+			}
+		}
+		var obj store.Object
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		obj, err = r.store.Put(callCtx, key, raw, 0)
+		cancel()
+		switch {
+		case err == nil:
+			return true, obj, nil
+		case errors.Is(err, store.ErrConflict):
+			return r.compare(ctx, key, obj, raw)
+		case errors.Is(err, store.ErrUnknownOutcome):
+			unknown = true
+		}
+	}
+	if unknown {
+		return false, store.Object{}, errors.Mark(errors.Wrapf(err, "create %s", key), ErrUnknownOutcome)
+	}
+	return false, store.Object{}, errors.Mark(errors.Wrapf(err, "create %s", key), ErrUnsure)
+}
+
+// compare tells whether the object in the store is the one that was offered.
+func (r records) compare(ctx context.Context, key string, obj store.Object, raw []byte) (bool, store.Object, error) {
+	if obj.Key == "" {
+		var err error
+		if obj, err = r.get(ctx, key); err != nil {
+			return false, store.Object{}, err
+		}
+	}
+	return sameJSON(obj.Value, raw), obj, nil
+}
+
+// sameJSON compares two documents that may differ in white space and in the
+// order of fields.
+func sameJSON(a, b []byte) bool {
+	var x, y any
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return false
+	}
+	p, errP := json.Marshal(x)
+	q, errQ := json.Marshal(y)
+	return errP == nil && errQ == nil && string(p) == string(q)
+}
+
+func (r records) get(ctx context.Context, key string) (store.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	obj, err := r.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return obj, errors.Mark(errors.Wrapf(err, "read %s", key), ErrUnsure)
+	}
+	return obj, err
+}
+
+// getImmutable reads an object that never changes. A stale answer that holds
+// it is as good as a new one.
+func (r records) getImmutable(ctx context.Context, key string) (store.Object, error) {
+	staleCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if obj, err := r.store.GetStale(staleCtx, key); err == nil {
+		return obj, nil
+	}
+	return r.get(ctx, key)
+}
+
+// head reads a job's head and its version.
+func (r records) head(ctx context.Context, id string) (Head, int64, error) {
+	obj, err := r.get(ctx, HeadKey(id))
+	if errors.Is(err, store.ErrNotFound) {
+		return Head{}, 0, errors.Mark(errors.Newf("job %s is not in the store", id), ErrNoJob)
+	}
+	if err != nil {
+		return Head{}, 0, err
+	}
+	head, err := DecodeHead(obj.Value)
+	return head, obj.Version, err
+}
+
+// DecodeHead reads a head's value.
+func DecodeHead(raw []byte) (Head, error) {
+	var head Head
+	if err := json.Unmarshal(raw, &head); err != nil {
+		return Head{}, errors.Wrap(err, "decode job head")
+	}
+	return head, nil
+}
+
+// changeHead changes a head until the change is in the store. known is the
+// head as this host has it, which saves a read; its version 0 means none.
+// mutate reports false when nothing is to be done.
+func (r records) changeHead(ctx context.Context, id string, known *headCopy, mutate func(*Head) bool) error {
+	var last error
+	mark := ErrUnsure
+	for try := range writeTries * 2 {
+		current := *known
+		if try > 0 || known.version == 0 {
+			head, version, err := r.head(ctx, id)
+			if err != nil {
+				return err
+			}
+			current = headCopy{head, version}
+		}
+		if !mutate(&current.Head) {
+			return nil
+		}
+		raw, err := json.Marshal(current.Head)
+		if err != nil {
+			return errors.Wrapf(err, "encode head of job %s", id)
+		}
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		_, last = r.store.Put(callCtx, HeadKey(id), raw, current.version)
+		cancel()
+		if last == nil {
+			return nil
+		}
+		if errors.Is(last, store.ErrUnknownOutcome) {
+			mark = ErrUnknownOutcome
+		}
+		if err := pause(ctx, 50*time.Millisecond); err != nil {
+			break
+		}
+	}
+	return errors.Mark(errors.Wrapf(last, "change head of job %s", id), mark)
+}
+
+// writePayload writes the items' bodies in parts and returns their number.
+func (r records) writePayload(ctx context.Context, id string, items []Item) (int, error) {
+	parts := split(items)
+	group, ctx := errgroup.WithContext(ctx)
+	for n, part := range parts {
+		group.Go(func() error {
+			// A part that is there already is the same: its name is derived
+			// from the job, and a job's items never change.
+			_, _, err := r.create(ctx, payloadKey(id, n), payload{part})
+			return err
+		})
+	}
+	return len(parts), group.Wait()
+}
+
+// split divides items into parts below the store's limit.
+func split(items []Item) [][]Item {
+	var parts [][]Item
+	size := valueTarget
+	for _, item := range items {
+		n := len(item.Body)*4/3 + len(item.Path) + 512
+		if size+n > valueTarget {
+			parts, size = append(parts, nil), 0
+		}
+		parts[len(parts)-1] = append(parts[len(parts)-1], item)
+		size += n
+	}
+	return parts
+}
+
+// readPayload reads all items of a job.
+func (r records) readPayload(ctx context.Context, id string, parts int) ([]Item, error) {
+	var items []Item
+	for n := range parts {
+		obj, err := r.getImmutable(ctx, payloadKey(id, n))
+		if err != nil {
+			return nil, errors.Wrapf(err, "payload of job %s", id)
+		}
+		var p payload
+		if err := json.Unmarshal(obj.Value, &p); err != nil {
+			return nil, errors.Wrapf(err, "decode payload of job %s", id)
+		}
+		items = append(items, p.Items...)
+	}
+	return items, nil
+}
+
+// segment reads one segment; ok is false when it does not exist.
+func (r records) segment(ctx context.Context, id string, n int) (itemlist.Segment, bool, error) {
+	obj, err := r.getImmutable(ctx, segmentKey(id, n))
+	if errors.Is(err, store.ErrNotFound) {
+		return itemlist.Segment{}, false, nil
+	}
+	if err != nil {
+		return itemlist.Segment{}, false, err
+	}
+	var s itemlist.Segment
+	if err := json.Unmarshal(obj.Value, &s); err != nil {
+		return itemlist.Segment{}, false, errors.Wrapf(err, "decode segment %d of job %s", n, id)
+	}
+	return s, true, nil
+}
+
+// pause waits for d or for the end of ctx.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -61,10 +61,11 @@
 type Options struct {
 	// Serve runs a host until ctx ends, which SIGINT and SIGTERM cause, and
 	// returns after a graceful shutdown.
-	Serve   func(ctx context.Context, s *settings.Settings, logger *slog.Logger) error
-	Version string    // "dev" when empty
-	Stdout  io.Writer // os.Stdout when nil
-	Stderr  io.Writer // os.Stderr when nil
+	Serve    func(ctx context.Context, s *settings.Settings, logger *slog.Logger) error
+	Platform PlatformRunner // nil leaves out the commands of platform
+	Version  string         // "dev" when empty
+	Stdout   io.Writer      // os.Stdout when nil
+	Stderr   io.Writer      // os.Stderr when nil
 }
 
 // exitError is an error with its exit code.
@@ -136,7 +137,8 @@
 		Flags:          globalFlags(),
 		Commands: []*cli.Command{
 			a.serveCommand(), a.configCommand(), a.workspaceCommand(), a.keyCommand(), a.routeCommand(),
-			a.serverCommand(), a.orderCommand(), a.jobCommand(), a.statusCommand(), a.timelineCommand(), a.versionCommand(),
+			a.serverCommand(), a.orderCommand(), a.jobCommand(), a.statusCommand(), a.timelineCommand(),
+			a.platformCommand(), a.versionCommand(),
 		},
 	}
 	a.prepare(root, true)
--- /dev/null
+++ b/internal/cli/platform.go
@@ -0,0 +1,94 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// PlatformRunner runs processes on a shared platform that brings its own
+// settings file. Package platform's program entry implements it.
+type PlatformRunner interface {
+	// Serve runs an entry host until ctx ends. metricsPort 0 serves no metrics.
+	Serve(ctx context.Context, settings string, metricsPort int, level string) error
+	// Check reads a settings file and returns what an entry host would use.
+	Check(settings string) (any, error)
+	// SettingsPath is the settings file that the platform names.
+	SettingsPath() string
+}
+
+func (a *app) platformCommand() *cli.Command {
+	settings := func() cli.Flag {
+		return &cli.StringFlag{Name: "settings", Usage: "settings file of the platform; by default the one it names"}
+	}
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run on a shared platform that brings settings, store and balancer",
+		Commands: []*cli.Command{
+			{
+				Name: "serve", Usage: "run an entry host", Action: a.platformServe,
+				Flags: []cli.Flag{
+					settings(),
+					&cli.IntFlag{Name: "metrics-port", Usage: "port of the metrics, 0 for none"},
+					&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info"},
+				},
+			},
+			{Name: "storage", Usage: "hold the place of a machine with a disk; nothing is kept there", Action: a.platformStorage},
+			{Name: "check-settings", Usage: "check a settings file without starting", ArgsUsage: "FILE", Action: a.platformCheck},
+		},
+	}
+}
+
+var errNoPlatform = errors.New("this build has no platform")
+
+func (a *app) platformServe(ctx context.Context, c *cli.Command) error {
+	if err := noArgs(c); err != nil {
+		return err
+	}
+	if a.opts.Platform == nil {
+		return errNoPlatform
+	}
+	path := c.String("settings")
+	if path == "" {
+		path = a.opts.Platform.SettingsPath()
+	}
+	if _, err := a.opts.Platform.Check(path); err != nil {
+		return withCode(ExitUsage, err)
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return a.opts.Platform.Serve(ctx, path, c.Int("metrics-port"), c.String("log-level"))
+}
+
+// platformStorage waits for the signal to stop. The platform counts machines
+// with disks, and asks for a role there; all that lasts is in its store.
+func (a *app) platformStorage(ctx context.Context, c *cli.Command) error {
+	if err := noArgs(c); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP) // there are no settings to read again
+	<-ctx.Done()
+	return nil
+}
+
+func (a *app) platformCheck(_ context.Context, c *cli.Command) error {
+	path, err := oneArg(c, "settings file")
+	if err != nil {
+		return err
+	}
+	if a.opts.Platform == nil {
+		return errNoPlatform
+	}
+	used, err := a.opts.Platform.Check(path)
+	if err != nil {
+		return withCode(ExitUsage, err)
+	}
+	return a.print(c, used, func(w io.Writer) { fmt.Fprintf(w, "%s: ok\n%+v\n", path, used) })
+}
--- /dev/null
+++ b/internal/core/routing/routing.go
@@ -0,0 +1,171 @@
+// Package routing is the model of an operator's configuration as an entry host
+// uses it: routes by host name and path prefix, workspaces and their keys. A
+// snapshot is immutable.
+package routing
+
+import (
+	"crypto/sha256"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells how a route's requests are answered and what may be repeated.
+type Kind int
+
+// Kinds of routes.
+const (
+	Idempotent Kind = iota // one answer, may run more than once
+	AtMostOnce             // one answer, runs at most once
+	Stream                 // a series of events
+	Batch                  // jobs whose items run as streams later
+)
+
+// String returns the kind's name in logs and metrics.
+func (k Kind) String() string {
+	return [...]string{"idempotent", "at_most_once", "stream", "batch"}[k]
+}
+
+// Target is a service that takes part of a route's requests.
+type Target struct {
+	Service string
+	Weight  int // relative to the other targets, at least 0
+}
+
+// Route maps requests to services.
+type Route struct {
+	Name         string
+	Host         string // lower case, without a port
+	Prefix       string // begins and ends with a slash
+	Kind         Kind
+	Timeout      time.Duration // longest time until the answer's end
+	Objective    time.Duration // time to the answer or first event that counts as on time
+	GapObjective time.Duration // longest pause between events that counts as on time
+	Priority     int           // 0 is the most urgent
+	Public       bool          // needs no key
+	Resumable    bool          // a stream may go on at another server
+	MaxAttempts  int           // servers that one request may be sent to, at least 1
+	Targets      []Target      // at least one
+	Completion   time.Duration // Batch: time after the submission by which results are due
+	Retention    time.Duration // Batch: time after the submission at which an item may be given up
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable) || r.Kind == Batch
+}
+
+// Service chooses the target for a draw from [0, 1).
+func (r *Route) Service(draw float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += max(t.Weight, 0)
+	}
+	left := draw * float64(total)
+	for _, t := range r.Targets {
+		if left -= float64(max(t.Weight, 0)); left < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[0].Service
+}
+
+// Workspace is a tenant's quota.
+type Workspace struct {
+	Name     string
+	Priority *int    // goes before the route's priority when set
+	Rate     float64 // requests per second over all hosts, 0 is no limit
+	Burst    float64 // requests admitted at once over all hosts
+}
+
+// Service is a group of backend servers.
+type Service struct {
+	Name           string
+	MaxConnections int // per server over all hosts, 0 when unknown
+}
+
+// keyHash keeps callers' keys out of memory dumps and logs.
+type keyHash [sha256.Size]byte
+
+// Snapshot is one version of the configuration.
+type Snapshot struct {
+	Version    int64
+	Routes     []Route
+	Workspaces map[string]Workspace
+	Services   map[string]Service
+	// MaxBodyBytes bounds the body of a request, 0 when it is not stated.
+	MaxBodyBytes int64
+	byHost       map[string][]int // indexes of Routes, longest prefix first
+	keys         map[keyHash]string
+}
+
+// New indexes a configuration. keys maps raw keys to workspace names.
+func New(version int64, routes []Route, workspaces map[string]Workspace, services map[string]Service, keys map[string]string) *Snapshot {
+	s := &Snapshot{
+		Version: version, Routes: routes, Workspaces: workspaces, Services: services,
+		byHost: map[string][]int{}, keys: make(map[keyHash]string, len(keys)),
+	}
+	for i := range routes {
+		s.byHost[routes[i].Host] = append(s.byHost[routes[i].Host], i)
+	}
+	for _, list := range s.byHost {
+		slices.SortStableFunc(list, func(a, b int) int { return len(routes[b].Prefix) - len(routes[a].Prefix) })
+	}
+	for key, workspace := range keys {
+		s.keys[sha256.Sum256([]byte(key))] = workspace
+	}
+	return s
+}
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (s *Snapshot) Match(host, path string) *Route {
+	for _, i := range s.byHost[HostName(host)] {
+		if strings.HasPrefix(path, s.Routes[i].Prefix) {
+			return &s.Routes[i]
+		}
+	}
+	return nil
+}
+
+// ByName returns the route with the name, or nil.
+func (s *Snapshot) ByName(name string) *Route {
+	for i := range s.Routes {
+		if s.Routes[i].Name == name {
+			return &s.Routes[i]
+		}
+	}
+	return nil
+}
+
+// HasBatch reports whether the host has a route for batch jobs.
+func (s *Snapshot) HasBatch(host string) bool {
+	return slices.ContainsFunc(s.byHost[HostName(host)], func(i int) bool { return s.Routes[i].Kind == Batch })
+}
+
+// Owner returns the workspace that holds a key.
+func (s *Snapshot) Owner(key string) (Workspace, bool) {
+	if key == "" {
+		return Workspace{}, false
+	}
+	name, ok := s.keys[sha256.Sum256([]byte(key))]
+	if !ok {
+		return Workspace{}, false
+	}
+	return s.Workspaces[name], true
+}
+
+// Priority returns the rank of a workspace's requests on a route.
+func Priority(r *Route, w Workspace) int {
+	if w.Priority != nil {
+		return *w.Priority
+	}
+	return r.Priority
+}
+
+// HostName returns a host header's name in lower case without its port.
+func HostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/entry/config.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"ragwortstep/internal/core/routing"
+	"ragwortstep/internal/informer"
+)
+
+// configuration is the configuration in force. It implements online.Config.
+type configuration struct {
+	platform Platform
+	informer *informer.Informer
+	prefix   string
+	keyAge   time.Duration
+	log      *slog.Logger
+	current  atomic.Pointer[routing.Snapshot]
+}
+
+// Current implements online.Config.
+func (c *configuration) Current() *routing.Snapshot { return c.current.Load() }
+
+// Fresh implements online.Config.
+func (c *configuration) Fresh() bool {
+	if c.current.Load() == nil {
+		return false
+	}
+	if c.keyAge <= 0 {
+		return true
+	}
+	age, ok := c.informer.Age(c.prefix)
+	return ok && age < c.keyAge
+}
+
+// changed adopts a newer version. A version never goes back.
+func (c *configuration) changed(copied informer.Copy) {
+	for _, obj := range copied.Objects {
+		next, err := c.platform.DecodeConfig(obj)
+		if err != nil {
+			c.log.Error("configuration not decoded", "event", "config_refused", "step", "decode configuration", "object", obj.Key, "object_version", obj.Version, "error", err)
+			continue
+		}
+		if next == nil {
+			continue
+		}
+		if old := c.current.Load(); old != nil && old.Version >= next.Version {
+			continue
+		}
+		c.current.Store(next)
+		c.log.Info("configuration adopted", "event", "config_adopted", "version", next.Version, "object_version", obj.Version,
+			"routes", len(next.Routes), "workspaces", len(next.Workspaces))
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -25,7 +25,7 @@
 	return store.Object{}, store.ErrUnavailable
 }
 
-func (downStore) Watch(context.Context, string, int64) (store.WatchResult, error) {
+func (downStore) Watch(context.Context, string, int64, time.Duration) (store.WatchResult, error) {
 	return store.WatchResult{}, store.ErrUnavailable
 }
 
--- a/internal/fleet/loop.go
+++ b/internal/fleet/loop.go
@@ -189,7 +189,7 @@
 			f.pause(f.opts.Poll)
 			continue
 		}
-		result, err := f.opts.Store.Watch(f.ctx, key, version.Load())
+		result, err := f.opts.Store.Watch(f.ctx, key, version.Load(), 0)
 		if err != nil {
 			f.pause(f.opts.Poll)
 			continue
--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -295,6 +295,10 @@
 	return s.c.audit.Get(ctx, key)
 }
 
+func (s *nodeStore) GetStale(ctx context.Context, key string) (store.Object, error) {
+	return s.Get(ctx, key)
+}
+
 func (s *nodeStore) List(ctx context.Context, prefix, after string, limit int) (store.Page, error) {
 	if err := s.at("list", prefix); err != nil {
 		return store.Page{}, err
@@ -320,8 +324,8 @@
 	return s.c.audit.Delete(ctx, key, v)
 }
 
-func (s *nodeStore) Watch(ctx context.Context, prefix string, from int64) (store.WatchResult, error) {
-	return s.c.audit.Watch(ctx, prefix, from)
+func (s *nodeStore) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) (store.WatchResult, error) {
+	return s.c.audit.Watch(ctx, prefix, from, wait)
 }
 
 func (s *nodeStore) Hosts(ctx context.Context) ([]store.HostEntry, error) {
--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -169,7 +169,7 @@
 	ctx, cancel := context.WithTimeout(ctx, relistInterval)
 	defer cancel()
 	for ctx.Err() == nil {
-		result, err := c.opts.Store.Watch(ctx, desiredPrefix, version)
+		result, err := c.opts.Store.Watch(ctx, desiredPrefix, version, 0)
 		if err != nil {
 			return errors.Wrapf(err, "platform watch %s", desiredPrefix)
 		}
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -53,6 +53,11 @@
 	return Object{Key: key, Version: version, Value: resp.Body()}, nil
 }
 
+// GetStale implements Store. This API has one kind of read.
+func (s *HTTPStore) GetStale(ctx context.Context, key string) (Object, error) {
+	return s.Get(ctx, key)
+}
+
 // List implements Store.
 func (s *HTTPStore) List(ctx context.Context, prefix, after string, limit int) (Page, error) {
 	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
@@ -84,14 +89,17 @@
 }
 
 // Watch implements Store.
-func (s *HTTPStore) Watch(ctx context.Context, prefix string, from int64) (WatchResult, error) {
+func (s *HTTPStore) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) (WatchResult, error) {
+	if wait <= 0 {
+		wait = watchTimeout
+	}
 	q := url.Values{
 		"prefix":     {prefix},
 		"from":       {strconv.FormatInt(from, 10)},
-		"timeout_ms": {strconv.FormatInt(watchTimeout.Milliseconds(), 10)},
+		"timeout_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var result WatchResult
-	err := s.getJSON(ctx, watchTimeout+watchSlack, "/v1/watch?"+q.Encode(), &result)
+	err := s.getJSON(ctx, wait+watchSlack, "/v1/watch?"+q.Encode(), &result)
 	return result, err
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -28,6 +29,9 @@
 	ErrUnknownOutcome = errors.New("platform answer lost")
 	// ErrTooLarge reports a value above MaxValueBytes.
 	ErrTooLarge = errors.New("object value too large")
+	// ErrHistoryGone reports that a watch starts before the history the store
+	// still has; the caller lists again.
+	ErrHistoryGone = errors.New("store history is gone")
 	// ErrRateLimited reports that the platform's call rate is exhausted; the call was not applied.
 	ErrRateLimited = errors.New("platform rate limit")
 )
@@ -41,10 +45,13 @@
 }
 
 // Page is one page of a listing in key order. Next is the key to pass as
-// after for the next page, or empty on the last page.
+// after for the next page, or empty on the last page. Version is the store's
+// version when the page was read; a watch from the first page's version
+// misses nothing.
 type Page struct {
 	Objects []Object `json:"objects"`
 	Next    string   `json:"next"`
+	Version int64    `json:"version"`
 }
 
 // Event is one change seen by a watch.
@@ -72,16 +79,21 @@
 type Store interface {
 	// Get returns the object, or ErrNotFound.
 	Get(ctx context.Context, key string) (Object, error)
+	// GetStale is a cheaper Get that may answer from an older state: a value
+	// that was replaced since, or ErrNotFound for a key that was just created.
+	GetStale(ctx context.Context, key string) (Object, error)
 	// List returns up to limit objects with the prefix and a key after the given one.
 	List(ctx context.Context, prefix, after string, limit int) (Page, error)
 	// Put writes the value if the object has version ifVersion; 0 creates
-	// only, AnyVersion overwrites. It returns the object as stored.
+	// only, AnyVersion overwrites. It returns the object as stored, and with
+	// ErrConflict the present object where the store tells it.
 	Put(ctx context.Context, key string, value []byte, ifVersion int64) (Object, error)
 	// Delete removes the object if it has version ifVersion or ifVersion is AnyVersion.
 	Delete(ctx context.Context, key string, ifVersion int64) error
-	// Watch waits for events with the prefix later than from, up to the
-	// store's own timeout, after which it returns an empty set.
-	Watch(ctx context.Context, prefix string, from int64) (WatchResult, error)
+	// Watch waits for events with the prefix later than from, at most wait (0
+	// is the store's own time-out), after which it returns an empty set. It
+	// fails with ErrHistoryGone when the events are no longer known.
+	Watch(ctx context.Context, prefix string, from int64, wait time.Duration) (WatchResult, error)
 	// Hosts returns the platform's list of live and leaving hosts and servers.
 	Hosts(ctx context.Context) ([]HostEntry, error)
 }
--- a/internal/store/storetest/fake.go
+++ b/internal/store/storetest/fake.go
@@ -86,6 +86,11 @@
 	return obj, nil
 }
 
+// GetStale implements store.Store. The fake has no older state to show.
+func (f *Fake) GetStale(ctx context.Context, key string) (store.Object, error) {
+	return f.Get(ctx, key)
+}
+
 // List implements store.Store.
 func (f *Fake) List(_ context.Context, prefix, after string, limit int) (store.Page, error) {
 	f.mu.Lock()
@@ -100,7 +105,7 @@
 		}
 	}
 	sort.Strings(keys)
-	var page store.Page
+	page := store.Page{Version: f.version}
 	if limit > 0 && len(keys) > limit {
 		keys = keys[:limit]
 		page.Next = keys[limit-1]
@@ -122,7 +127,7 @@
 		return store.Object{}, store.ErrTooLarge
 	}
 	if ifVersion != store.AnyVersion && f.objects[key].Version != ifVersion {
-		return store.Object{}, store.ErrConflict
+		return f.objects[key], store.ErrConflict
 	}
 	f.version++
 	obj := store.Object{Key: key, Version: f.version, Value: append([]byte(nil), value...)}
@@ -152,8 +157,11 @@
 }
 
 // Watch implements store.Store.
-func (f *Fake) Watch(ctx context.Context, prefix string, from int64) (store.WatchResult, error) {
-	deadline := time.After(watchWait)
+func (f *Fake) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) (store.WatchResult, error) {
+	if wait <= 0 || wait > watchWait {
+		wait = watchWait
+	}
+	deadline := time.After(wait)
 	for {
 		result, changed, err := f.eventsAfter(prefix, from)
 		if err != nil || len(result.Events) > 0 {
--- /dev/null
+++ b/internal/upstream/events.go
@@ -0,0 +1,89 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+var errEventTooLarge = errors.New("event of the stream is too large")
+
+// Event is one whole event of a text/event-stream.
+type Event struct {
+	Raw   []byte // all lines and the empty line that ends it; valid until the next call
+	ID    int64
+	HasID bool
+	Data  []byte // its data lines joined by line feeds
+}
+
+// EventReader splits a stream into whole events.
+type EventReader struct {
+	r    *bufio.Reader
+	raw  []byte
+	data []byte
+}
+
+// NewEventReader reads events from r.
+func NewEventReader(r io.Reader) *EventReader {
+	return &EventReader{r: bufio.NewReaderSize(r, 4<<10)}
+}
+
+// Next returns the next whole event. It returns io.EOF at the stream's sound
+// end between two events and io.ErrUnexpectedEOF within one.
+func (e *EventReader) Next() (Event, error) {
+	e.raw, e.data = e.raw[:0], e.data[:0]
+	var ev Event
+	lines := 0
+	for {
+		start := len(e.raw)
+		if err := e.line(); err != nil {
+			if err == io.EOF && len(e.raw) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return Event{}, err
+		}
+		line := bytes.TrimRight(e.raw[start:], "\r\n")
+		if len(line) == 0 {
+			ev.Raw, ev.Data = e.raw, e.data
+			return ev, nil
+		}
+		e.field(&ev, line, &lines)
+	}
+}
+
+// line appends one line to raw.
+func (e *EventReader) line() error {
+	for {
+		part, err := e.r.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
+		if len(e.raw) > maxEventBytes {
+			return errEventTooLarge
+		}
+		if err != bufio.ErrBufferFull {
+			return err
+		}
+	}
+}
+
+func (e *EventReader) field(ev *Event, line []byte, dataLines *int) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		if id, err := strconv.ParseInt(string(value), 10, 64); err == nil {
+			ev.ID, ev.HasID = id, true
+		}
+	case "data":
+		if *dataLines > 0 {
+			e.data = append(e.data, '\n')
+		}
+		*dataLines++
+		e.data = append(e.data, value...)
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,123 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// keepAlive detects idle connections whose server has gone without a word.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+
+// conn is a connection to a server.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	pool   *pool
+	idle   time.Duration // kept so long without a statement of the server
+	used   bool
+	until  time.Time
+}
+
+// pool is the idle connections to one server, the last used one last.
+type pool struct {
+	mu   sync.Mutex
+	idle []*conn
+}
+
+// take returns the connection that was used last and is still sound, or nil.
+func (p *pool) take(now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if now.Before(c.until) && c.quiet() {
+			_ = c.SetDeadline(time.Time{})
+			return c
+		}
+		_ = c.Close()
+	}
+	return nil
+}
+
+// put keeps a connection for idle, or for its default when idle is 0.
+func (p *pool) put(c *conn, idle time.Duration, now time.Time) {
+	if idle <= 0 {
+		idle = c.idle
+	}
+	c.used, c.until = true, now.Add(idle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expire(now)
+	if len(p.idle) >= idlePerServer {
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// expire closes the connections that were idle for too long. The caller holds mu.
+func (p *pool) expire(now time.Time) {
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Before(c.until) {
+			kept = append(kept, c)
+		} else {
+			_ = c.Close()
+		}
+	}
+	p.idle = kept
+}
+
+// drop closes all idle connections.
+func (p *pool) drop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.idle = nil
+}
+
+// quiet reports whether nothing arrived on an idle connection. A byte would
+// belong to no request, and an end means that the server closed it.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// userTimeout bounds how long sent bytes may stay unacknowledged.
+func userTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return setErr
+	}
+}
--- a/test/standin/platform/server_test.go
+++ b/test/standin/platform/server_test.go
@@ -81,7 +81,7 @@
 		time.Sleep(50 * time.Millisecond)
 		_ = store.Delete(ctx, "a/1", client.AnyVersion)
 	}()
-	result, err := store.Watch(ctx, "a/", first.Version)
+	result, err := store.Watch(ctx, "a/", first.Version, 0)
 	is.NoErr(err)
 	is.Equal(len(result.Events), 1)
 	is.True(result.Events[0].Deleted)
@@ -157,7 +157,7 @@
 	s.faults.Set(Faults{DropEvents: 1})
 	_, err := store.Put(ctx, "a/1", []byte("v"), 0)
 	is.NoErr(err)
-	_, err = store.Watch(ctx, "a/", 0)
+	_, err = store.Watch(ctx, "a/", 0, 0)
 	is.True(err != nil) // nothing arrived before ctx ended
 	page, err := store.List(context.Background(), "a/", "", 10)
 	is.NoErr(err)
--- a/test/standin/platform/store.go
+++ b/test/standin/platform/store.go
@@ -61,7 +61,7 @@
 func (s *store) list(prefix, after string, limit int) client.Page {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	page := client.Page{Objects: []client.Object{}}
+	page := client.Page{Objects: []client.Object{}, Version: s.version}
 	size := 0
 	for i := sort.SearchStrings(s.keys, max(prefix, after)); i < len(s.keys); i++ {
 		key := s.keys[i]
