--- /dev/null
+++ b/internal/bulk/bulk_test.go
@@ -0,0 +1,537 @@
+package bulk_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/bulk"
+	"ragwortstep/internal/cluster"
+	"ragwortstep/internal/core/itemlist"
+	"ragwortstep/internal/core/placement"
+	"ragwortstep/internal/core/routing"
+	"ragwortstep/internal/informer"
+	"ragwortstep/internal/metrics"
+	"ragwortstep/internal/peer"
+	"ragwortstep/internal/peer/peertest"
+	"ragwortstep/internal/servertest"
+	"ragwortstep/internal/slots"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
+	"ragwortstep/internal/upstream"
+)
+
+// hostStore is one host's way to the store, which a test can cut.
+type hostStore struct {
+	*storetest.Fake
+	cut     atomic.Bool
+	onPut   func(key string) // before the write
+	getWait atomic.Int64     // ns before a read of results
+}
+
+func (s *hostStore) Put(ctx context.Context, key string, value []byte, v int64) (store.Object, error) {
+	if s.cut.Load() {
+		return store.Object{}, store.ErrUnavailable
+	}
+	if s.onPut != nil {
+		s.onPut(key)
+	}
+	return s.Fake.Put(ctx, key, value, v)
+}
+
+func (s *hostStore) Get(ctx context.Context, key string) (store.Object, error) {
+	if s.cut.Load() {
+		return store.Object{}, store.ErrUnavailable
+	}
+	if strings.HasPrefix(key, "job-results/") {
+		time.Sleep(time.Duration(s.getWait.Load()))
+	}
+	return s.Fake.Get(ctx, key)
+}
+
+func (s *hostStore) GetStale(ctx context.Context, key string) (store.Object, error) {
+	return s.Get(ctx, key)
+}
+
+func (s *hostStore) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) (store.WatchResult, error) {
+	if s.cut.Load() {
+		return store.WatchResult{}, store.ErrUnavailable
+	}
+	return s.Fake.Watch(ctx, prefix, from, wait)
+}
+
+// testHost is one host of a fleet in this process.
+type testHost struct {
+	name    string
+	store   *hostStore
+	cluster *cluster.Cluster
+	bulk    *bulk.Service
+	slots   *slots.Scheduler
+	stop    context.CancelFunc
+	address string
+}
+
+// testFleet is several hosts, a store and servers.
+type testFleet struct {
+	t        *testing.T
+	store    *storetest.Fake
+	network  *peertest.Network
+	snapshot atomic.Pointer[routing.Snapshot]
+	servers  []*servertest.Server
+	mu       sync.Mutex
+	hosts    map[string]*testHost
+	starts   int64
+}
+
+func (f *testFleet) Current() *routing.Snapshot { return f.snapshot.Load() }
+func (f *testFleet) Fresh() bool                { return true }
+
+func newFleet(t *testing.T, servers ...*servertest.Server) *testFleet {
+	f := &testFleet{t: t, store: storetest.New(), network: peertest.New(), servers: servers, hosts: map[string]*testHost{}}
+	f.setRoutes(routing.Route{
+		Name: "r", Host: "h", Prefix: "/r/", Kind: routing.Batch, MaxAttempts: 2, Targets: []routing.Target{{Service: "s", Weight: 1}},
+		Completion: 10 * time.Second, Retention: time.Minute,
+	})
+	return f
+}
+
+func (f *testFleet) setRoutes(routes ...routing.Route) {
+	f.snapshot.Store(routing.New(1, routes, nil, nil, nil))
+}
+
+// start starts a host, or a new process of one.
+func (f *testFleet) start(name string) *testHost {
+	f.t.Helper()
+	udp, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.starts++
+	logger := slog.New(slog.DiscardHandler)
+	h := &testHost{name: name, store: &hostStore{Fake: f.store}, address: udp.LocalAddr().String()}
+	node := f.network.Node(peer.HostID(name))
+	h.cluster = cluster.New(cluster.Options{Self: cluster.Member{Name: name, Incarnation: f.starts, Address: h.address}, Conn: udp, Logger: logger})
+	inf := informer.New(informer.Options{
+		Store: h.store, Cluster: h.cluster, Peers: node, Logger: logger,
+		Collections: []informer.Collection{{Prefix: bulk.Collection, Wait: 100 * time.Millisecond, TakeOver: 500 * time.Millisecond}},
+	})
+	h.slots = slots.New(slots.Options{Cluster: h.cluster, Logger: logger})
+	h.bulk = bulk.New(bulk.Options{
+		Store: h.store, Cluster: h.cluster, Informer: inf, Peers: node, Config: f, Codec: servertest.Codec{}, Items: servertest.Codec{},
+		Slots: h.slots, Upstream: upstream.New(upstream.Options{}), Metrics: metrics.New(), Logger: logger,
+	})
+	var list []placement.Server
+	for i, s := range f.servers {
+		list = append(list, s.Entry(fmt.Sprint("server", i), "s", 8))
+	}
+	h.slots.SetServers(list)
+	f.mu.Lock()
+	f.hosts[name] = h
+	var members []cluster.Member
+	for _, other := range f.hosts {
+		members = append(members, other.cluster.Self())
+	}
+	for _, other := range f.hosts {
+		other.cluster.SetMembers(members)
+	}
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = func() { cancel(); _ = udp.Close() }
+	f.t.Cleanup(h.stop)
+	go inf.Run(ctx)
+	go h.cluster.Run(ctx)
+	go h.slots.Run(ctx)
+	go h.bulk.Run(ctx)
+	return h
+}
+
+// kill ends a host's process: nothing of it reaches store, peers or servers.
+func (f *testFleet) kill(h *testHost) {
+	h.store.cut.Store(true)
+	f.network.Remove(peer.HostID(h.name))
+	h.stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	h.bulk.Close(ctx) // ends the runs; the cut store takes no result
+	f.mu.Lock()
+	delete(f.hosts, h.name)
+	f.mu.Unlock()
+}
+
+// settle waits until the hosts have heard of each other.
+func (f *testFleet) settle() {
+	f.t.Helper()
+	f.eventually("hosts hear of each other", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, h := range f.hosts {
+			if len(h.cluster.Alive()) < len(f.hosts)-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (f *testFleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
+func submission(id string, items int) *bulk.Submission {
+	sub := &bulk.Submission{ID: id, Workspace: "w", Route: "r", Host: "h"}
+	for i := range items {
+		sub.Items = append(sub.Items, bulk.Item{ID: fmt.Sprintf("%s-%d", id, i), Path: "/r/x", Body: []byte(fmt.Sprint("body ", i)), Tokens: 10})
+	}
+	return sub
+}
+
+// read returns all results of a job at a host.
+func (f *testFleet) read(h *testHost, id string) ([]itemlist.Result, error) {
+	page, err := h.bulk.Results(context.Background(), "w", id, 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	return page.Results, nil
+}
+
+// complete waits until a host shows all results, and checks them.
+func (f *testFleet) complete(h *testHost, id string, items int) []itemlist.Result {
+	f.t.Helper()
+	var results []itemlist.Result
+	f.eventually("job "+id+" complete at "+h.name, func() bool {
+		var err error
+		results, err = f.read(h, id)
+		return err == nil && len(results) == items
+	})
+	seen := map[string]bool{}
+	for _, r := range results {
+		if seen[r.ID] {
+			f.t.Errorf("item %s stands twice", r.ID)
+		}
+		seen[r.ID] = true
+		if r.State == itemlist.Completed && r.Output != wholeOutput {
+			f.t.Errorf("item %s: output %q", r.ID, r.Output)
+		}
+	}
+	return results
+}
+
+const (
+	lastEvent   = 5
+	wholeOutput = "token1\ntoken2\ntoken3\ntoken4\ntoken5"
+)
+
+// generate streams an item's events with a pause after each.
+func generate(pause time.Duration) func(*servertest.Conn) bool {
+	return func(c *servertest.Conn) bool {
+		c.StreamHead()
+		for id := c.After + 1; id <= lastEvent; id++ {
+			c.Event(id)
+			select {
+			case <-c.Gone():
+				return false
+			case <-time.After(pause):
+			}
+		}
+		c.End()
+		return true
+	}
+}
+
+func TestAJobRunsOnceAndIsReadAtEveryHost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, generate(time.Millisecond))
+	f := newFleet(t, s)
+	a, b := f.start("a"), f.start("b")
+	f.settle()
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 10)))
+	first := f.complete(a, "job", 10)
+	is.Equal(f.complete(b, "job", 10), first)
+	is.NoErr(b.bulk.Submit(context.Background(), submission("job", 10))) // sent again
+	is.Equal(len(s.Arrivals()), 10)
+	_, err := a.bulk.Results(context.Background(), "other", "job", 0, 0)
+	is.True(errors.Is(err, bulk.ErrNoJob))
+	_, err = b.bulk.Results(context.Background(), "w", "none", 0, 0)
+	is.True(errors.Is(err, bulk.ErrNoJob))
+}
+
+// TestALostHostsJobIsTakenOver guards against a job that ends with the host
+// that accepted it, and against results that change their position.
+func TestALostHostsJobIsTakenOver(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var slow atomic.Bool
+	s := servertest.New(t, func(c *servertest.Conn) bool {
+		if slow.Load() && !strings.HasSuffix(c.ID, "-0") {
+			<-c.Gone()
+			return false
+		}
+		return generate(time.Millisecond)(c)
+	})
+	slow.Store(true)
+	f := newFleet(t, s)
+	a, b, c := f.start("a"), f.start("b"), f.start("c")
+	f.settle()
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 5)))
+	f.eventually("the first result", func() bool { r, err := f.read(a, "job"); return err == nil && len(r) == 1 })
+	before, err := f.read(b, "job")
+	is.NoErr(err)
+	f.kill(a)
+	slow.Store(false)
+	after := f.complete(b, "job", 5)
+	is.Equal(after[:1], before)
+	is.Equal(f.complete(c, "job", 5), after)
+}
+
+// TestAJobWhoseAcceptanceNobodyHeardOfRuns guards against a job that only the
+// store knows: all hosts end right after the acceptance.
+func TestAJobWhoseAcceptanceNobodyHeardOfRuns(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, generate(time.Millisecond))
+	f := newFleet(t, s)
+	a := f.start("a")
+	f.settle()
+	s.Script(func(c *servertest.Conn) bool { <-c.Gone(); return false })
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 3)))
+	f.kill(a)
+	s.Script(generate(time.Millisecond))
+	b := f.start("b")
+	f.complete(b, "job", 3)
+}
+
+// TestAListThatIsStillReadIsNotShown guards against answering from the list of
+// a job that this host has just taken over, before it has read the positions
+// that callers have seen elsewhere.
+func TestAListThatIsStillReadIsNotShown(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, generate(time.Millisecond))
+	f := newFleet(t, s)
+	a := f.start("a")
+	s.Script(func(c *servertest.Conn) bool {
+		if strings.HasSuffix(c.ID, "-4") {
+			<-c.Gone()
+			return false
+		}
+		return generate(time.Millisecond)(c)
+	})
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 5)))
+	f.eventually("four results", func() bool { r, err := f.read(a, "job"); return err == nil && len(r) == 4 })
+	f.kill(a)
+	b := f.start("b")
+	b.store.getWait.Store(int64(300 * time.Millisecond))
+	for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if r, err := f.read(b, "job"); err == nil && len(r) < 4 {
+			t.Fatalf("%d results are shown, 4 had been read", len(r))
+		}
+	}
+}
+
+// TestLostAnswersOfTheStore guards against a job accepted twice, a result
+// listed twice and a refusal of what was stored.
+func TestLostAnswersOfTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, generate(time.Millisecond))
+	f := newFleet(t, s)
+	a := f.start("a")
+	f.settle()
+	f.store.LoseAnswers(2) // of the payload and the head
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 4)))
+	f.store.LoseAnswers(1)
+	f.complete(a, "job", 4)
+	is.Equal(len(s.Arrivals()), 4)
+}
+
+// TestAStoreThatIsDownAcceptsNothing guards against a job that only a process
+// knows of, and tells a certain refusal from an unknown outcome.
+func TestAStoreThatIsDownAcceptsNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, servertest.New(t, generate(time.Millisecond)))
+	a := f.start("a")
+	f.settle()
+	f.store.SetDown(true)
+	err := a.bulk.Submit(context.Background(), submission("job", 1))
+	is.True(errors.Is(err, bulk.ErrUnsure))
+	is.Equal(bulk.RefusalOf(err).Status, 503)
+	_, err = a.bulk.Results(context.Background(), "w", "job", 0, 0)
+	is.True(errors.Is(err, bulk.ErrUnsure)) // not: there is no such job
+	f.store.SetDown(false)
+	f.store.LoseAnswers(100)
+	headLost := a.bulk.Submit(context.Background(), submission("job2", 1))
+	f.store.LoseAnswers(0)
+	if headLost != nil {
+		is.True(bulk.RefusalOf(headLost).Status != 503)
+	}
+}
+
+// TestResultsWaitForTheStore guards against results lost in an outage of the
+// store that begins while items run.
+func TestResultsWaitForTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, servertest.New(t, generate(20*time.Millisecond)))
+	a := f.start("a")
+	f.settle()
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 4)))
+	f.store.SetDown(true)
+	time.Sleep(time.Second)
+	r, err := f.read(a, "job")
+	is.NoErr(err)
+	is.Equal(len(r), 0) // nothing is shown that the store does not hold
+	f.store.SetDown(false)
+	f.complete(a, "job", 4)
+}
+
+// TestAnItemThatFailsIsGivenUp guards against items without end.
+func TestAnItemThatFailsIsGivenUp(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, func(c *servertest.Conn) bool {
+		switch {
+		case strings.HasSuffix(c.ID, "-0"):
+			c.Whole(500, "no")
+		case strings.HasSuffix(c.ID, "-1"):
+			c.Whole(422, "never")
+		default:
+			return generate(time.Millisecond)(c)
+		}
+		return true
+	})
+	f := newFleet(t, s)
+	a := f.start("a")
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 4)))
+	states := map[string]itemlist.State{}
+	for _, r := range f.complete(a, "job", 4) {
+		states[r.ID] = r.State
+	}
+	is.Equal(states, map[string]itemlist.State{"job-0": itemlist.DeadLetter, "job-1": itemlist.DeadLetter, "job-2": itemlist.Completed, "job-3": itemlist.Completed})
+	runs := map[string]int{}
+	for _, arrival := range s.Arrivals() {
+		runs[arrival.ID]++
+	}
+	is.Equal(runs, map[string]int{"job-0": 2, "job-1": 1, "job-2": 1, "job-3": 1})
+}
+
+// TestABrokenRunGoesOn guards against output that is missing or doubled after
+// a server broke off, and against whole runs made again.
+func TestABrokenRunGoesOn(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, func(c *servertest.Conn) bool {
+		if c.After == 0 {
+			c.StreamHead()
+			c.Events(1, 2)
+			_, _ = c.Write([]byte("9\r\nid: 3\nda\r\n"))
+			return false
+		}
+		return generate(time.Millisecond)(c)
+	})
+	f := newFleet(t, s)
+	a := f.start("a")
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 2)))
+	f.complete(a, "job", 2)
+	is.Equal(len(s.Arrivals()), 4)
+}
+
+// TestAnEndedJobStops guards against items that reach a server after their
+// job's end was acknowledged, at whichever host.
+func TestAnEndedJobStops(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, generate(100*time.Millisecond))
+	f := newFleet(t, s)
+	a, b := f.start("a"), f.start("b")
+	f.settle()
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 40)))
+	f.eventually("items run", func() bool { return len(s.Arrivals()) > 0 })
+	is.NoErr(b.bulk.End(context.Background(), "w", "job"))
+	is.NoErr(a.bulk.End(context.Background(), "w", "job")) // repeated
+	time.Sleep(time.Second)
+	ran := len(s.Arrivals())
+	time.Sleep(time.Second)
+	is.Equal(len(s.Arrivals()), ran)
+	_, err := a.bulk.Body(context.Background(), "w", "job", "job-39")
+	is.True(errors.Is(err, bulk.ErrNoItem))
+	r, err := f.read(b, "job")
+	is.NoErr(err)
+	is.True(len(r) < 40)
+}
+
+func TestBodiesAreReadUntilListed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	release := make(chan struct{})
+	s := servertest.New(t, func(c *servertest.Conn) bool {
+		if strings.HasSuffix(c.ID, "-1") {
+			<-release
+		}
+		return generate(time.Millisecond)(c)
+	})
+	f := newFleet(t, s)
+	a, b := f.start("a"), f.start("b")
+	f.settle()
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 2)))
+	for _, h := range []*testHost{a, b} {
+		body, err := h.bulk.Body(context.Background(), "w", "job", "job-1")
+		is.NoErr(err)
+		is.Equal(string(body), "body 1")
+	}
+	close(release)
+	f.complete(b, "job", 2)
+	_, err := a.bulk.Body(context.Background(), "w", "job", "job-1")
+	is.True(errors.Is(err, bulk.ErrNoItem))
+}
+
+// TestAStoppingHostHandsItsJobsOver guards against work that waits until the
+// stopped process has ended.
+func TestAStoppingHostHandsItsJobsOver(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, servertest.New(t, generate(50*time.Millisecond)))
+	a, b := f.start("a"), f.start("b")
+	f.settle()
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 60)))
+	time.Sleep(100 * time.Millisecond)
+	a.cluster.Leave()
+	a.bulk.Close(context.Background())
+	f.complete(b, "job", 60)
+	f.complete(a, "job", 60)
+}
+
+// TestAHostThatWasTakenForLostGivesWay guards against two hosts that list the
+// same job, and against old results at the one that comes back.
+func TestAHostThatWasTakenForLostGivesWay(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, generate(200*time.Millisecond))
+	f := newFleet(t, s)
+	a, b := f.start("a"), f.start("b")
+	f.settle()
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 16)))
+	// Digests stop in both directions; both still reach the store.
+	a.cluster.SetMembers(nil)
+	b.cluster.SetMembers(nil)
+	time.Sleep(3 * time.Second)
+	members := []cluster.Member{a.cluster.Self(), b.cluster.Self()}
+	a.cluster.SetMembers(members)
+	b.cluster.SetMembers(members)
+	is.Equal(f.complete(a, "job", 16), f.complete(b, "job", 16))
+}
--- a/internal/bulk/ownership.go
+++ b/internal/bulk/ownership.go
@@ -87,7 +87,7 @@
 func (s *Service) release(j *job) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.owned = false
+	j.owned, j.loaded = false, false
 	if j.stop != nil {
 		j.stop()
 	}
@@ -212,6 +212,9 @@
 	for {
 		err := s.load(s.runCtx, j)
 		if err == nil {
+			j.mu.Lock()
+			j.loaded = true
+			j.mu.Unlock()
 			break
 		}
 		s.log.Warn("job not loaded", "step", "load job", "job", j.id, "error", err)
--- a/internal/bulk/read.go
+++ b/internal/bulk/read.go
@@ -75,7 +75,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.used = time.Now()
-	if j.owned || j.list.Complete() {
+	if (j.owned && j.loaded) || j.list.Complete() {
 		return j
 	}
 	return nil
--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -76,11 +76,14 @@
 type job struct {
 	id string
 
-	mu       sync.Mutex
-	head     Head
-	list     *itemlist.List
-	items    map[string]*Item // nil until the payload is read
-	owned    bool
+	mu    sync.Mutex
+	head  Head
+	list  *itemlist.List
+	items map[string]*Item // nil until the payload is read
+	owned bool
+	// loaded is whether the segments of earlier hosts were read. Until then
+	// this host's list may lack results that callers have read elsewhere.
+	loaded   bool
 	ended    bool
 	ctx      context.Context // ends when this host stops running the job
 	stop     context.CancelFunc
@@ -285,6 +288,7 @@
 func (s *Service) adoptNew(sub *Submission, head Head, version int64) {
 	j := newJob(sub.ID, head)
 	j.setItems(sub.Items)
+	j.loaded = true
 	s.mu.Lock()
 	if _, ok := s.jobs[sub.ID]; ok || s.leaving {
 		s.mu.Unlock()
--- /dev/null
+++ b/internal/online/online_test.go
@@ -0,0 +1,461 @@
+package online_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/cluster"
+	"ragwortstep/internal/core/placement"
+	"ragwortstep/internal/core/routing"
+	"ragwortstep/internal/metrics"
+	"ragwortstep/internal/online"
+	"ragwortstep/internal/quotas"
+	"ragwortstep/internal/servertest"
+	"ragwortstep/internal/slots"
+	"ragwortstep/internal/upstream"
+)
+
+// fixture is an online service in front of fake servers.
+type fixture struct {
+	t        *testing.T
+	fresh    atomic.Bool
+	snapshot atomic.Pointer[routing.Snapshot]
+	service  *online.Service
+	slots    *slots.Scheduler
+	url      string
+	leaving  atomic.Bool
+}
+
+func (f *fixture) Current() *routing.Snapshot { return f.snapshot.Load() }
+func (f *fixture) Fresh() bool                { return f.fresh.Load() }
+
+func route(name string, kind routing.Kind, attempts int) routing.Route {
+	return routing.Route{
+		Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 2 * time.Second,
+		Objective: 20 * time.Millisecond, GapObjective: 50 * time.Millisecond, MaxAttempts: attempts,
+		Targets: []routing.Target{{Service: "s", Weight: 1}},
+	}
+}
+
+func routes() []routing.Route {
+	resumable := route("resumable", routing.Stream, 2)
+	resumable.Resumable = true
+	public := route("public", routing.Idempotent, 2)
+	public.Public = true
+	short := route("short", routing.AtMostOnce, 1)
+	short.Timeout = 150 * time.Millisecond
+	return []routing.Route{
+		route("get", routing.Idempotent, 2), route("once", routing.AtMostOnce, 2), route("stream", routing.Stream, 2),
+		resumable, public, short,
+	}
+}
+
+func config(keys map[string]string) *routing.Snapshot {
+	workspaces := map[string]routing.Workspace{"w": {Name: "w"}, "limited": {Name: "limited", Rate: 1, Burst: 2}}
+	return routing.New(1, routes(), workspaces, nil, keys)
+}
+
+func newFixture(t *testing.T, servers ...*servertest.Server) *fixture {
+	t.Helper()
+	f := &fixture{t: t}
+	f.fresh.Store(true)
+	f.snapshot.Store(config(map[string]string{"k": "w", "l": "limited"}))
+	udp, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = udp.Close() })
+	logger := slog.New(slog.DiscardHandler)
+	c := cluster.New(cluster.Options{Self: cluster.Member{Name: "a", Incarnation: 1}, Conn: udp, Logger: logger})
+	f.slots = slots.New(slots.Options{Zone: "z", Cluster: c, Logger: logger})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.slots.Run(ctx)
+	f.setServers(servers...)
+	f.service = online.New(online.Options{
+		Config: f, Codec: servertest.Codec{}, Quotas: quotas.New(c, logger), Slots: f.slots, Upstream: upstream.New(upstream.Options{}),
+		Suspects: online.NewSuspects(c, logger), Metrics: metrics.New(), Logger: logger, IsLeaving: f.leaving.Load,
+	})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body) // the tests' bodies arrive whole
+		f.service.Serve(r.Context(), w, &online.Call{
+			ID: r.Header.Get(servertest.HeaderID), Key: r.Header.Get("X-Key"), Host: "h.example", Method: r.Method,
+			Target: r.RequestURI, Path: r.URL.Path, Header: http.Header{}, Body: body, Arrived: time.Now(),
+		})
+	}))
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	return f
+}
+
+func (f *fixture) setServers(servers ...*servertest.Server) {
+	var list []placement.Server
+	for i, s := range servers {
+		list = append(list, s.Entry(string(rune('a'+i)), "s", 4))
+	}
+	f.slots.SetServers(list)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+func (f *fixture) call(path, key string) answer {
+	f.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader("x"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set(servertest.HeaderID, "id-1")
+	req.Header.Set("X-Key", key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(body), err}
+}
+
+func events(first, last int64) string {
+	var b strings.Builder
+	for id := first; id <= last; id++ {
+		n := string(rune('0' + id))
+		b.WriteString("id: " + n + "\ndata: token" + n + "\n\n")
+	}
+	return b.String()
+}
+
+func broken(*servertest.Conn) bool { return false }
+
+func ok(c *servertest.Conn) bool { c.Whole(200, "ok"); return true }
+
+func stream(c *servertest.Conn) bool {
+	c.StreamHead()
+	c.Events(c.After+1, 4)
+	c.End()
+	return true
+}
+
+// TestARequestThatMayHaveRunIsNotRepeated guards against a second run of a
+// request that may run once, and against a refusal that promises it has not run.
+func TestARequestThatMayHaveRunIsNotRepeated(t *testing.T) {
+	t.Parallel()
+	for name, script := range map[string]func(*servertest.Conn) bool{
+		"no answer":     broken,
+		"broken answer": func(c *servertest.Conn) bool { c.Head(200, "Content-Length: 9"); return false },
+		"wrong id":      func(c *servertest.Conn) bool { c.ID = "other"; c.Whole(200, "x"); return true },
+		"no bytes of protocol": func(c *servertest.Conn) bool {
+			_, _ = io.WriteString(c, "\x00\x01garbage\r\n\r\n")
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, b := servertest.New(t, script), servertest.New(t, script)
+			got := newFixture(t, a, b).call("/once/1", "k")
+			is.Equal(got.status, http.StatusBadGateway)
+			is.Equal(len(a.Arrivals())+len(b.Arrivals()), 1)
+		})
+	}
+}
+
+// TestARejectedRequestIsRefusedTruthfully guards against 502 for a request
+// that certainly did not run: its caller could not send it again.
+func TestARejectedRequestIsRefusedTruthfully(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, func(c *servertest.Conn) bool { c.NotRun(503); return true })
+	got := newFixture(t, s).call("/once/1", "k")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+	is.Equal(got.header.Get(servertest.HeaderSeal), "")
+}
+
+// TestARejectedRequestGoesToAnotherServer guards against giving up although
+// another server has room.
+func TestARejectedRequestGoesToAnotherServer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	full := servertest.New(t, func(c *servertest.Conn) bool { c.NotRun(421); return true })
+	good := servertest.New(t, ok)
+	f := newFixture(t, full, good)
+	for range 6 {
+		is.Equal(f.call("/once/1", "k").status, http.StatusOK)
+	}
+}
+
+// TestAttemptsStayWithinTheRoute guards against sending one call to more
+// servers than its route allows.
+func TestAttemptsStayWithinTheRoute(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a, b, c := servertest.New(t, broken), servertest.New(t, broken), servertest.New(t, broken)
+	got := newFixture(t, a, b, c).call("/get/1", "k")
+	is.Equal(got.status, http.StatusBadGateway)
+	is.Equal(len(a.Arrivals())+len(b.Arrivals())+len(c.Arrivals()), 2)
+}
+
+// TestABrokenAnswerIsRepeated guards against passing on a part of an answer
+// where a whole one can be had.
+func TestABrokenAnswerIsRepeated(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	bad := servertest.New(t, func(c *servertest.Conn) bool { c.Head(200, "Content-Length: 9"); return false })
+	f := newFixture(t, bad, servertest.New(t, ok))
+	for range 4 {
+		got := f.call("/get/1", "k")
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(got.body, "ok")
+	}
+}
+
+// TestAServersOwnFailureIsPassedOn guards against hiding what a server said.
+func TestAServersOwnFailureIsPassedOn(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, func(c *servertest.Conn) bool { c.Whole(500, "broken blade"); return true })
+	got := newFixture(t, s).call("/once/1", "k")
+	is.Equal(got.status, 500)
+	is.Equal(got.body, "broken blade")
+	is.Equal(got.header.Get(servertest.HeaderSeal), "s")
+}
+
+// TestASuccessNeedsTheSignature guards against bytes of a machine that is not
+// the server.
+func TestASuccessNeedsTheSignature(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, func(c *servertest.Conn) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+servertest.HeaderID+": "+c.ID+"\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	})
+	is.Equal(newFixture(t, s).call("/once/1", "k").status, http.StatusBadGateway)
+}
+
+// TestAStreamGoesOnAtAnotherServer guards against missing or doubled events
+// when a server breaks off in the middle of one.
+func TestAStreamGoesOnAtAnotherServer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	half := func(c *servertest.Conn) bool {
+		if c.After > 0 {
+			return stream(c)
+		}
+		c.StreamHead()
+		c.Events(1, 2)
+		_, _ = io.WriteString(c, "9\r\nid: 3\nda\r\n")
+		return false
+	}
+	a, b := servertest.New(t, half), servertest.New(t, half)
+	got := newFixture(t, a, b).call("/resumable/1", "k")
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.body, events(1, 4))
+	all := append(a.Arrivals(), b.Arrivals()...)
+	is.Equal(len(all), 2)
+	is.Equal(max(all[0].After, all[1].After), int64(2))
+}
+
+// TestASilentStreamGoesOnAtAnotherServer guards against a caller who waits for
+// a server that has stopped in the middle.
+func TestASilentStreamGoesOnAtAnotherServer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	stuck := func(c *servertest.Conn) bool {
+		if c.After > 0 {
+			return stream(c)
+		}
+		c.StreamHead()
+		c.Events(1, 2)
+		<-c.Gone()
+		return false
+	}
+	got := newFixture(t, servertest.New(t, stuck), servertest.New(t, stuck)).call("/resumable/1", "k")
+	is.NoErr(got.err)
+	is.Equal(got.body, events(1, 4))
+}
+
+// TestABrokenStreamDoesNotLookComplete guards against a sound end after a part
+// of a stream that may not go on elsewhere.
+func TestABrokenStreamDoesNotLookComplete(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for name, script := range map[string]func(*servertest.Conn) bool{
+		"broken off":  func(c *servertest.Conn) bool { c.StreamHead(); c.Events(1, 2); return false },
+		"event twice": func(c *servertest.Conn) bool { c.StreamHead(); c.Events(1, 2); c.Event(2); c.End(); return true },
+		"event lost":  func(c *servertest.Conn) bool { c.StreamHead(); c.Event(1); c.Event(3); c.End(); return true },
+	} {
+		s := servertest.New(t, script)
+		got := newFixture(t, s).call("/stream/1", "k")
+		if got.err == nil {
+			t.Errorf("%s: the caller got %d %q as a whole answer", name, got.status, got.body)
+		}
+		is.Equal(len(s.Arrivals()), 1)
+	}
+}
+
+// TestTheServerStopsWhenTheCallerLeaves guards against work for nobody.
+func TestTheServerStopsWhenTheCallerLeaves(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	stopped := make(chan struct{})
+	s := servertest.New(t, func(c *servertest.Conn) bool {
+		c.StreamHead()
+		c.Event(1)
+		<-c.Gone()
+		close(stopped)
+		return false
+	})
+	f := newFixture(t, s)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+"/resumable/1", nil)
+	is.NoErr(err)
+	req.Header.Set("X-Key", "k")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	_, err = io.ReadAll(resp.Body)
+	is.True(err != nil)
+	select {
+	case <-stopped:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the server still works half a second later")
+	}
+	is.Equal(len(s.Arrivals()), 1)
+}
+
+// TestTheRoutesTimeOutEndsTheWait guards against a caller held past it.
+func TestTheRoutesTimeOutEndsTheWait(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, func(c *servertest.Conn) bool { <-c.Gone(); return false })
+	started := time.Now()
+	got := newFixture(t, s).call("/short/1", "k")
+	is.Equal(got.status, http.StatusGatewayTimeout) // it may have run
+	is.True(time.Since(started) < 500*time.Millisecond)
+}
+
+// TestKeys guards against serving without a valid key, and against refusing
+// for good while this host cannot know.
+func TestKeys(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, ok)
+	f := newFixture(t, s)
+	is.Equal(f.call("/get/1", "unknown").status, http.StatusUnauthorized)
+	is.Equal(f.call("/get/1", "").status, http.StatusUnauthorized)
+	is.Equal(f.call("/nowhere/1", "k").status, http.StatusNotFound)
+	is.Equal(f.call("/public/1", "").status, http.StatusOK)
+	f.fresh.Store(false)
+	for _, key := range []string{"k", "unknown"} {
+		got := f.call("/get/1", key)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(got.header.Get("Retry-After") != "")
+	}
+	is.Equal(f.call("/nowhere/1", "k").status, http.StatusServiceUnavailable)
+	is.Equal(f.call("/public/1", "").status, http.StatusOK)
+	f.snapshot.Store(nil)
+	is.Equal(f.call("/get/1", "k").status, http.StatusServiceUnavailable)
+	is.Equal(len(s.Arrivals()), 2)
+}
+
+// TestAWithdrawnKeyEndsTheWait guards against running a request whose key was
+// withdrawn while the request waited for a place.
+func TestAWithdrawnKeyEndsTheWait(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	release := make(chan struct{})
+	s := servertest.New(t, func(c *servertest.Conn) bool { <-release; c.Whole(200, "ok"); return true })
+	f := newFixture(t, s)
+	f.slots.SetServers([]placement.Server{s.Entry("a", "s", 1)})
+	first, second := make(chan answer, 1), make(chan answer, 1)
+	go func() { first <- f.call("/once/1", "k") }()
+	for len(s.Arrivals()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go func() { second <- f.call("/once/2", "k") }()
+	time.Sleep(50 * time.Millisecond)
+	f.snapshot.Store(config(nil))
+	close(release)
+	is.Equal((<-first).status, http.StatusOK)
+	is.Equal((<-second).status, http.StatusUnauthorized)
+	is.Equal(len(s.Arrivals()), 1)
+}
+
+func TestRequestsOverTheQuotaAreRefused(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, ok)
+	f := newFixture(t, s)
+	var got []int
+	for range 4 {
+		got = append(got, f.call("/get/1", "l").status)
+	}
+	is.Equal(got, []int{200, 200, 429, 429})
+	is.Equal(len(s.Arrivals()), 2)
+}
+
+// TestNoServerRefusesAtOnce guards against holding a request that nobody can
+// serve.
+func TestNoServerRefusesAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	started := time.Now()
+	got := newFixture(t).call("/get/1", "k")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(time.Since(started) < 200*time.Millisecond)
+}
+
+// TestALeavingHostClosesItsConnections guards against callers that keep a
+// connection to a host that stops.
+func TestALeavingHostClosesItsConnections(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture(t, servertest.New(t, ok))
+	f.leaving.Store(true)
+	req, err := http.NewRequest(http.MethodPost, f.url+"/get/1", nil)
+	is.NoErr(err)
+	req.Header.Set("X-Key", "k")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.True(resp.Close)
+}
+
+// TestARequestThatCrashesServersIsStopped guards against one request taking
+// down one server after the other as its caller sends it again.
+func TestARequestThatCrashesServersIsStopped(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var servers []*servertest.Server
+	for range 8 {
+		servers = append(servers, servertest.New(t, broken))
+	}
+	f := newFixture(t, servers...)
+	for range 12 {
+		f.call("/get/1", "k")
+		time.Sleep(150 * time.Millisecond)
+	}
+	arrived := 0
+	for _, s := range servers {
+		arrived += len(s.Arrivals())
+	}
+	is.True(arrived <= 6) // three servers broken, and three retries
+	is.Equal(f.call("/get/1", "k").status, http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,211 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/servertest"
+	"ragwortstep/internal/upstream"
+)
+
+func request() *upstream.Request {
+	return &upstream.Request{Method: http.MethodPost, Target: "/a?b=c", Host: "h.example", Header: http.Header{servertest.HeaderID: {"1"}}, Body: []byte("body")}
+}
+
+// exchange sends one request and reads the whole answer.
+func exchange(t *testing.T, c *upstream.Client, address string) (int, string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	resp, err := c.Do(ctx, address, request())
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.Status, string(body), err
+}
+
+func whole(c *servertest.Conn) bool { c.Whole(200, "hello"); return true }
+
+func TestConnectionsAreReused(t *testing.T) {
+	is := is.New(t)
+	s := servertest.New(t, whole)
+	c := upstream.New(upstream.Options{})
+	for range 5 {
+		status, body, err := exchange(t, c, s.Address())
+		is.NoErr(err)
+		is.Equal(status, 200)
+		is.Equal(body, "hello")
+	}
+	is.Equal(s.Dials(), 1)
+	is.Equal(s.Arrivals()[0].Body, "body")
+}
+
+// TestBytesAfterAnAnswerBelongToNoRequest guards against giving a late second
+// answer to the next request on the connection.
+func TestBytesAfterAnAnswerBelongToNoRequest(t *testing.T) {
+	is := is.New(t)
+	s := servertest.New(t, func(c *servertest.Conn) bool {
+		c.Whole(200, "own"+c.Body)
+		time.Sleep(20 * time.Millisecond)
+		c.Whole(200, "late answer")
+		return true
+	})
+	c := upstream.New(upstream.Options{})
+	for range 3 {
+		_, body, err := exchange(t, c, s.Address())
+		is.NoErr(err)
+		is.Equal(body, "ownbody")
+		time.Sleep(60 * time.Millisecond)
+	}
+	is.Equal(s.Dials(), 3)
+}
+
+// TestATruncatedAnswerIsNoEnd guards against passing a part off as the whole.
+func TestATruncatedAnswerIsNoEnd(t *testing.T) {
+	for name, script := range map[string]func(*servertest.Conn) bool{
+		"length": func(c *servertest.Conn) bool {
+			c.Head(200, "Content-Length: 10")
+			_, _ = io.WriteString(c, "12345")
+			return false
+		},
+		"chunked": func(c *servertest.Conn) bool { c.StreamHead(); c.Event(1); return false },
+		"reset": func(c *servertest.Conn) bool {
+			c.Head(200, "Connection: close")
+			_, _ = io.WriteString(c, "12345")
+			time.Sleep(20 * time.Millisecond) // the bytes arrive before the reset
+			_ = c.Conn.(*net.TCPConn).SetLinger(0)
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := servertest.New(t, script)
+			_, _, err := exchange(t, upstream.New(upstream.Options{}), s.Address())
+			var failure *upstream.Error
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Stage, upstream.InResponse)
+		})
+	}
+}
+
+// TestStages guards against calling a request unsent that a server may have
+// run, and against calling one sent of which no byte left.
+func TestStages(t *testing.T) {
+	is := is.New(t)
+	var failure *upstream.Error
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	_, _, err = exchange(t, upstream.New(upstream.Options{}), l.Addr().String())
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Stage, upstream.NotSent)
+
+	s := servertest.New(t, func(*servertest.Conn) bool { return false })
+	_, _, err = exchange(t, upstream.New(upstream.Options{}), s.Address())
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Stage, upstream.Sent)
+}
+
+// TestSilence guards against waiting for a server that says nothing, and
+// against using other connections that were opened before the silence.
+func TestSilence(t *testing.T) {
+	is := is.New(t)
+	s := servertest.New(t, func(c *servertest.Conn) bool { <-c.Gone(); return false })
+	c := upstream.New(upstream.Options{})
+	req := request()
+	req.FirstByte = 50 * time.Millisecond
+	_, err := c.Do(context.Background(), s.Address(), req)
+	var failure *upstream.Error
+	is.True(errors.As(err, &failure))
+	is.True(failure.Silent)
+	is.Equal(failure.Stage, upstream.Sent)
+}
+
+// TestTheEndOfTheContextCancelsAtTheServer guards against work that goes on
+// for a caller who has left.
+func TestTheEndOfTheContextCancelsAtTheServer(t *testing.T) {
+	is := is.New(t)
+	cancelled := make(chan struct{})
+	s := servertest.New(t, func(c *servertest.Conn) bool {
+		c.StreamHead()
+		c.Event(1)
+		<-c.Gone()
+		close(cancelled)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, err := upstream.New(upstream.Options{}).Do(ctx, s.Address(), request())
+	is.NoErr(err)
+	time.AfterFunc(30*time.Millisecond, cancel)
+	_, err = io.ReadAll(resp.Body)
+	is.True(errors.Is(err, context.Canceled))
+	is.NoErr(resp.Body.Close())
+	select {
+	case <-cancelled:
+	case <-time.After(time.Second):
+		t.Error("the server was not told")
+	}
+}
+
+// TestAStatedIdleTimeIsKept guards against sending on a connection that the
+// server is about to close.
+func TestAStatedIdleTimeIsKept(t *testing.T) {
+	is := is.New(t)
+	s := servertest.New(t, func(c *servertest.Conn) bool {
+		c.Head(200, "Content-Length: 0", "Keep-Alive: timeout=1")
+		return true
+	})
+	c := upstream.New(upstream.Options{})
+	_, _, err := exchange(t, c, s.Address())
+	is.NoErr(err)
+	time.Sleep(600 * time.Millisecond) // half a second of the stated one is used
+	_, _, err = exchange(t, c, s.Address())
+	is.NoErr(err)
+	is.Equal(s.Dials(), 2)
+}
+
+func TestEventsAreWhole(t *testing.T) {
+	is := is.New(t)
+	r := upstream.NewEventReader(strings.NewReader("weight-versions: 2\nid: 4\ndata: a\ndata: b\n\n: note\n\nid: 5\ndata: c\n"))
+	ev, err := r.Next()
+	is.NoErr(err)
+	is.Equal(string(ev.Raw), "weight-versions: 2\nid: 4\ndata: a\ndata: b\n\n")
+	is.Equal(ev.ID, int64(4))
+	is.Equal(string(ev.Data), "a\nb")
+	ev, err = r.Next()
+	is.NoErr(err)
+	is.True(!ev.HasID)
+	_, err = r.Next()
+	is.Equal(err, io.ErrUnexpectedEOF)
+}
+
+// FuzzEventReader checks that events never lose or reorder a byte.
+func FuzzEventReader(f *testing.F) {
+	f.Add("id: 1\ndata: x\n\n")
+	f.Add("\n\n\r\n")
+	f.Add("data: no end")
+	f.Fuzz(func(t *testing.T, stream string) {
+		r := upstream.NewEventReader(strings.NewReader(stream))
+		var whole strings.Builder
+		for {
+			ev, err := r.Next()
+			if err != nil {
+				break
+			}
+			whole.Write(ev.Raw)
+		}
+		if !strings.HasPrefix(stream, whole.String()) {
+			t.Errorf("events %q are no beginning of %q", whole.String(), stream)
+		}
+	})
+}
