bulk: wait for a reading of segments that is under way

The time of the last check was set when a reading began, so a second reader was answered from the part read so far. TestReadersAtTheSameTimeSeeTheWholeList fails before and passes after. Conclusion: a reading counts from its start once it has come to the end, and readers wait for the one under way.

--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -535,3 +535,27 @@
 	b.cluster.SetMembers(members)
 	is.Equal(f.complete(a, "job", 16), f.complete(b, "job", 16))
 }
+
+// TestReadersAtTheSameTimeSeeTheWholeList guards against answering a second
+// reader from a list that is being read for the first one.
+func TestReadersAtTheSameTimeSeeTheWholeList(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, servertest.New(t, generate(time.Millisecond)))
+	a := f.start("a")
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 5)))
+	f.complete(a, "job", 5)
+	f.kill(a)
+	b := f.start("b")
+	b.store.getWait.Store(int64(100 * time.Millisecond))
+	var group sync.WaitGroup
+	for i := range 10 {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			if r, err := f.read(b, "job"); err == nil && len(r) < 5 {
+				t.Errorf("%d results are shown, 5 had been read", len(r))
+			}
+		})
+	}
+	group.Wait()
+}
--- a/internal/bulk/commit.go
+++ b/internal/bulk/commit.go
@@ -55,8 +55,10 @@
 
 // commitAll writes segments until no result waits.
 func (s *Service) commitAll(ctx context.Context, j *job) error {
-	j.syncing.Lock()
-	defer j.syncing.Unlock()
+	if err := j.lock(ctx); err != nil {
+		return err
+	}
+	defer j.unlock()
 	for {
 		j.mu.Lock()
 		segment := j.list.Next(valueTarget)
--- a/internal/bulk/ownership.go
+++ b/internal/bulk/ownership.go
@@ -77,7 +77,7 @@
 		s.release(j)
 	}
 	go func() {
-		if err := s.sync(s.runCtx, j); err != nil {
+		if err := s.sync(s.runCtx, j, 0); err != nil {
 			s.log.Warn("results not read", "step", "read segments", "job", j.id, "error", err)
 		}
 	}()
@@ -227,7 +227,7 @@
 
 // load reads a job's segments and, when it is not complete, its payload.
 func (s *Service) load(ctx context.Context, j *job) error {
-	if err := s.sync(ctx, j); err != nil {
+	if err := s.sync(ctx, j, 0); err != nil {
 		return err
 	}
 	j.mu.Lock()
@@ -247,26 +247,36 @@
 	return nil
 }
 
-// sync takes over the segments that other hosts wrote.
-func (s *Service) sync(ctx context.Context, j *job) error {
-	j.syncing.Lock()
-	defer j.syncing.Unlock()
+// sync takes over the segments that other hosts wrote, unless that was done
+// within maxAge. It returns after the list is as new, also when another
+// reading was under way.
+func (s *Service) sync(ctx context.Context, j *job, maxAge time.Duration) error {
+	if err := j.lock(ctx); err != nil {
+		return err
+	}
+	defer j.unlock()
+	started := time.Now()
 	for {
 		j.mu.Lock()
-		next, complete := j.list.Segments(), j.list.Complete()
-		j.checked = time.Now()
+		next, enough := j.list.Segments(), j.list.Complete() || started.Sub(j.checked) < maxAge
 		j.mu.Unlock()
-		if complete {
+		if enough {
 			return nil
 		}
 		segment, ok, err := s.records.segment(ctx, j.id, next)
 		if err != nil {
 			return errors.Wrapf(err, "segment %d", next)
 		}
+		j.mu.Lock()
 		if !ok {
+			j.checked = started
+			unsure := j.head.Done // all of its segments exist
+			j.mu.Unlock()
+			if unsure {
+				return errors.Mark(errors.Newf("segment %d of complete job %s is missing", next, j.id), ErrUnsure)
+			}
 			return nil
 		}
-		j.mu.Lock()
 		if j.list.Apply(segment) {
 			j.signal()
 		}
--- a/internal/bulk/read.go
+++ b/internal/bulk/read.go
@@ -20,6 +20,9 @@
 	// checkEvery bounds how often the store is asked for further results of a
 	// job that no reachable host runs.
 	checkEvery = 500 * time.Millisecond
+	// refreshTimeout bounds the reading of further segments for a caller, who
+	// can ask another host afterwards.
+	refreshTimeout = 1500 * time.Millisecond
 	// pageBytes bounds the outputs of one page.
 	pageBytes = 900 << 10
 	// pollStep is how often a waiting reader looks at the store.
@@ -117,13 +120,10 @@
 	for _, p := range s.opts.Cluster.Peers() {
 		apart = apart || !p.Alive(now)
 	}
-	j.mu.Lock()
-	due := apart && now.Sub(j.checked) > checkEvery && !j.list.Complete()
-	j.mu.Unlock()
-	if !due {
+	if !apart {
 		return nil
 	}
-	return s.sync(ctx, j)
+	return s.refresh(ctx, j)
 }
 
 // page returns the results from a position onward, at least one if there is
@@ -184,13 +184,9 @@
 
 // refresh reads further segments unless that was done a moment ago.
 func (s *Service) refresh(ctx context.Context, j *job) error {
-	j.mu.Lock()
-	due := time.Since(j.checked) > checkEvery && !j.list.Complete()
-	j.mu.Unlock()
-	if !due {
-		return nil
-	}
-	return s.sync(ctx, j)
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	return s.sync(ctx, j, checkEvery)
 }
 
 // known returns the job with its head. Only the store can tell that there is
@@ -242,7 +238,7 @@
 		return nil, err
 	}
 	if err := s.load(ctx, j); err != nil {
-		return nil, err
+		return nil, errors.Mark(err, ErrUnsure)
 	}
 	return j.body(item)
 }
--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -90,9 +90,9 @@
 	changed  chan struct{} // closed when results were listed or the job ended
 	commits  bool          // a commit loop runs
 	used     time.Time
-	checked  time.Time // when the store was last asked for further segments
-	syncing  sync.Mutex
-	accepted time.Time // on this host's clock
+	checked  time.Time     // start of the last reading of segments that came to the end
+	syncing  chan struct{} // holds a token while segments are read or written
+	accepted time.Time     // on this host's clock
 }
 
 // New returns a service and registers it with the cluster and the peers.
@@ -202,6 +202,18 @@
 	j.changed = make(chan struct{})
 }
 
+// lock waits for the right to read or write segments. The caller unlocks.
+func (j *job) lock(ctx context.Context) error {
+	select {
+	case j.syncing <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errors.Mark(errors.Wrap(context.Cause(ctx), "another reading or writing of segments goes on"), ErrUnsure)
+	}
+}
+
+func (j *job) unlock() { <-j.syncing }
+
 func (j *job) isOwned() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -212,7 +224,7 @@
 func newJob(id string, head Head) *job {
 	return &job{
 		id: id, head: head, list: itemlist.New(len(head.Items)), changed: make(chan struct{}),
-		used: time.Now(), accepted: acceptedAt(head), ended: head.Ended,
+		syncing: make(chan struct{}, 1), used: time.Now(), accepted: acceptedAt(head), ended: head.Ended,
 	}
 }
 
