Reach the store through peers; shrink digests and store calls

Digests of 850 bytes to every peer were two thirds of the bytes between zones, and hosts read the store beside the reader because a copy's age goes up to twice the watch's wait. Conclusion: the store relay serves hosts that the store turns away; digests name servers by short ids and idle workspaces seldom.

--- a/internal/bulk/commit.go
+++ b/internal/bulk/commit.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// groupFor gathers items that end one after the other into one write.
-	groupFor = 400 * time.Millisecond
+	// groupFor gathers items that end one after the other into one write; the
+	// last of a job are written at once. Jobs have 18 s, and a call to the store
+	// costs about as much as a hundredth of an item.
+	groupFor = 900 * time.Millisecond
 	// commitRetry and commitRetryMost bound the pause after a failed write.
 	commitRetry     = 200 * time.Millisecond
 	commitRetryMost = 2 * time.Second
--- a/internal/bulk/read.go
+++ b/internal/bulk/read.go
@@ -229,7 +229,10 @@
 func (s *Service) Body(ctx context.Context, workspace, id, item string) ([]byte, error) {
 	if s.ownJob(id) == nil {
 		var answer peerAnswer
-		if s.askOwner(ctx, id, bodyMethod, peerTimeout, bodyRequest{id, workspace, item}, &answer) && answer.Found {
+		if s.askOwner(ctx, id, bodyMethod, peerTimeout, bodyRequest{id, workspace, item}, &answer) {
+			if !answer.Found {
+				return nil, errors.Mark(errors.Newf("item %s has no body to show", item), ErrNoItem)
+			}
 			return answer.Body, nil
 		}
 	}
@@ -304,7 +307,7 @@
 	}
 	body, err := j.body(req.Item)
 	if err != nil {
-		return peerAnswer{}, nil // the peer finds out from the store
+		return peerAnswer{Owner: true}, nil
 	}
 	return peerAnswer{Owner: true, Body: body, Found: true}, nil
 }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -24,12 +24,17 @@
 const (
 	// digestInterval is how often each peer gets a digest. Streams last about
 	// half a second, so that counts of requests in flight stay useful.
-	digestInterval = 200 * time.Millisecond
+	digestInterval = 250 * time.Millisecond
+	// fullEvery is how often a digest names the sender's address and zone,
+	// which peers keep. Bytes between zones are accounted.
+	fullEvery = 8
 	// urgentGap is the least time between digests that are sent early.
 	urgentGap = 20 * time.Millisecond
-	// AliveFor is how long a host counts as alive after its last digest; four
+	// soonGap is the same for news that may wait, such as new work in flight.
+	soonGap = 100 * time.Millisecond
+	// AliveFor is how long a host counts as alive after its last digest; three
 	// digests may be lost or late.
-	AliveFor = 900 * time.Millisecond
+	AliveFor = time.Second
 	// maxDatagram is the largest UDP payload over IPv4.
 	maxDatagram = 65507
 )
@@ -38,19 +43,19 @@
 
 // Member is one process of the fleet.
 type Member struct {
-	Name        string `json:"name"` // of the host, the same after a restart
-	Incarnation int64  `json:"inc"`  // new for each process, larger for a later one
-	Address     string `json:"addr"` // IP and port for peers, TCP and UDP
-	Zone        string `json:"zone"`
-	Leaving     bool   `json:"leaving,omitempty"`
+	Name        string `json:"n"`           // of the host, the same after a restart
+	Incarnation int64  `json:"i"`           // new for each process, larger for a later one
+	Address     string `json:"a,omitempty"` // IP and port for peers, TCP and UDP
+	Zone        string `json:"z,omitempty"`
+	Leaving     bool   `json:"l,omitempty"`
 }
 
 // digest is one datagram.
 type digest struct {
-	From     Member                     `json:"from"`
-	Sent     freshness.Instant          `json:"sent"` // on the sender's clock
-	Echo     freshness.Instant          `json:"echo"` // Sent of the last digest from the recipient
-	EchoOf   int64                      `json:"echo_of"`
+	From     Member                     `json:"f"`
+	Sent     freshness.Instant          `json:"t"` // on the sender's clock
+	Echo     freshness.Instant          `json:"e"` // Sent of the last digest from the recipient
+	EchoOf   int64                      `json:"o"` // incarnation of the recipient that sent it
 	Sections map[string]json.RawMessage `json:"s"`
 }
 
@@ -88,8 +93,10 @@
 	provide  map[string]func() any
 	receive  map[string][]func(News)
 	urgent   chan struct{}
+	soon     chan struct{}
 	changed  []func()
 	lastSent time.Time
+	sent     int // digests to each peer
 }
 
 // New returns a cluster of this host alone.
@@ -99,7 +106,7 @@
 	}
 	return &Cluster{
 		opts: opts, self: opts.Self, peers: map[string]*Peer{},
-		provide: map[string]func() any{}, receive: map[string][]func(News){}, urgent: make(chan struct{}, 1),
+		provide: map[string]func() any{}, receive: map[string][]func(News){}, urgent: make(chan struct{}, 1), soon: make(chan struct{}, 1),
 	}
 }
 
@@ -178,9 +185,14 @@
 }
 
 // Hasten sends the next digests at once.
-func (c *Cluster) Hasten() {
+func (c *Cluster) Hasten() { ask(c.urgent) }
+
+// Soon sends the next digests earlier than usual.
+func (c *Cluster) Soon() { ask(c.soon) }
+
+func ask(ch chan struct{}) {
 	select {
-	case c.urgent <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -196,8 +208,11 @@
 			return
 		case <-timer.C:
 		case <-c.urgent:
-			if wait := urgentGap - time.Since(c.lastSent); wait > 0 {
-				timer.Reset(wait)
+			if c.postpone(timer, urgentGap) {
+				continue
+			}
+		case <-c.soon:
+			if c.postpone(timer, soonGap) {
 				continue
 			}
 		}
@@ -206,12 +221,27 @@
 	}
 }
 
+// postpone sets the timer to the end of the gap after the last digests. It
+// reports false when that is over.
+func (c *Cluster) postpone(timer *time.Timer, gap time.Duration) bool {
+	since := time.Since(c.lastSent)
+	if since >= gap {
+		return false
+	}
+	timer.Reset(min(gap, digestInterval) - since)
+	return true
+}
+
 // send sends a digest to every peer.
 func (c *Cluster) send() {
 	c.lastSent = time.Now()
+	c.sent++
 	sections := c.sections()
 	c.mu.Lock()
 	self := c.self
+	if c.sent%fullEvery != 0 && c.sent > fullEvery {
+		self.Address, self.Zone = "", ""
+	}
 	type target struct {
 		address string
 		echo    freshness.Instant
@@ -224,6 +254,9 @@
 	c.mu.Unlock()
 	c.notifySilent()
 	for _, t := range targets {
+		if t.address == "" {
+			continue // heard of before its address was known
+		}
 		c.sendTo(t.address, digest{From: self, Sent: bootclock.Now(), Echo: t.echo, EchoOf: t.echoOf, Sections: sections})
 	}
 }
@@ -296,6 +329,9 @@
 		c.mu.Unlock()
 		return
 	}
+	if ok && d.From.Address == "" {
+		d.From.Address, d.From.Zone = p.Address, p.Zone
+	}
 	now := time.Now()
 	news := !ok || p.Incarnation != d.From.Incarnation || p.Leaving != d.From.Leaving || !p.Alive(now)
 	c.peers[d.From.Name] = &Peer{Member: d.From, Heard: now, lastSent: d.Sent}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -254,6 +254,9 @@
 	if class == Batch {
 		// Batch work spreads evenly, so that every server keeps room for
 		// online requests.
+		if s.cfg.Zone != p.zone {
+			fill *= otherZone
+		}
 		return fill * (1 + noise*p.rng.Float64())
 	}
 	out := unit * (1 + fill/2)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -19,19 +19,21 @@
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/quotas"
 	"ragwortstep/internal/slots"
+	"ragwortstep/internal/storerelay"
 	"ragwortstep/internal/upstream"
 )
 
 const (
-	// configWait and serversWait are the waiting times of the watches. The
-	// hosts that do not watch hear of a lost reader within takeOver, which keeps
-	// a leaving server's last request inside its 2 s.
-	configWait   = 700 * time.Millisecond
-	serversWait  = 700 * time.Millisecond
-	stateWait    = time.Second
+	// watchWait is the waiting time of the reader's watches. A copy is
+	// confirmed as of a watch's start, so its age goes up to twice this and the
+	// time of two digests at the other hosts. A reader that falls silent is
+	// replaced within cluster.AliveFor, one whose watch does after this and the
+	// informer's slack: both inside the 2 s after which a leaving server must
+	// get no request.
+	watchWait    = 900 * time.Millisecond
 	retireWait   = 10 * time.Second
-	takeOver     = 1600 * time.Millisecond
-	takeOverIdle = 15 * time.Second
+	takeOver     = 2600 * time.Millisecond
+	takeOverIdle = 25 * time.Second
 	// peerSecret stands in for a shared secret: the platform's settings carry
 	// none, and only the system's own machines reach the internal ports.
 	peerSecret = "ragwortstep-internal-ports"
@@ -91,12 +93,15 @@
 	h.informer = informer.New(informer.Options{
 		Store: h.platform.Store(), Cluster: h.cluster, Peers: h.node, Logger: h.log,
 		Collections: []informer.Collection{
-			{Prefix: at.Config, Wait: configWait, TakeOver: takeOver},
-			{Prefix: at.Servers, Wait: serversWait, TakeOver: takeOver},
-			{Prefix: bulk.Collection, Wait: stateWait, TakeOver: takeOver + stateWait},
+			{Prefix: at.Config, Wait: watchWait, TakeOver: takeOver},
+			{Prefix: at.Servers, Wait: watchWait, TakeOver: takeOver},
+			{Prefix: bulk.Collection, Wait: watchWait, TakeOver: takeOver},
 			{Prefix: at.Retirements, Wait: retireWait, TakeOver: takeOverIdle},
 		},
 	})
+	objects := storerelay.New(storerelay.Options{
+		Direct: h.platform.Store(), Peers: h.node, Reachable: h.informer.Reachable, Metrics: h.metrics, Logger: h.log,
+	})
 	client := upstream.New(upstream.Options{})
 	h.config = &configuration{platform: h.platform, informer: h.informer, prefix: at.Config, keyAge: h.settings.KeyAge, log: h.log}
 	h.slots = slots.New(slots.Options{Zone: h.settings.Zone, Cluster: h.cluster, Logger: h.log})
@@ -105,10 +110,10 @@
 		Suspects: online.NewSuspects(h.cluster, h.log), Metrics: h.metrics, Logger: h.log, IsLeaving: h.leaving.Load,
 	})
 	h.jobs = bulk.New(bulk.Options{
-		Store: h.platform.Store(), Cluster: h.cluster, Informer: h.informer, Peers: h.node, Config: h.config,
+		Store: objects, Cluster: h.cluster, Informer: h.informer, Peers: h.node, Config: h.config,
 		Codec: h.platform, Items: h.platform, Slots: h.slots, Upstream: client, Metrics: h.metrics, Logger: h.log,
 	})
-	h.members = &members{cluster: h.cluster, node: h.node, store: h.platform.Store(), log: h.log}
+	h.members = &members{cluster: h.cluster, node: h.node, store: objects, log: h.log}
 	h.retire = &retirements{platform: h.platform, log: h.log}
 	servers := &serverList{platform: h.platform, slots: h.slots, upstream: client, log: h.log}
 	h.informer.OnChange(at.Config, h.config.changed)
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -31,7 +31,7 @@
 	// fetchTimeout bounds a fetch from a peer; it covers a megabyte between zones.
 	fetchTimeout = 700 * time.Millisecond
 	// answerSlack is the wait for a watch's answer beyond its own waiting time.
-	answerSlack = 500 * time.Millisecond
+	answerSlack = 400 * time.Millisecond
 	// listTimeout bounds a full reading of one page.
 	listTimeout = 2 * time.Second
 	// retryFirst and retryMost bound the delay after a failed read.
@@ -132,6 +132,20 @@
 	return i.healthyLocked()
 }
 
+// Reachable returns the live peers whose own calls to the store succeed.
+func (i *Informer) Reachable() []peer.HostID {
+	alive := i.opts.Cluster.Alive()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var out []peer.HostID
+	for _, p := range alive {
+		if i.reading[p.Name] {
+			out = append(out, peer.HostID(p.Name))
+		}
+	}
+	return out
+}
+
 func (i *Informer) healthyLocked() bool {
 	for _, s := range i.states {
 		if !s.healthy {
--- a/internal/quotas/quotas.go
+++ b/internal/quotas/quotas.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 	cluster *cluster.Cluster
 	mu      sync.Mutex
 	core    *quota.Quotas
+	digests int
 }
 
 // New returns quotas and registers them with the cluster.
@@ -51,6 +53,14 @@
 	q.core.Return(w.Name)
 }
 
+const (
+	// idleRate is the rate per second under which a workspace's use is left out
+	// of most digests: it has not changed for two seconds.
+	idleRate = 0.05
+	// fullEvery is how often a digest holds every workspace.
+	fullEvery = 8
+)
+
 // use is one workspace's part of a digest.
 type use struct {
 	Admitted float64 `json:"n"`
@@ -61,8 +71,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out := map[string]use{}
+	q.digests++
 	for name, r := range q.core.Reports(time.Now()) {
-		out[name] = use(r)
+		if r.Rate > idleRate || q.digests%fullEvery == 0 {
+			out[name] = use{r.Admitted, math.Round(r.Rate*10) / 10}
+		}
 	}
 	return out
 }
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -12,9 +12,12 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ragwortstep/internal/cluster"
 	"ragwortstep/internal/core/placement"
 	"ragwortstep/internal/core/schedule"
@@ -127,6 +130,7 @@
 	place  *placement.Placement
 	queues map[string]*queue
 	batch  map[*Place]struct{} // places held by batch items
+	ids    map[string]string   // of servers, by their short form
 	nextID uint64
 	wake   chan struct{}
 }
@@ -181,6 +185,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.place.SetServers(list)
+	s.ids = make(map[string]string, len(list))
+	for _, server := range list {
+		s.ids[shortID(server.ID)] = server.ID
+	}
 	now := time.Now()
 	for name := range s.queues {
 		s.dispatch(name, now)
@@ -374,7 +382,7 @@
 	if w.work.Class == placement.Batch {
 		p.Aside = make(chan struct{})
 		s.batch[p] = struct{}{}
-		s.opts.Cluster.Hasten() // peers must not give the same place away
+		s.opts.Cluster.Soon() // peers must not give the same place away
 		return p
 	}
 	s.surplus(now)
@@ -439,12 +447,20 @@
 func (s *Scheduler) digest() any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.place.Own()
+	out := map[string][2]int{}
+	for id, n := range s.place.Own() {
+		out[shortID(id)] = [2]int{n.Online, n.Batch}
+	}
+	return out
 }
 
+// shortID shortens a server's id in digests. Two of a few thousand servers
+// share one with a probability below 1 in 1,000, and then look busier.
+func shortID(id string) string { return strconv.FormatUint(uint64(uint32(xxhash.Sum64String(id))), 36) }
+
 // received takes over a peer's requests in flight.
 func (s *Scheduler) received(n cluster.News) {
-	var counts map[string]placement.InFlight
+	var counts map[string][2]int
 	if err := json.Unmarshal(n.Raw, &counts); err != nil {
 		s.opts.Logger.Warn("peer's load not decoded", "step", "decode digest", "peer", n.From.Name, "error", err)
 		return
@@ -452,7 +468,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.place.PeerLoad(n.From.Name, counts, now)
+	s.place.PeerLoad(n.From.Name, s.longIDs(counts), now)
 	s.surplus(now)
 	for name, q := range s.queues {
 		if len(q.waiting) > 0 {
@@ -461,6 +477,18 @@
 	}
 }
 
+// longIDs restores the ids of the servers that this host knows. The caller
+// holds mu.
+func (s *Scheduler) longIDs(counts map[string][2]int) map[string]placement.InFlight {
+	out := make(map[string]placement.InFlight, len(counts))
+	for short, n := range counts {
+		if id, ok := s.ids[short]; ok {
+			out[id] = placement.InFlight{Online: n[0], Batch: n[1]}
+		}
+	}
+	return out
+}
+
 // peersChanged drops the counts of peers that are gone: their connections end
 // with them.
 func (s *Scheduler) peersChanged() {
