--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -121,7 +121,7 @@
 	node := f.network.Node(peer.HostID(name))
 	h.cluster = cluster.New(cluster.Options{Self: cluster.Member{Name: name, Incarnation: f.starts, Address: h.address}, Conn: udp, Logger: logger})
 	inf := informer.New(informer.Options{
-		Store: h.store, Cluster: h.cluster, Peers: node, Logger: logger,
+		Store: h.store, Cluster: h.cluster, Peers: node, Members: bulk.Collection, Logger: logger,
 		Collections: []informer.Collection{{Prefix: bulk.Collection, Wait: 100 * time.Millisecond, TakeOver: 500 * time.Millisecond}},
 	})
 	h.slots = slots.New(slots.Options{Cluster: h.cluster, Logger: logger})
--- a/internal/bulk/ownership.go
+++ b/internal/bulk/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,42 +29,68 @@
 func (s *Service) digest() any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := []string{}
-	if s.leaving {
-		return out
-	}
+	ids := []string{}
 	for id, j := range s.jobs {
 		j.mu.Lock()
-		if j.owned && !j.ended && !j.list.Complete() {
-			out = append(out, id)
+		if !s.leaving && j.owned && !j.ended && !j.list.Complete() {
+			ids = append(ids, id)
 		}
 		j.mu.Unlock()
 	}
-	slices.Sort(out)
-	return out
+	if len(ids) == 0 {
+		return claims{}
+	}
+	slices.Sort(ids)
+	return claims{s.opts.Cluster.Self().Name: ids}
+}
+
+// claims is the jobs that hosts run, by host.
+type claims map[string][]string
+
+// mergeClaims joins the claims of several hosts.
+func mergeClaims(values []json.RawMessage) (any, error) {
+	out := claims{}
+	for _, raw := range values {
+		var c claims
+		if err := json.Unmarshal(raw, &c); err != nil {
+			return nil, err
+		}
+		maps.Copy(out, c)
+	}
+	return out, nil
 }
 
+// claimed is what one digest said of the jobs that hosts run.
+type claimed struct {
+	at   time.Time
+	jobs map[string]string // host by job
+}
+
+// claimFor is how long a claim counts without a newer digest of its source.
+const claimFor = 2 * time.Second
+
 func (s *Service) received(n cluster.News) {
-	var ids []string
-	if err := json.Unmarshal(n.Raw, &ids); err != nil {
+	var c claims
+	if err := json.Unmarshal(n.Raw, &c); err != nil {
 		s.log.Warn("peer's jobs not decoded", "step", "decode digest", "peer", n.From.Name, "error", err)
 		return
 	}
-	claims := make(map[string]bool, len(ids))
-	for _, id := range ids {
-		claims[id] = true
-	}
+	self := s.opts.Cluster.Self().Name
+	jobs := map[string]string{}
+	contested := map[*job]string{}
 	s.mu.Lock()
-	s.claimed[n.From.Name] = claims
-	var contested []*job
-	for _, id := range ids {
-		if j, ok := s.jobs[id]; ok && j.isOwned() {
-			contested = append(contested, j)
+	for host, ids := range c {
+		for _, id := range ids {
+			jobs[id] = host
+			if j, ok := s.jobs[id]; ok && host != self && j.isOwned() {
+				contested[j] = host
+			}
 		}
 	}
+	s.claimed[n.From.Name] = claimed{time.Now(), jobs}
 	s.mu.Unlock()
-	for _, j := range contested {
-		s.contest(j, n.From.Name)
+	for j, host := range contested {
+		s.contest(j, host)
 	}
 }
 
@@ -99,9 +126,10 @@
 // runningPeer returns the live peer that runs a job, or an empty name. The
 // caller holds mu.
 func (s *Service) runningPeer(id string, alive []cluster.Peer) string {
-	for _, p := range alive {
-		if s.claimed[p.Name][id] {
-			return p.Name
+	for _, c := range s.claimed {
+		host, ok := c.jobs[id]
+		if ok && time.Since(c.at) < claimFor && slices.ContainsFunc(alive, func(p cluster.Peer) bool { return p.Name == host }) {
+			return host
 		}
 	}
 	return ""
--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -61,8 +61,8 @@
 	stopRuns context.CancelFunc
 	leaving  bool
 	heads    map[string]headCopy
-	jobs     map[string]*job // that this host runs or read lately
-	claimed  map[string]map[string]bool
+	jobs     map[string]*job      // that this host runs or read lately
+	claimed  map[string]claimed   // by source
 	unowned  map[string]time.Time // since when no host was seen to run a job
 }
 
@@ -102,10 +102,11 @@
 	}
 	s := &Service{
 		opts: opts, log: opts.Logger, records: records{opts.Store}, pool: pond.NewPool(maxRuns), started: time.Now(),
-		heads: map[string]headCopy{}, jobs: map[string]*job{}, claimed: map[string]map[string]bool{}, unowned: map[string]time.Time{},
+		heads: map[string]headCopy{}, jobs: map[string]*job{}, claimed: map[string]claimed{}, unowned: map[string]time.Time{},
 	}
 	s.runCtx, s.stopRuns = context.WithCancel(context.Background())
 	opts.Cluster.Provide(claimSection, s.digest)
+	opts.Cluster.Merge(claimSection, mergeClaims)
 	opts.Cluster.Receive(claimSection, s.received)
 	opts.Informer.OnChange(headPrefix, s.headsChanged)
 	opts.Peers.Handle(resultsMethod, s.serveResults)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -1,7 +1,15 @@
 // Package cluster exchanges small digests between the entry hosts over UDP:
-// who is alive, and named sections that other packages provide and receive. A
-// digest echoes the last one that its sender had received from the recipient,
-// so that statements about ages can be dated on the recipient's own clock.
+// who is alive, and named sections that other packages provide and receive.
+//
+// In a small fleet every host sends to every other one. In a large fleet each
+// availability zone has a delegate, its largest live host, and a deputy. Hosts
+// send to these two; the delegate sends the merged sections of its zone to the
+// delegates of the other zones, and those of all zones to the hosts of its own,
+// so that a host's traffic does not grow with the square of the fleet.
+//
+// A digest echoes the last one that its sender had received from the
+// recipient, so that statements about ages can be dated on the recipient's own
+// clock.
 package cluster
 
 import (
@@ -15,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/bootclock"
@@ -28,13 +37,17 @@
 	// fullEvery is how often a digest names the sender's address and zone,
 	// which peers keep. Bytes between zones are accounted.
 	fullEvery = 8
-	// urgentGap is the least time between digests that are sent early.
+	// urgentGap is the least time between digests that are sent early, and
+	// soonGap the same for news that may wait, such as new work in flight.
 	urgentGap = 20 * time.Millisecond
-	// soonGap is the same for news that may wait, such as new work in flight.
-	soonGap = 100 * time.Millisecond
+	soonGap   = 100 * time.Millisecond
 	// AliveFor is how long a host counts as alive after its last digest; three
 	// digests may be lost or late.
 	AliveFor = time.Second
+	// smallFleet is the number of hosts up to which all send to all.
+	smallFleet = 12
+	// delegates is the number of hosts of a zone that know all of it.
+	delegates = 2
 	// maxDatagram is the largest UDP payload over IPv4.
 	maxDatagram = 65507
 )
@@ -47,22 +60,39 @@
 	Incarnation int64  `json:"i"`           // new for each process, larger for a later one
 	Address     string `json:"a,omitempty"` // IP and port for peers, TCP and UDP
 	Zone        string `json:"z,omitempty"`
+	Size        int    `json:"s,omitempty"` // thousandths of a core
 	Leaving     bool   `json:"l,omitempty"`
 }
 
+// sections are a digest's sections by name.
+type sections map[string]json.RawMessage
+
 // digest is one datagram.
 type digest struct {
-	From     Member                     `json:"f"`
-	Sent     freshness.Instant          `json:"t"` // on the sender's clock
-	Echo     freshness.Instant          `json:"e"` // Sent of the last digest from the recipient
-	EchoOf   int64                      `json:"o"` // incarnation of the recipient that sent it
-	Sections map[string]json.RawMessage `json:"s"`
+	From     Member            `json:"f"`
+	Sent     freshness.Instant `json:"t"` // on the sender's clock
+	Echo     freshness.Instant `json:"e"` // Sent of the last digest from the recipient
+	EchoOf   int64             `json:"o"` // incarnation of the recipient that sent it
+	Sections sections          `json:"d"`
+	Zones    []zoneDigest      `json:"m,omitempty"` // from delegates of a large fleet
+}
+
+// zoneDigest is the merged sections of a zone's hosts, the recipient left out.
+type zoneDigest struct {
+	Zone     string   `json:"z"`
+	Hosts    []string `json:"h"`
+	Leaving  []string `json:"l,omitempty"`
+	Set      int64    `json:"x"` // identifies the processes that were merged
+	Sections sections `json:"d"`
 }
 
-// News is a section of a peer's digest.
+// News is a section that a peer, or several together, sent.
 type News struct {
-	From Member
-	Raw  json.RawMessage
+	// From is the peer. For merged sections its name is that of the zone with
+	// a slash before it, and its incarnation identifies the merged processes.
+	From   Member
+	Merged bool
+	Raw    json.RawMessage
 	// Echoed is this host's clock when it sent the last digest that the peer
 	// had received before it made this one. Known is false when the peer had
 	// received none.
@@ -73,10 +103,18 @@
 // Peer is what is known of another host.
 type Peer struct {
 	Member
-	Heard    time.Time // last digest, zero when none came
+	Heard    time.Time // last digest of it, or of its zone with it; zero when none came
+	direct   time.Time // last digest of it
 	lastSent freshness.Instant
+	sections sections // of its last digest, kept by delegates
 }
 
+// Alive reports whether a peer was heard of recently.
+func (p Peer) Alive(now time.Time) bool { return now.Sub(p.Heard) < AliveFor }
+
+// MergeFunc merges the values of a section of several hosts.
+type MergeFunc func(values []json.RawMessage) (any, error)
+
 // Options configures a Cluster. Self and Conn are required.
 type Options struct {
 	Self   Member
@@ -87,26 +125,36 @@
 // Cluster is this host's part in the exchange. It is safe for concurrent use.
 type Cluster struct {
 	opts     Options
-	self     Member
+	started  time.Time
 	mu       sync.Mutex
+	self     Member
 	peers    map[string]*Peer
+	remote   map[string]remoteZone // latest of each other zone, by zone
 	provide  map[string]func() any
+	merge    map[string]MergeFunc
 	receive  map[string][]func(News)
+	changed  []func()
 	urgent   chan struct{}
 	soon     chan struct{}
-	changed  []func()
 	lastSent time.Time
 	sent     int // digests to each peer
 }
 
+// remoteZone is another zone's merged digest.
+type remoteZone struct {
+	zoneDigest
+	at time.Time
+}
+
 // New returns a cluster of this host alone.
 func New(opts Options) *Cluster {
 	if opts.Logger == nil {
 		opts.Logger = slog.Default()
 	}
 	return &Cluster{
-		opts: opts, self: opts.Self, peers: map[string]*Peer{},
-		provide: map[string]func() any{}, receive: map[string][]func(News){}, urgent: make(chan struct{}, 1), soon: make(chan struct{}, 1),
+		opts: opts, self: opts.Self, started: time.Now(), peers: map[string]*Peer{}, remote: map[string]remoteZone{},
+		provide: map[string]func() any{}, merge: map[string]MergeFunc{}, receive: map[string][]func(News){},
+		urgent: make(chan struct{}, 1), soon: make(chan struct{}, 1),
 	}
 }
 
@@ -114,8 +162,12 @@
 // leaves the section out. Call it before Run.
 func (c *Cluster) Provide(section string, fn func() any) { c.provide[section] = fn }
 
-// Receive registers a receiver of a section of the peers' digests. Call it
-// before Run.
+// Merge makes a section reach all hosts of a large fleet, merged by zone. A
+// section without it reaches only the hosts that exchange digests directly.
+// Call it before Run.
+func (c *Cluster) Merge(section string, fn MergeFunc) { c.merge[section] = fn }
+
+// Receive registers a receiver of a section. Call it before Run.
 func (c *Cluster) Receive(section string, fn func(News)) {
 	c.receive[section] = append(c.receive[section], fn)
 }
@@ -146,16 +198,20 @@
 	registered := map[string]bool{}
 	for _, m := range list {
 		registered[m.Name] = true
-		if p, ok := c.peers[m.Name]; ok && p.Incarnation >= m.Incarnation {
+		if m.Name == c.self.Name {
 			continue
 		}
-		if m.Name != c.self.Name {
+		p, ok := c.peers[m.Name]
+		switch {
+		case !ok || p.Incarnation < m.Incarnation:
 			c.peers[m.Name] = &Peer{Member: m}
+		case p.Address == "":
+			p.Address, p.Zone, p.Size = m.Address, m.Zone, m.Size
 		}
 	}
 	now := time.Now()
 	for name, p := range c.peers {
-		if !registered[name] && now.Sub(p.Heard) > AliveFor {
+		if !registered[name] && !p.Alive(now) {
 			delete(c.peers, name)
 		}
 	}
@@ -175,9 +231,6 @@
 	return out
 }
 
-// Alive reports whether a peer was heard of recently.
-func (p Peer) Alive(now time.Time) bool { return now.Sub(p.Heard) < AliveFor }
-
 // Alive returns the peers that were heard of recently and do not leave.
 func (c *Cluster) Alive() []Peer {
 	now := time.Now()
@@ -228,41 +281,32 @@
 	if since >= gap {
 		return false
 	}
-	timer.Reset(min(gap, digestInterval) - since)
+	timer.Reset(gap - since)
 	return true
 }
 
-// send sends a digest to every peer.
+// send sends a digest to every host that this one exchanges digests with.
 func (c *Cluster) send() {
 	c.lastSent = time.Now()
 	c.sent++
-	sections := c.sections()
+	own := c.sections()
+	now := time.Now()
 	c.mu.Lock()
 	self := c.self
 	if c.sent%fullEvery != 0 && c.sent > fullEvery {
-		self.Address, self.Zone = "", ""
-	}
-	type target struct {
-		address string
-		echo    freshness.Instant
-		echoOf  int64
-	}
-	targets := make([]target, 0, len(c.peers))
-	for _, p := range c.peers {
-		targets = append(targets, target{p.Address, p.lastSent, p.Incarnation})
+		self.Address, self.Zone, self.Size = "", "", 0
 	}
+	out := c.outgoing(own, now)
 	c.mu.Unlock()
 	c.notifySilent()
-	for _, t := range targets {
-		if t.address == "" {
-			continue // heard of before its address was known
-		}
-		c.sendTo(t.address, digest{From: self, Sent: bootclock.Now(), Echo: t.echo, EchoOf: t.echoOf, Sections: sections})
+	for _, o := range out {
+		o.From, o.Sent = self, bootclock.Now()
+		c.sendTo(o.address, o.digest)
 	}
 }
 
-func (c *Cluster) sections() map[string]json.RawMessage {
-	out := make(map[string]json.RawMessage, len(c.provide))
+func (c *Cluster) sections() sections {
+	out := make(sections, len(c.provide))
 	for name, fn := range c.provide {
 		value := fn()
 		if value == nil {
@@ -290,6 +334,7 @@
 		c.opts.Logger.Warn("peer address unusable", "step", "send digest", "peer", address, "error", err)
 		return
 	}
+	counters.Add("bytes_sent", int64(len(raw)))
 	if _, err := c.opts.Conn.WriteTo(raw, to); err != nil {
 		counters.Add("send_failures", 1) // the next digest repeats everything
 	}
@@ -319,32 +364,44 @@
 // accept takes over a digest. Digests of an earlier process of the host, or
 // that were overtaken by a later one, are dropped.
 func (c *Cluster) accept(d digest) {
+	now := time.Now()
 	c.mu.Lock()
-	if d.From.Name == c.self.Name || d.From.Name == "" {
-		c.mu.Unlock()
-		return
-	}
 	p, ok := c.peers[d.From.Name]
-	if ok && (p.Incarnation > d.From.Incarnation || (p.Incarnation == d.From.Incarnation && p.lastSent >= d.Sent)) {
+	stale := ok && (p.Incarnation > d.From.Incarnation || (p.Incarnation == d.From.Incarnation && p.lastSent >= d.Sent))
+	if d.From.Name == c.self.Name || d.From.Name == "" || stale {
 		c.mu.Unlock()
 		return
 	}
 	if ok && d.From.Address == "" {
-		d.From.Address, d.From.Zone = p.Address, p.Zone
+		d.From.Address, d.From.Zone, d.From.Size = p.Address, p.Zone, p.Size
 	}
-	now := time.Now()
 	news := !ok || p.Incarnation != d.From.Incarnation || p.Leaving != d.From.Leaving || !p.Alive(now)
-	c.peers[d.From.Name] = &Peer{Member: d.From, Heard: now, lastSent: d.Sent}
+	c.peers[d.From.Name] = &Peer{Member: d.From, Heard: now, direct: now, lastSent: d.Sent, sections: d.Sections}
 	known := d.Echo != 0 && d.EchoOf == c.self.Incarnation
+	apart := c.mergedElsewhere(d.From, now)
+	zones := c.acceptZones(d.Zones, now)
 	c.mu.Unlock()
 	if news {
 		c.opts.Logger.Info("peer heard", "event", "peer_alive", "peer", d.From.Name, "incarnation", d.From.Incarnation, "leaving", d.From.Leaving)
 		c.notify()
 	}
 	for section, raw := range d.Sections {
-		for _, fn := range c.receive[section] {
-			fn(News{From: d.From, Raw: raw, Echoed: d.Echo, Known: known})
+		if _, merged := c.merge[section]; merged && apart {
+			continue // it comes with its zone's merged sections
 		}
+		c.deliver(section, News{From: d.From, Raw: raw, Echoed: d.Echo, Known: known})
+	}
+	for _, z := range zones {
+		from := Member{Name: "/" + z.Zone, Incarnation: z.Set, Zone: z.Zone}
+		for section, raw := range z.Sections {
+			c.deliver(section, News{From: from, Merged: true, Raw: raw})
+		}
+	}
+}
+
+func (c *Cluster) deliver(section string, n News) {
+	for _, fn := range c.receive[section] {
+		fn(n)
 	}
 }
 
@@ -370,3 +427,13 @@
 		fn()
 	}
 }
+
+// setOf identifies the processes whose sections were merged.
+func setOf(members []Member) int64 {
+	h := xxhash.New()
+	for _, m := range members {
+		_, _ = h.WriteString(m.Name) // a hash does not fail
+		_, _ = h.Write([]byte{0, byte(m.Incarnation), byte(m.Incarnation >> 8), byte(m.Incarnation >> 16), byte(m.Incarnation >> 24)})
+	}
+	return int64(h.Sum64() >> 1)
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -7,6 +7,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -81,6 +82,9 @@
 	rejectedFor = 100 * time.Millisecond
 	// timeKeep is the weight of the past in the mean service time.
 	timeKeep = 0.9
+	// fullWeight is the weight in the draw of a server without a free slot, in
+	// free slots.
+	fullWeight = 0.1
 	// noise spreads the choices of hosts that see the same loads.
 	noise = 0.1
 )
@@ -114,6 +118,8 @@
 	byName  map[string][]*server // by service
 	peers   map[string]peerLoad
 	rng     *rand.Rand
+	// candidates is scratch space of Pick.
+	candidates []candidate
 }
 
 // New returns a placement without servers for a host in the zone.
@@ -207,32 +213,60 @@
 )
 
 // Pick chooses a server. It does not count the request; call Start.
+//
+// Online requests take the better of two servers that are drawn by their free
+// slots and speed: hosts that all take the best one by loads that are a quarter
+// of a second old fill it beyond its slots before they hear of each other.
 func (p *Placement) Pick(q Query, now time.Time) (Server, Verdict) {
 	verdict := NoServer
-	var best *server
-	var bestScore float64
+	p.candidates = p.candidates[:0]
 	mean := p.meanTime(q.Service)
+	total := 0.0
 	for _, s := range p.byName[q.Service] {
 		if !s.cfg.Ready || slices.Contains(q.Tried, s.cfg.ID) {
 			continue
 		}
 		verdict = Full
-		if !s.usable(now) {
+		load := p.load(s, now).total()
+		if !s.usable(now) || load >= room(s.cfg.Slots, q.Class) {
 			continue
 		}
-		load := p.load(s, now)
-		if load.total() >= room(s.cfg.Slots, q.Class) {
-			continue
-		}
-		score := p.score(s, load, q.Class, mean)
-		if best == nil || score < bestScore {
-			best, bestScore = s, score
-		}
+		c := candidate{server: s, score: p.score(s, load, q.Class, mean)}
+		c.weight = (float64(max(s.cfg.Slots-load, 0)) + fullWeight) / c.score
+		total += c.weight
+		p.candidates = append(p.candidates, c)
 	}
-	if best == nil {
+	if len(p.candidates) == 0 {
 		return Server{}, verdict
 	}
-	return best.cfg, Chosen
+	if q.Class == Batch {
+		return slices.MinFunc(p.candidates, byScore).server.cfg, Chosen
+	}
+	first, second := p.draw(total), p.draw(total)
+	if byScore(second, first) < 0 {
+		first = second
+	}
+	return first.server.cfg, Chosen
+}
+
+// candidate is a server with room for a request.
+type candidate struct {
+	server *server
+	score  float64 // the lower, the better
+	weight float64 // in the draw
+}
+
+func byScore(a, b candidate) int { return cmp.Compare(a.score, b.score) }
+
+// draw returns a candidate with a probability by its weight.
+func (p *Placement) draw(total float64) candidate {
+	left := p.rng.Float64() * total
+	for _, c := range p.candidates {
+		if left -= c.weight; left < 0 {
+			return c
+		}
+	}
+	return p.candidates[len(p.candidates)-1]
 }
 
 // room returns the load from which a server takes no more of a class.
@@ -244,13 +278,13 @@
 }
 
 // score estimates how bad a server is for one more request.
-func (p *Placement) score(s *server, load InFlight, class Class, mean float64) float64 {
+func (p *Placement) score(s *server, load int, class Class, mean float64) float64 {
 	unit := s.unitTime
 	if unit == 0 {
 		unit = mean
 	}
 	slots := float64(s.cfg.Slots)
-	fill := float64(load.total()+1) / slots
+	fill := float64(load+1) / slots
 	if class == Batch {
 		// Batch work spreads evenly, so that every server keeps room for
 		// online requests.
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -45,6 +45,7 @@
 
 // bucket is the fleet's token bucket of one workspace as this host sees it.
 type bucket struct {
+	started  bool // this host admits requests of the workspace
 	limit    Limit
 	level    float64
 	at       time.Time
@@ -58,11 +59,12 @@
 	buckets map[string]*bucket
 	hosts   int                  // hosts of the fleet, this one included
 	heard   map[string]time.Time // last report of each peer, of any workspace
+	start   time.Time            // of this host
 }
 
-// New returns quotas of a fleet with one host.
-func New() *Quotas {
-	return &Quotas{buckets: map[string]*bucket{}, hosts: 1, heard: map[string]time.Time{}}
+// New returns quotas of a fleet with one host that starts now.
+func New(now time.Time) *Quotas {
+	return &Quotas{buckets: map[string]*bucket{}, hosts: 1, heard: map[string]time.Time{}, start: now}
 }
 
 // SetHosts sets the number of hosts that may admit requests, this one included.
@@ -93,10 +95,11 @@
 func (q *Quotas) bucket(workspace string, limit Limit, now time.Time) *bucket {
 	b, ok := q.buckets[workspace]
 	if !ok {
-		// A new host cannot know what was admitted just before, so it starts
-		// with its even share of the burst.
-		b = &bucket{limit: limit, level: limit.Burst / float64(q.hosts), at: now, peers: map[string]*peerUse{}}
-		q.buckets[workspace] = b
+		b = q.add(workspace)
+	}
+	if !b.started {
+		b.started = true
+		b.limit, b.level, b.at = limit, q.firstLevel(b, limit, now), now
 	}
 	if b.limit != limit {
 		b.level = min(b.level, limit.Burst)
@@ -106,6 +109,31 @@
 	return b
 }
 
+func (q *Quotas) add(workspace string) *bucket {
+	b := &bucket{peers: map[string]*peerUse{}}
+	q.buckets[workspace] = b
+	return b
+}
+
+// firstLevel is the level at which a host begins to follow a bucket: its even
+// share of the burst, and what arose since the host's start unless its peers
+// use up what arises.
+func (q *Quotas) firstLevel(b *bucket, limit Limit, now time.Time) float64 {
+	used := 0.0
+	for _, p := range b.peers {
+		used += p.rate
+	}
+	level := limit.Burst / float64(q.hosts)
+	if used < fullBelow*limit.Rate {
+		level += limit.Rate * now.Sub(q.start).Seconds()
+	}
+	return min(level, limit.Burst)
+}
+
+// fullBelow is the part of a limit's rate under which the bucket fills up
+// although it is used.
+const fullBelow = 0.8
+
 // advance refills the bucket and takes what peers admit by projection.
 func (q *Quotas) advance(b *bucket, now time.Time) {
 	dt := now.Sub(b.at).Seconds()
@@ -126,6 +154,16 @@
 	b.level = min(level, b.limit.Burst*(1-silent))
 }
 
+// Low reports whether a workspace's bucket is so low that peers should hear of
+// admissions at once.
+func (q *Quotas) Low(workspace string) bool {
+	b, ok := q.buckets[workspace]
+	return ok && b.started && b.limit.Rate > 0 && b.level < lowPart*b.limit.Burst
+}
+
+// lowPart is the part of the burst under which a bucket is low.
+const lowPart = 0.5
+
 // Admit takes one request's token. When there is none, it returns false and
 // the time after which one is likely. A limit with rate 0 admits everything.
 func (q *Quotas) Admit(workspace string, limit Limit, now time.Time) (bool, time.Duration) {
@@ -155,20 +193,22 @@
 	return time.Duration(missing / rate * float64(time.Second))
 }
 
-// Reported takes over a peer's report of one workspace. A restarted peer
-// counts from zero again.
+// Reported takes over a report of one workspace by a peer, or by several
+// together. Under another incarnation it counts from zero again.
 func (q *Quotas) Reported(peer string, incarnation int64, workspace string, r Report, now time.Time) {
 	b, ok := q.buckets[workspace]
 	if !ok {
-		return
+		b = q.add(workspace)
+	}
+	if b.started {
+		q.advance(b, now)
 	}
-	q.advance(b, now)
 	p, ok := b.peers[peer]
 	if !ok || p.incarnation != incarnation {
 		b.peers[peer] = &peerUse{incarnation: incarnation, admitted: r.Admitted, rate: r.Rate, at: now}
 		return
 	}
-	b.level += p.projected - (r.Admitted - p.admitted)
+	b.level += p.projected - max(r.Admitted-p.admitted, 0)
 	b.level = min(b.level, b.limit.Burst)
 	*p = peerUse{incarnation: incarnation, admitted: r.Admitted, rate: r.Rate, at: now}
 }
@@ -177,6 +217,9 @@
 func (q *Quotas) Reports(now time.Time) map[string]Report {
 	out := make(map[string]Report, len(q.buckets))
 	for name, b := range q.buckets {
+		if !b.started {
+			continue
+		}
 		q.advance(b, now)
 		if b.admitted != 0 {
 			out[name] = Report{Admitted: b.admitted, Rate: b.mean}
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -42,7 +42,7 @@
 }
 
 func (f *fleet) restart(i int) {
-	f.hosts[i] = New()
+	f.hosts[i] = New(f.now)
 	f.hosts[i].SetHosts(len(f.hosts))
 	f.inc[i]++
 }
@@ -173,7 +173,7 @@
 
 func TestALimitOfZeroAdmitsEverything(t *testing.T) {
 	is := is.New(t)
-	q := New()
+	q := New(time.Unix(0, 0))
 	for range 1000 {
 		ok, _ := q.Admit("w", Limit{}, time.Unix(0, 0))
 		is.True(ok)
@@ -184,8 +184,8 @@
 // of this moment supports.
 func TestARefusalTellsWhenToComeBack(t *testing.T) {
 	is := is.New(t)
-	q := New()
 	now := time.Unix(0, 0)
+	q := New(now)
 	limit := Limit{Rate: 2, Burst: 1}
 	ok, _ := q.Admit("w", limit, now)
 	is.True(ok)
@@ -195,3 +195,15 @@
 	ok, _ = q.Admit("w", limit, now.Add(after))
 	is.True(ok)
 }
+
+// TestAnIdleHostKnowsTheBucketIsFull guards against refusals at hosts that see
+// a workspace for the first time: with 56 hosts an even share of a burst is
+// less than one request.
+func TestAnIdleHostKnowsTheBucketIsFull(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{Rate: 10, Burst: 10}
+	f := newFleet(56, 4)
+	f.run(3*time.Second, 0, even(56), limit)
+	asked, admitted := f.run(6*time.Second, 6, even(56), limit)
+	is.Equal(admitted, asked)
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -87,11 +87,11 @@
 	if h.udp, err = net.ListenPacket("udp4", h.settings.Peers); err != nil {
 		return errors.Wrap(err, "listen for digests")
 	}
-	self := cluster.Member{Name: h.settings.Host, Incarnation: time.Now().UnixMicro(), Address: h.settings.Peers, Zone: h.settings.Zone}
+	self := cluster.Member{Name: h.settings.Host, Incarnation: time.Now().UnixMicro(), Address: h.settings.Peers, Zone: h.settings.Zone, Size: h.settings.Size}
 	h.cluster = cluster.New(cluster.Options{Self: self, Conn: h.udp, Logger: h.log})
 	at := h.platform.Collections()
 	h.informer = informer.New(informer.Options{
-		Store: h.platform.Store(), Cluster: h.cluster, Peers: h.node, Logger: h.log,
+		Store: h.platform.Store(), Cluster: h.cluster, Peers: h.node, Members: bulk.Collection, Logger: h.log,
 		Collections: []informer.Collection{
 			{Prefix: at.Config, Wait: watchWait, TakeOver: takeOver},
 			{Prefix: at.Servers, Wait: watchWait, TakeOver: takeOver},
@@ -106,7 +106,7 @@
 	h.config = &configuration{platform: h.platform, informer: h.informer, prefix: at.Config, keyAge: h.settings.KeyAge, log: h.log}
 	h.slots = slots.New(slots.Options{Zone: h.settings.Zone, Cluster: h.cluster, Logger: h.log})
 	h.online = online.New(online.Options{
-		Config: h.config, Codec: h.platform, Quotas: quotas.New(h.cluster, h.log), Slots: h.slots, Upstream: client,
+		Config: h.config, Codec: h.platform, Quotas: quotas.New(h.cluster, h.settings.QuotaTolerance, h.log), Slots: h.slots, Upstream: client,
 		Suspects: online.NewSuspects(h.cluster, h.log), Metrics: h.metrics, Logger: h.log, IsLeaving: h.leaving.Load,
 	})
 	h.jobs = bulk.New(bulk.Options{
--- a/internal/entry/types.go
+++ b/internal/entry/types.go
@@ -12,6 +12,7 @@
 	"ragwortstep/internal/core/placement"
 	"ragwortstep/internal/core/routing"
 	"ragwortstep/internal/online"
+	"ragwortstep/internal/quotas"
 	"ragwortstep/internal/store"
 )
 
@@ -19,6 +20,7 @@
 type Settings struct {
 	Host      string // unique in the fleet, the same after a restart
 	Zone      string // availability zone
+	Size      int    // thousandths of a core
 	IP        string
 	Callers   string // address for callers' requests
 	Readiness string // address for the balancer's question
@@ -30,6 +32,8 @@
 	// KeyAge is the age of the configuration from which requests with keys are
 	// refused, 0 for no bound.
 	KeyAge time.Duration
+	// QuotaTolerance is what the platform allows above a workspace's quota.
+	QuotaTolerance quotas.Tolerance
 	// Readable is how long a job's results stay in the store after its
 	// submission.
 	Readable time.Duration
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -32,6 +32,11 @@
 	fetchTimeout = 700 * time.Millisecond
 	// answerSlack is the wait for a watch's answer beyond its own waiting time.
 	answerSlack = 400 * time.Millisecond
+	// patience is how long a host that starts waits for the others' copies.
+	patience = 1200 * time.Millisecond
+	// hopTime is the age that a copy gains with each further host between the
+	// reader and this one: a digest there and one back.
+	hopTime = 500 * time.Millisecond
 	// listTimeout bounds a full reading of one page.
 	listTimeout = 2 * time.Second
 	// retryFirst and retryMost bound the delay after a failed read.
@@ -72,6 +77,33 @@
 	onChange []func(Copy)
 	wake     chan struct{} // capacity 1: a peer announced something
 	healthy  bool          // the last call to the store succeeded
+	log      []delta       // latest changes, oldest first
+}
+
+// delta is the events between two versions of a copy.
+type delta struct {
+	From   int64         `json:"from"` // Changed before
+	To     int64         `json:"to"`   // Changed after
+	Events []store.Event `json:"events"`
+}
+
+// logLength bounds the changes that a host keeps for peers whose copies are a
+// little behind.
+const logLength = 64
+
+func (s *state) remember(d delta) {
+	s.log = append(s.log, d)
+	s.log = s.log[max(0, len(s.log)-logLength):]
+}
+
+// since returns the changes after a version, and false when they are not all known.
+func (s *state) since(changed int64) ([]delta, bool) {
+	for i, d := range s.log {
+		if d.From == changed {
+			return s.log[i:], true
+		}
+	}
+	return nil, false
 }
 
 // Options configures an Informer. All fields but Logger are required.
@@ -80,15 +112,20 @@
 	Cluster     *cluster.Cluster
 	Peers       peer.Caller
 	Collections []Collection
-	Logger      *slog.Logger
+	// Members is the prefix of the collection that names the other hosts. A
+	// host that starts reads it first, and waits a moment for the others'
+	// copies of the rest.
+	Members string
+	Logger  *slog.Logger
 }
 
 // Informer keeps the copies. It is safe for concurrent use.
 type Informer struct {
-	opts   Options
-	log    *slog.Logger
-	mu     sync.Mutex
-	states map[string]*state
+	opts    Options
+	log     *slog.Logger
+	started time.Time
+	mu      sync.Mutex
+	states  map[string]*state
 	// reading is which peers say that their calls to the store succeed.
 	reading map[string]bool
 	// ahead is, by collection, a peer whose copy is newer than this host's.
@@ -100,7 +137,7 @@
 	if opts.Logger == nil {
 		opts.Logger = slog.Default()
 	}
-	i := &Informer{opts: opts, log: opts.Logger, states: map[string]*state{}, reading: map[string]bool{}, ahead: map[string]peer.HostID{}}
+	i := &Informer{opts: opts, log: opts.Logger, started: time.Now(), states: map[string]*state{}, reading: map[string]bool{}, ahead: map[string]peer.HostID{}}
 	for _, c := range opts.Collections {
 		i.states[c.Prefix] = &state{Collection: c, objects: map[string]store.Object{}, wake: make(chan struct{}, 1), healthy: true}
 	}
@@ -199,32 +236,36 @@
 // untilRead returns how long this host may rely on its peers; 0 means that it
 // reads the store now.
 func (i *Informer) untilRead(s *state) time.Duration {
-	reader := i.isReader()
+	reader, hops := i.isReader(), i.opts.Cluster.Hops()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	age, ok := s.mark.Age(bootclock.Now())
+	if !s.known && s.Prefix != i.opts.Members && (!i.states[i.opts.Members].known || !reader) {
+		return max(patience-time.Since(i.started), 0)
+	}
 	if reader || !ok || !s.known {
 		return 0
 	}
-	return max(s.TakeOver-age, 0)
+	return max(s.TakeOver+time.Duration(hops-1)*hopTime-age, 0)
 }
 
 // isReader reports whether this host is the one that watches the store: the
-// first by name of those that are alive and reach it.
+// first by name of the coordinators that reach it.
 func (i *Informer) isReader() bool {
 	self := i.opts.Cluster.Self()
-	alive := i.opts.Cluster.Alive()
+	coordinators := i.opts.Cluster.Coordinators()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if self.Leaving || !i.healthyLocked() {
+	if !i.healthyLocked() {
 		return false
 	}
-	for _, p := range alive {
-		if p.Name < self.Name && i.reading[p.Name] {
-			return false
+	first := ""
+	for _, m := range coordinators {
+		if (m.Name == self.Name || i.reading[m.Name]) && (first == "" || m.Name < first) {
+			first = m.Name
 		}
 	}
-	return true
+	return first == self.Name
 }
 
 // read brings the copy in step with the store by one watch, or by a full
@@ -316,6 +357,7 @@
 		for _, ev := range events {
 			applyEvent(objects, ev, s.changed)
 		}
+		s.remember(delta{s.changed, version, events})
 		s.objects, s.changed = objects, version
 	}
 	s.version = max(s.version, version)
@@ -347,7 +389,7 @@
 		i.mu.Unlock()
 		return
 	}
-	s.objects, s.version, s.known = objects, version, true
+	s.objects, s.version, s.known, s.log = objects, version, true, nil
 	s.changed = max(s.changed, version)
 	s.mark.Confirm(asked)
 	i.mu.Unlock()
@@ -363,6 +405,15 @@
 	for _, fn := range s.onChange {
 		fn(c)
 	}
+	if s.Prefix == i.opts.Members {
+		i.pokeAll() // this host may be the one that reads the rest
+	}
+}
+
+func (i *Informer) pokeAll() {
+	for _, s := range i.states {
+		s.poke()
+	}
 }
 
 // copyDigest is the state of one copy in a digest.
@@ -440,15 +491,18 @@
 	return from, ok
 }
 
-// copyRequest asks for the whole copy of a collection.
+// copyRequest asks for a copy of a collection, or for what changed in it after
+// the asking host's own copy.
 type copyRequest struct {
-	Prefix string `json:"prefix"`
+	Prefix  string `json:"prefix"`
+	Changed int64  `json:"changed"` // 0 without a copy
 }
 
-// copyAnswer is a whole copy.
+// copyAnswer is a whole copy, or the changes since the one of the request.
 type copyAnswer struct {
 	Known   bool           `json:"known"`
-	Objects []store.Object `json:"objects"`
+	Deltas  []delta        `json:"deltas,omitempty"`
+	Objects []store.Object `json:"objects,omitempty"`
 	Version int64          `json:"version"`
 	Changed int64          `json:"changed"`
 	Age     int64          `json:"age"` // ms, -1 when it was never confirmed
@@ -466,6 +520,10 @@
 		return nil, errors.Newf("no collection %q", req.Prefix)
 	}
 	out := copyAnswer{Known: s.known, Version: s.version, Changed: s.changed, Age: ageMillis(&s.mark, bootclock.Now())}
+	if deltas, ok := s.since(req.Changed); ok {
+		out.Deltas = deltas
+		return out, nil
+	}
 	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
 		out.Objects = append(out.Objects, s.objects[key])
 	}
@@ -477,24 +535,19 @@
 	asked := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	i.mu.Lock()
+	request := copyRequest{s.Prefix, s.changed}
+	i.mu.Unlock()
 	var answer copyAnswer
-	if err := i.opts.Peers.Call(ctx, from, method, copyRequest{s.Prefix}, &answer); err != nil {
-		i.log.Warn("copy not fetched", "step", "fetch copy", "peer", from, "collection", strings.TrimSuffix(s.Prefix, "/"), "error", err)
+	if err := i.opts.Peers.Call(ctx, from, method, request, &answer); err != nil {
+		i.log.Warn("copy not fetched", "event", "copy_not_fetched", "step", "fetch copy", "peer", from, "collection", strings.TrimSuffix(s.Prefix, "/"), "error", err)
 		return
 	}
 	if !answer.Known {
 		return
 	}
 	i.mu.Lock()
-	newer := !s.known || answer.Changed > s.changed
-	if newer {
-		s.objects = make(map[string]store.Object, len(answer.Objects))
-		for _, o := range answer.Objects {
-			s.objects[o.Key] = o
-		}
-		s.known, s.changed = true, answer.Changed
-		s.version = max(s.version, answer.Version)
-	}
+	newer := s.take(answer)
 	if answer.Changed == s.changed && answer.Age >= 0 {
 		s.mark.ConfirmByPeer(asked, time.Duration(answer.Age)*time.Millisecond)
 	}
@@ -503,3 +556,42 @@
 		i.announce(s)
 	}
 }
+
+// take adopts a peer's copy, or the changes that lead to it, when it is newer.
+func (s *state) take(answer copyAnswer) bool {
+	if s.known && answer.Changed <= s.changed {
+		return false
+	}
+	if len(answer.Deltas) > 0 {
+		return s.takeDeltas(answer)
+	}
+	s.objects = make(map[string]store.Object, len(answer.Objects))
+	for _, o := range answer.Objects {
+		s.objects[o.Key] = o
+	}
+	s.known, s.changed, s.log = true, answer.Changed, nil
+	s.version = max(s.version, answer.Version)
+	return true
+}
+
+// takeDeltas applies changes that begin at this copy's version. The copy may
+// have moved on since the question; then the next digest asks again.
+func (s *state) takeDeltas(answer copyAnswer) bool {
+	newer := false
+	objects := maps.Clone(s.objects)
+	for _, d := range answer.Deltas {
+		if d.From != s.changed {
+			continue
+		}
+		for _, ev := range d.Events {
+			applyEvent(objects, ev, s.changed)
+		}
+		s.remember(d)
+		s.changed, newer = d.To, true
+	}
+	if newer {
+		s.objects = objects
+		s.version = max(s.version, s.changed)
+	}
+	return newer
+}
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -144,7 +144,7 @@
 	if f.events > 0 || f.call.LastID > 0 {
 		out.Resume, out.After = true, f.last
 	}
-	resp, err := f.opts.Upstream.Do(f.ctx, place.Server.Address, f.call.request(f.opts.Codec, out, f.firstByte()))
+	resp, err := f.opts.Upstream.Do(f.ctx, place.Server.Address, f.call.request(f.opts.Codec, out, f.firstByte(), f.route.Repeatable()))
 	if err != nil {
 		return f.noAnswer(place, err)
 	}
--- a/internal/online/online_test.go
+++ b/internal/online/online_test.go
@@ -83,7 +83,7 @@
 	go f.slots.Run(ctx)
 	f.setServers(servers...)
 	f.service = online.New(online.Options{
-		Config: f, Codec: servertest.Codec{}, Quotas: quotas.New(c, logger), Slots: f.slots, Upstream: upstream.New(upstream.Options{}),
+		Config: f, Codec: servertest.Codec{}, Quotas: quotas.New(c, quotas.Tolerance{}, logger), Slots: f.slots, Upstream: upstream.New(upstream.Options{}),
 		Suspects: online.NewSuspects(c, logger), Metrics: metrics.New(), Logger: logger, IsLeaving: f.leaving.Load,
 	})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/online/suspects.go
+++ b/internal/online/suspects.go
@@ -32,6 +32,7 @@
 func NewSuspects(c *cluster.Cluster, logger *slog.Logger) *Suspects {
 	s := &Suspects{log: logger, set: retry.NewSuspects()}
 	c.Provide(suspectSection, s.digest)
+	c.Merge(suspectSection, mergeReports)
 	c.Receive(suspectSection, s.received)
 	return s
 }
@@ -103,6 +104,22 @@
 	return s.set.Report(time.Now())
 }
 
+// mergeReports joins the reports of several hosts.
+func mergeReports(values []json.RawMessage) (any, error) {
+	var out retry.Report
+	for _, raw := range values {
+		var r retry.Report
+		if err := json.Unmarshal(raw, &r); err != nil {
+			return nil, err
+		}
+		out.Losses = append(out.Losses, r.Losses...)
+		out.Running = append(out.Running, r.Running...)
+		out.Quarantined = append(out.Quarantined, r.Quarantined...)
+		out.Cleared = append(out.Cleared, r.Cleared...)
+	}
+	return out, nil
+}
+
 func (s *Suspects) received(n cluster.News) {
 	var report retry.Report
 	if err := json.Unmarshal(n.Raw, &report); err != nil {
--- a/internal/online/types.go
+++ b/internal/online/types.go
@@ -68,10 +68,19 @@
 	Fresh() bool
 }
 
+// maxIdle is the longest idle time of a connection that carries a request that
+// may not be repeated. Most connections that servers drop without notice were
+// idle for longer.
+const maxIdle = time.Second
+
 // request builds the request for one server.
-func (c *Call) request(codec Codec, out Outgoing, firstByte time.Duration) *upstream.Request {
-	return &upstream.Request{
+func (c *Call) request(codec Codec, out Outgoing, firstByte time.Duration, repeatable bool) *upstream.Request {
+	r := &upstream.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Body: c.Body,
 		Header: codec.ServerHeader(c, out), FirstByte: firstByte,
 	}
+	if !repeatable {
+		r.MaxIdle = maxIdle
+	}
+	return r
 }
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -145,6 +145,7 @@
 		queues: map[string]*queue{}, batch: map[*Place]struct{}{}, wake: make(chan struct{}, 1),
 	}
 	opts.Cluster.Provide(section, s.digest)
+	opts.Cluster.Merge(section, mergeLoads)
 	opts.Cluster.Receive(section, s.received)
 	opts.Cluster.OnChange(s.peersChanged)
 	return s
@@ -477,6 +478,21 @@
 	}
 }
 
+// mergeLoads adds up the requests in flight of several hosts.
+func mergeLoads(values []json.RawMessage) (any, error) {
+	sum := map[string][2]int{}
+	for _, raw := range values {
+		var counts map[string][2]int
+		if err := json.Unmarshal(raw, &counts); err != nil {
+			return nil, err
+		}
+		for id, n := range counts {
+			sum[id] = [2]int{sum[id][0] + n[0], sum[id][1] + n[1]}
+		}
+	}
+	return sum, nil
+}
+
 // longIDs restores the ids of the servers that this host knows. The caller
 // holds mu.
 func (s *Scheduler) longIDs(counts map[string][2]int) map[string]placement.InFlight {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,6 +20,7 @@
 	pool   *pool
 	idle   time.Duration // kept so long without a statement of the server
 	used   bool
+	since  time.Time // end of the last request
 	until  time.Time
 }
 
@@ -29,12 +30,16 @@
 	idle []*conn
 }
 
-// take returns the connection that was used last and is still sound, or nil.
-func (p *pool) take(now time.Time) *conn {
+// take returns the connection that was used last and is still sound, or nil
+// when there is none that was idle for at most maxIdle; 0 is no bound.
+func (p *pool) take(now time.Time, maxIdle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
+		if maxIdle > 0 && now.Sub(c.since) > maxIdle {
+			return nil // the others were idle for longer
+		}
 		p.idle = p.idle[:len(p.idle)-1]
 		if now.Before(c.until) && c.quiet() {
 			_ = c.SetDeadline(time.Time{})
@@ -50,7 +55,7 @@
 	if idle <= 0 {
 		idle = c.idle
 	}
-	c.used, c.until = true, now.Add(idle)
+	c.used, c.since, c.until = true, now, now.Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(now)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -84,6 +84,10 @@
 	// FirstByte bounds the wait for the answer's header, 0 for no bound but
 	// the context's.
 	FirstByte time.Duration
+	// MaxIdle is the longest idle time of a kept connection that may carry the
+	// request, 0 for no bound. Servers may drop idle connections without notice,
+	// and a request that may not be repeated is lost with one.
+	MaxIdle time.Duration
 }
 
 // Response is a server's answer. Body must be closed. Closing it before its
@@ -152,7 +156,7 @@
 // answer's header has arrived. ctx bounds the whole exchange, the body's
 // reading included. A failure is an *Error.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Response, error) {
-	conn, err := c.connect(ctx, address)
+	conn, err := c.connect(ctx, address, req.MaxIdle)
 	if err != nil {
 		return nil, err
 	}
@@ -167,9 +171,9 @@
 }
 
 // connect takes a kept connection or opens one.
-func (c *Client) connect(ctx context.Context, address string) (*conn, error) {
+func (c *Client) connect(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
 	p := c.pool(address)
-	if kept := p.take(time.Now()); kept != nil {
+	if kept := p.take(time.Now(), maxIdle); kept != nil {
 		counters.Add("reused", 1)
 		return kept, nil
 	}
