--- a/Makefile
+++ b/Makefile
@@ -14,12 +14,12 @@
 
 lint:
 	$(GO) vet ./...
-	test -z "$$($(GO) tool gofumpt -l cmd internal test)"
+	test -z "$$($(GO) tool gofumpt -l cmd internal platform test)"
 	$(GO) tool staticcheck ./...
 	$(GO) run ./test/corecheck
 
 unit:
-	$(GO) test ./cmd/... ./internal/... ./test/standin/... ./test/harness/... ./test/deploy/... ./test/bench/... ./test/soak/... ./test/corecheck/...
+	$(GO) test ./cmd/... ./internal/... ./platform/... ./test/standin/... ./test/harness/... ./test/deploy/... ./test/bench/... ./test/soak/... ./test/corecheck/...
 
 test: build lint
 	./test/run.sh
--- /dev/null
+++ b/internal/core/placement/placement_test.go
@@ -0,0 +1,233 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func placement(servers ...Server) *Placement {
+	p := New("z1", rand.New(rand.NewPCG(1, 2)))
+	p.SetServers(servers)
+	return p
+}
+
+func entry(id string, slots int) Server {
+	return Server{ID: id, Instance: id, Service: "s", Address: id, Zone: "z1", Slots: slots, Ready: true}
+}
+
+func servers(n, slots int) []Server {
+	var out []Server
+	for i := range n {
+		out = append(out, entry(fmt.Sprint("s", i), slots))
+	}
+	return out
+}
+
+func TestAServerIsNotFilledBeyondItsRoom(t *testing.T) {
+	is := is.New(t)
+	p := placement(entry("a", 8))
+	sent := 0
+	for {
+		s, verdict := p.Pick(Query{Service: "s"}, start)
+		if verdict != Chosen {
+			is.Equal(verdict, Full)
+			break
+		}
+		p.Start(s.ID, Online, start)
+		sent++
+	}
+	is.Equal(sent, 10) // a quarter of the slots may wait there
+	_, verdict := p.Pick(Query{Service: "none"}, start)
+	is.Equal(verdict, NoServer)
+}
+
+// TestBatchLeavesRoom guards against batch work in the last slots of a server,
+// where an online request would have to wait.
+func TestBatchLeavesRoom(t *testing.T) {
+	is := is.New(t)
+	p := placement(entry("a", 8))
+	for range 7 {
+		s, verdict := p.Pick(Query{Service: "s", Class: Batch}, start)
+		is.Equal(verdict, Chosen)
+		p.Start(s.ID, Batch, start)
+	}
+	_, verdict := p.Pick(Query{Service: "s", Class: Batch}, start)
+	is.Equal(verdict, Full)
+	_, verdict = p.Pick(Query{Service: "s"}, start)
+	is.Equal(verdict, Chosen)
+}
+
+// TestPeersLoadCounts guards against filling servers that other hosts filled.
+func TestPeersLoadCounts(t *testing.T) {
+	is := is.New(t)
+	p := placement(entry("a", 4), entry("b", 4))
+	p.PeerLoad("peer", map[string]InFlight{"a": {Online: 5}}, start)
+	for range 4 {
+		s, verdict := p.Pick(Query{Service: "s"}, start)
+		is.Equal(verdict, Chosen)
+		is.Equal(s.ID, "b")
+		p.Start("b", Online, start)
+	}
+	later := start.Add(peerFor)
+	s, _ := p.Pick(Query{Service: "s"}, later)
+	is.Equal(s.ID, "a") // the report is too old
+}
+
+// TestSurplusIsSharedByTheHosts guards against every host taking all of its
+// batch work off a server that has one request too many.
+func TestSurplusIsSharedByTheHosts(t *testing.T) {
+	is := is.New(t)
+	total := 0
+	const rounds = 400
+	for seed := range uint64(rounds) {
+		p := New("z1", rand.New(rand.NewPCG(seed, 1)))
+		p.SetServers([]Server{entry("a", 8)})
+		p.Start("a", Batch, start)
+		p.PeerLoad("x", map[string]InFlight{"a": {Online: 6, Batch: 3}}, start)
+		total += p.Surplus(start)["a"]
+	}
+	// Two of four batch requests are too many, and this host has one of them.
+	is.True(total > rounds*4/10 && total < rounds*6/10)
+}
+
+// TestAFailingServerLeavesTheChoice guards against sending request after
+// request to a server that breaks them.
+func TestAFailingServerLeavesTheChoice(t *testing.T) {
+	is := is.New(t)
+	p := placement(entry("a", 8))
+	for range ejectAfter {
+		p.Start("a", Online, start)
+		p.Finish("a", Online, Failed, 0, 0, start)
+	}
+	_, verdict := p.Pick(Query{Service: "s"}, start)
+	is.Equal(verdict, Full)
+	later := start.Add(ejectBase)
+	_, verdict = p.Pick(Query{Service: "s"}, later)
+	is.Equal(verdict, Chosen)
+	p.Start("a", Online, later)
+	_, verdict = p.Pick(Query{Service: "s"}, later)
+	is.Equal(verdict, Full) // one request tries it
+	p.Finish("a", Online, Good, 10*time.Millisecond, 1, later)
+	_, verdict = p.Pick(Query{Service: "s"}, later)
+	is.Equal(verdict, Chosen)
+}
+
+// TestAServerThatFailsAPartOfItsRequestsGetsFewer answers servers that are ill
+// while their health probe is good: a part of their requests fails, never two
+// in a row for long.
+func TestAServerThatFailsAPartOfItsRequestsGetsFewer(t *testing.T) {
+	is := is.New(t)
+	p := placement(servers(4, 8)...)
+	rng := rand.New(rand.NewPCG(7, 7))
+	count := map[string]int{}
+	now := start
+	for range 2000 {
+		now = now.Add(20 * time.Millisecond)
+		s, verdict := p.Pick(Query{Service: "s"}, now)
+		is.Equal(verdict, Chosen)
+		p.Start(s.ID, Online, now)
+		count[s.ID]++
+		outcome := Good
+		if s.ID == "s0" && rng.Float64() < 0.4 {
+			outcome = Failed
+		}
+		p.Finish(s.ID, Online, outcome, 10*time.Millisecond, 1, now)
+	}
+	is.True(count["s0"] < 2000/4/4)
+	is.True(count["s0"] > 0)
+}
+
+// TestHostsThatDoNotKnowOfEachOtherSpread answers a burst that reaches many
+// hosts at once, whose loads are a quarter of a second old: the busiest server
+// must not get several times the mean.
+func TestHostsThatDoNotKnowOfEachOtherSpread(t *testing.T) {
+	is := is.New(t)
+	const hosts, perHost = 30, 8
+	count := map[string]int{}
+	for h := range uint64(hosts) {
+		p := New("z1", rand.New(rand.NewPCG(h, 9)))
+		list := servers(30, 8)
+		p.SetServers(list)
+		for i, s := range list { // servers of differing speed, known to all
+			p.Start(s.ID, Online, start)
+			p.Finish(s.ID, Online, Good, time.Duration(6+i%3*4)*time.Millisecond, 1, start)
+		}
+		for range perHost {
+			s, verdict := p.Pick(Query{Service: "s"}, start)
+			is.Equal(verdict, Chosen)
+			p.Start(s.ID, Online, start)
+			count[s.ID]++
+		}
+	}
+	most := 0
+	for _, n := range count {
+		most = max(most, n)
+	}
+	is.True(most <= 3*hosts*perHost/30)
+}
+
+func TestTriedServersAreNotChosen(t *testing.T) {
+	is := is.New(t)
+	p := placement(servers(2, 8)...)
+	s, verdict := p.Pick(Query{Service: "s", Tried: []string{"s0"}}, start)
+	is.Equal(verdict, Chosen)
+	is.Equal(s.ID, "s1")
+	_, verdict = p.Pick(Query{Service: "s", Tried: []string{"s0", "s1"}}, start)
+	is.Equal(verdict, NoServer)
+}
+
+// TestCountsReturnToZero guards against places that are lost for good when
+// servers come, go and fail in any order.
+func TestCountsReturnToZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := New("z1", rand.New(rand.NewPCG(3, 4)))
+		all := servers(4, 3)
+		p.SetServers(all)
+		type flight struct {
+			id    string
+			class Class
+		}
+		var flights []flight
+		now := start
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.SampledFrom([]string{"start", "start", "finish", "servers"}).Draw(t, "step") {
+			case "start":
+				class := Class(rapid.IntRange(0, 1).Draw(t, "class"))
+				s, verdict := p.Pick(Query{Service: "s", Class: class}, now)
+				if verdict != Chosen {
+					continue
+				}
+				if n := p.Own()[s.ID]; n.total() >= room(s.Slots, class) {
+					t.Fatalf("%s chosen with %d in flight", s.ID, n.total())
+				}
+				p.Start(s.ID, class, now)
+				flights = append(flights, flight{s.ID, class})
+			case "finish":
+				if len(flights) > 0 {
+					f := flights[0]
+					flights = flights[1:]
+					outcome := Outcome(rapid.IntRange(0, 3).Draw(t, "outcome"))
+					p.Finish(f.id, f.class, outcome, time.Millisecond, 1, now)
+				}
+			case "servers":
+				n := rapid.IntRange(0, 4).Draw(t, "n")
+				p.SetServers(all[:n])
+			}
+		}
+		p.SetServers(all)
+		for _, f := range flights {
+			p.Finish(f.id, f.class, Neutral, 0, 0, now)
+		}
+		if own := p.Own(); len(own) > 0 {
+			t.Fatalf("still in flight: %v", own)
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/routing/routing_test.go
@@ -0,0 +1,81 @@
+package routing
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func snapshot() *Snapshot {
+	routes := []Route{
+		{Name: "root", Host: "a.example", Prefix: "/", Targets: []Target{{"s", 1}}},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/", Kind: Batch, Targets: []Target{{"s", 1}}},
+		{Name: "short", Host: "a.example", Prefix: "/x/", Targets: []Target{{"s", 90}, {"t", 10}}},
+		{Name: "other", Host: "b.example", Prefix: "/x/", Targets: []Target{{"s", 1}}},
+	}
+	priority := 0
+	workspaces := map[string]Workspace{"w": {Name: "w"}, "urgent": {Name: "urgent", Priority: &priority}}
+	return New(3, routes, workspaces, nil, map[string]string{"k": "w", "u": "urgent"})
+}
+
+func TestTheLongestPrefixOfTheHostWins(t *testing.T) {
+	is := is.New(t)
+	s := snapshot()
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "long"},
+		{"A.Example:8080", "/x/z", "short"},
+		{"a.example", "/x", "root"}, // a prefix ends with a slash
+		{"b.example", "/x/y/z", "other"},
+	} {
+		is.Equal(s.Match(c.host, c.path).Name, c.want)
+	}
+	is.True(s.Match("b.example", "/y/") == nil)
+	is.True(s.Match("c.example", "/x/") == nil)
+	is.Equal(s.ByName("short").Name, "short")
+	is.True(s.ByName("gone") == nil)
+	is.True(s.HasBatch("a.example"))
+	is.True(!s.HasBatch("b.example"))
+}
+
+func TestKeysBelongToWorkspaces(t *testing.T) {
+	is := is.New(t)
+	s := snapshot()
+	w, ok := s.Owner("k")
+	is.True(ok)
+	is.Equal(w.Name, "w")
+	for _, key := range []string{"", "K", "k "} {
+		_, ok := s.Owner(key)
+		is.True(!ok)
+	}
+	urgent, _ := s.Owner("u")
+	route := &Route{Priority: 2}
+	is.Equal(Priority(route, w), 2)
+	is.Equal(Priority(route, urgent), 0)
+}
+
+func TestASplitFollowsItsWeights(t *testing.T) {
+	is := is.New(t)
+	r := snapshot().ByName("short")
+	is.Equal(r.Service(0), "s")
+	is.Equal(r.Service(0.89), "s")
+	is.Equal(r.Service(0.91), "t")
+	is.Equal(r.Service(0.999), "t")
+}
+
+func TestWhatMayBeRepeated(t *testing.T) {
+	is := is.New(t)
+	is.True((&Route{Kind: Idempotent}).Repeatable())
+	is.True((&Route{Kind: Stream, Resumable: true}).Repeatable())
+	is.True(!(&Route{Kind: Stream}).Repeatable())
+	is.True(!(&Route{Kind: AtMostOnce, Resumable: true}).Repeatable())
+}
+
+// TestKeysAreNotKept guards against raw keys in memory dumps.
+func TestKeysAreNotKept(t *testing.T) {
+	is := is.New(t)
+	s := New(1, nil, map[string]Workspace{"w": {}}, nil, map[string]string{"raw-key": "w"})
+	for hash := range s.keys {
+		is.True(!strings.Contains(string(hash[:]), "raw-key"))
+	}
+}
--- a/test/run.sh
+++ b/test/run.sh
@@ -16,7 +16,7 @@
 echo "== unit and property tests (race detector on)"
 go test -race -count=1 -timeout 300s "${skip[@]}" $packages
 echo "== fuzz targets, a fixed number of inputs each"
-grep -rl --include='*_test.go' '^func Fuzz' internal | while read -r file; do
+grep -rl --include='*_test.go' '^func Fuzz' internal platform | while read -r file; do
     sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' "$file" | while read -r target; do
         go test -run '^$' -fuzz "^${target}\$" -fuzztime "${FUZZ_COUNT:-2000}x" "./$(dirname "$file")" </dev/null
     done
