--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,205 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/core/freshness"
+)
+
+// node is one host of a test fleet. Its section "sum" is a number that merged
+// sections add up, and "near" one that is not merged.
+type node struct {
+	*Cluster
+	udp  net.PacketConn
+	stop context.CancelFunc
+	mu   sync.Mutex
+	sum  map[string]int // by source
+	near map[string]bool
+}
+
+func (n *node) total() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	total := 0
+	for _, v := range n.sum {
+		total += v
+	}
+	return total
+}
+
+func mergeNumbers(values []json.RawMessage) (any, error) {
+	sum := 0
+	for _, raw := range values {
+		var v int
+		if err := json.Unmarshal(raw, &v); err != nil {
+			return nil, err
+		}
+		sum += v
+	}
+	return sum, nil
+}
+
+// fleet starts hosts in zones of the given sizes.
+func fleet(t *testing.T, zones ...int) []*node {
+	t.Helper()
+	var nodes []*node
+	var members []Member
+	for z, size := range zones {
+		for i := range size {
+			udp, err := net.ListenPacket("udp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			self := Member{
+				Name: fmt.Sprintf("h%d-%02d", z, i), Incarnation: 1, Address: udp.LocalAddr().String(), Zone: fmt.Sprint("z", z), Size: 100 * (i % 3),
+			}
+			members = append(members, self)
+			n := &node{udp: udp, sum: map[string]int{}, near: map[string]bool{}}
+			n.Cluster = New(Options{Self: self, Conn: udp, Logger: slog.New(slog.DiscardHandler)})
+			n.Provide("sum", func() any { return 1 })
+			n.Merge("sum", mergeNumbers)
+			n.Receive("sum", func(news News) {
+				var v int
+				if err := json.Unmarshal(news.Raw, &v); err != nil {
+					t.Error(err)
+				}
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.sum[news.From.Name] = v
+			})
+			n.Provide("near", func() any { return true })
+			n.Receive("near", func(news News) {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				n.near[news.From.Name] = news.Known
+			})
+			nodes = append(nodes, n)
+		}
+	}
+	for _, n := range nodes {
+		n.SetMembers(members)
+		ctx, cancel := context.WithCancel(context.Background())
+		n.stop = func() { cancel(); _ = n.udp.Close() }
+		t.Cleanup(n.stop)
+		go n.Run(ctx)
+	}
+	return nodes
+}
+
+func within(t *testing.T, d time.Duration, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(d); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", d, what)
+		}
+	}
+}
+
+// TestEveryHostHearsOfAllOthers guards against hosts that count twice or not
+// at all, in fleets with and without delegates.
+func TestEveryHostHearsOfAllOthers(t *testing.T) {
+	t.Parallel()
+	for _, zones := range [][]int{{4, 4}, {20, 15, 10}} {
+		nodes := fleet(t, zones...)
+		for _, n := range nodes {
+			within(t, 5*time.Second, fmt.Sprintf("%s of %d counts the others: %d", n.Self().Name, len(nodes), n.total()), func() bool {
+				return n.total() == len(nodes)-1 && len(n.Alive()) == len(nodes)-1
+			})
+		}
+	}
+}
+
+// TestTrafficDoesNotGrowWithTheSquare guards against digests from every host
+// to every other one in a large fleet.
+func TestTrafficDoesNotGrowWithTheSquare(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	nodes := fleet(t, 20, 20, 20)
+	for _, n := range nodes {
+		within(t, 6*time.Second, "hosts hear of each other", func() bool { return len(n.Alive()) == len(nodes)-1 })
+	}
+	crowded := 0
+	for _, n := range nodes {
+		n.mu.Lock()
+		if len(n.near) > 3 { // besides the delegate and its deputy
+			crowded++
+		}
+		n.mu.Unlock()
+	}
+	is.True(crowded <= 2*3) // delegates and deputies
+}
+
+// TestALostDelegateIsReplaced guards against a zone that nobody hears of after
+// its delegate and the deputy are gone.
+func TestALostDelegateIsReplaced(t *testing.T) {
+	t.Parallel()
+	nodes := fleet(t, 12, 12)
+	for _, n := range nodes {
+		within(t, 6*time.Second, "hosts hear of each other", func() bool { return len(n.Alive()) == len(nodes)-1 })
+	}
+	first := nodes[0].Coordinators()
+	gone := map[string]bool{}
+	for _, n := range nodes {
+		for _, m := range first {
+			if n.Self().Name == m.Name {
+				n.stop()
+				gone[m.Name] = true
+			}
+		}
+	}
+	for _, n := range nodes {
+		if gone[n.Self().Name] {
+			continue
+		}
+		within(t, 8*time.Second, "the others hear of each other again", func() bool { return len(n.Alive()) == len(nodes)-1-len(gone) })
+	}
+}
+
+// TestAnEchoDatesStatements guards against taking a peer's statement for one
+// that was made after a digest which the peer never received.
+func TestAnEchoDatesStatements(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	udp, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer udp.Close()
+	c := New(Options{Self: Member{Name: "a", Incarnation: 5}, Conn: udp, Logger: slog.New(slog.DiscardHandler)})
+	var got []News
+	c.Receive("near", func(n News) { got = append(got, n) })
+	send := func(sent, echo, echoOf int64) {
+		c.accept(digest{From: Member{Name: "b", Incarnation: 1}, Sent: 100 + freshness.Instant(sent), Echo: freshness.Instant(echo), EchoOf: echoOf, Sections: sections{"near": json.RawMessage("1")}})
+	}
+	send(1, 0, 0)  // has received nothing
+	send(2, 70, 4) // of an earlier process of this host
+	send(3, 70, 5)
+	send(3, 80, 5) // came twice
+	send(2, 90, 5) // was overtaken
+	is.Equal(len(got), 3)
+	is.True(!got[0].Known && !got[1].Known && got[2].Known)
+	is.Equal(got[2].Echoed, freshness.Instant(70))
+}
+
+// FuzzDigest checks that no datagram ends the process.
+func FuzzDigest(f *testing.F) {
+	f.Add([]byte(`{"f":{"n":"b","i":1,"a":"127.0.0.1:1","z":"z"},"t":5,"d":{"near":1},"m":[{"z":"y","h":["c"],"x":3,"d":{"sum":2}}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		c := New(Options{Self: Member{Name: "a", Incarnation: 5, Zone: "z"}, Logger: slog.New(slog.DiscardHandler)})
+		c.Merge("sum", mergeNumbers)
+		var d digest
+		if json.Unmarshal(raw, &d) == nil {
+			c.accept(d)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.outgoing(sections{"sum": json.RawMessage("1")}, time.Now())
+		}
+	})
+}
--- a/internal/cluster/delegates.go
+++ b/internal/cluster/delegates.go
@@ -136,6 +136,9 @@
 			continue
 		}
 		ranked := c.ranked(zone, now)
+		if len(ranked) == 0 {
+			ranked = c.probed(zone)
+		}
 		for _, m := range ranked[:min(delegates, len(ranked))] {
 			out = c.add(out, m.Name, own, []zoneDigest{all})
 		}
@@ -154,6 +157,22 @@
 	return out
 }
 
+// probed returns some hosts of a zone of which nothing is heard, other ones
+// each time: its delegates may be gone. The caller holds mu.
+func (c *Cluster) probed(zone string) []Member {
+	var all []Member
+	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
+		if p := c.peers[name]; p.Zone == zone {
+			all = append(all, p.Member)
+		}
+	}
+	var out []Member
+	for i := range min(delegates, len(all)) {
+		out = append(out, all[(c.sent*delegates+i)%len(all)])
+	}
+	return out
+}
+
 // add appends a digest to a peer whose address is known.
 func (c *Cluster) add(out []addressed, name string, own sections, zones []zoneDigest) []addressed {
 	p, ok := c.peers[name]
--- /dev/null
+++ b/internal/decisionlog/decisionlog_test.go
@@ -0,0 +1,98 @@
+package decisionlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// buffer is a writer that tests may read while it is written.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) lines() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Split(strings.TrimSpace(b.b.String()), "\n")
+}
+
+func TestLinesAreWritten(t *testing.T) {
+	is := is.New(t)
+	out := &buffer{}
+	w := NewWriter(out)
+	New(w, slog.LevelInfo).With("host", "a").Info("request refused", "event", "refused", "error", errors.New("why"))
+	w.Close()
+	var line map[string]any
+	is.NoErr(json.Unmarshal([]byte(out.lines()[0]), &line))
+	is.Equal(line["event"], "refused")
+	is.Equal(line["host"], "a")
+	is.Equal(line["error"], "why")
+}
+
+// TestABlockedOutputBlocksNobody guards against requests that wait for whoever
+// reads the log: a pipe that is never read holds 64 KB.
+func TestABlockedOutputBlocksNobody(t *testing.T) {
+	is := is.New(t)
+	r, pipe, err := os.Pipe()
+	is.NoErr(err)
+	defer r.Close()
+	defer pipe.Close()
+	w := NewWriter(pipe)
+	logger := New(w, slog.LevelInfo)
+	done := make(chan struct{})
+	go func() {
+		for range 4 * ringLines {
+			logger.Warn("server failed", "event", "server_failed", "padding", strings.Repeat("x", 100))
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("logging waits for the reader")
+	}
+	go func() { _, _ = io.Copy(io.Discard, r) }() // lets the writer end
+	w.Close()
+}
+
+// TestTheVolumeIsBounded guards against a log that grows with the load, and
+// against losing failures in it.
+func TestTheVolumeIsBounded(t *testing.T) {
+	is := is.New(t)
+	out := &buffer{}
+	w := NewWriter(out)
+	logger := New(w, slog.LevelInfo)
+	for range 3 * linesPerSecond {
+		logger.Info("request refused")
+	}
+	for range 20 {
+		logger.Warn("server failed")
+	}
+	w.Close()
+	lines := out.lines()
+	is.True(len(lines) <= 2*linesPerSecond+20) // the second may have changed once
+	failures := 0
+	for _, line := range lines {
+		if strings.Contains(line, "server failed") {
+			failures++
+		}
+	}
+	is.Equal(failures, 20)
+}
--- /dev/null
+++ b/internal/informer/informer_test.go
@@ -0,0 +1,254 @@
+package informer_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/cluster"
+	"ragwortstep/internal/informer"
+	"ragwortstep/internal/peer"
+	"ragwortstep/internal/peer/peertest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
+)
+
+// way is one host's way to the store.
+type way struct {
+	*storetest.Fake
+	cut   atomic.Bool
+	calls atomic.Int64
+	// odd changes the results of watches.
+	odd func(store.WatchResult) (store.WatchResult, error)
+}
+
+func (w *way) List(ctx context.Context, prefix, after string, limit int) (store.Page, error) {
+	w.calls.Add(1)
+	if w.cut.Load() {
+		return store.Page{}, store.ErrUnavailable
+	}
+	return w.Fake.List(ctx, prefix, after, limit)
+}
+
+func (w *way) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) (store.WatchResult, error) {
+	w.calls.Add(1)
+	if w.cut.Load() {
+		return store.WatchResult{}, store.ErrUnavailable
+	}
+	result, err := w.Fake.Watch(ctx, prefix, from, wait)
+	if err == nil && w.odd != nil {
+		return w.odd(result)
+	}
+	return result, err
+}
+
+type host struct {
+	way      *way
+	cluster  *cluster.Cluster
+	informer *informer.Informer
+	mu       sync.Mutex
+	copied   map[string]string
+	udp      net.PacketConn
+}
+
+const prefix = "things/"
+
+// value returns the host's copy of an object.
+func (h *host) value(key string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.copied[key]
+}
+
+func (h *host) age() time.Duration {
+	age, ok := h.informer.Age(prefix)
+	if !ok {
+		return time.Hour
+	}
+	return age
+}
+
+// start starts hosts a, b, ... over one store.
+func start(t *testing.T, fake *storetest.Fake, n int) []*host {
+	t.Helper()
+	network := peertest.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var hosts []*host
+	var members []cluster.Member
+	for i := range n {
+		udp, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = udp.Close() })
+		logger := slog.New(slog.DiscardHandler)
+		h := &host{way: &way{Fake: fake}, udp: udp, copied: map[string]string{}}
+		self := cluster.Member{Name: string(rune('a' + i)), Incarnation: 1, Address: udp.LocalAddr().String(), Zone: "z"}
+		members = append(members, self)
+		h.cluster = cluster.New(cluster.Options{Self: self, Conn: udp, Logger: logger})
+		h.informer = informer.New(informer.Options{
+			Store: h.way, Cluster: h.cluster, Peers: network.Node(peer.HostID(self.Name)), Members: prefix, Logger: logger,
+			Collections: []informer.Collection{{Prefix: prefix, Wait: 100 * time.Millisecond, TakeOver: time.Second}},
+		})
+		h.informer.OnChange(prefix, func(c informer.Copy) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.copied = map[string]string{}
+			for key, o := range c.Objects {
+				h.copied[key] = string(o.Value)
+			}
+		})
+		hosts = append(hosts, h)
+	}
+	for _, h := range hosts {
+		h.cluster.SetMembers(members)
+		go h.cluster.Run(ctx)
+		go h.informer.Run(ctx)
+	}
+	return hosts
+}
+
+func eventually(t *testing.T, what string, within time.Duration, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(within); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
+func put(t *testing.T, fake *storetest.Fake, key, value string) {
+	t.Helper()
+	if _, err := fake.Put(context.Background(), prefix+key, []byte(value), store.AnyVersion); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestOneHostReadsForAll guards against calls to the store that grow with the
+// number of hosts.
+func TestOneHostReadsForAll(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fake := storetest.New()
+	hosts := start(t, fake, 5)
+	put(t, fake, "x", "1")
+	for _, h := range hosts {
+		eventually(t, "all have the object", 3*time.Second, func() bool { return h.value(prefix+"x") == "1" })
+	}
+	time.Sleep(500 * time.Millisecond)
+	before := make([]int64, len(hosts))
+	for i, h := range hosts {
+		before[i] = h.way.calls.Load()
+	}
+	put(t, fake, "x", "2")
+	for _, h := range hosts {
+		eventually(t, "a change reaches all", 400*time.Millisecond, func() bool { return h.value(prefix+"x") == "2" })
+	}
+	time.Sleep(2 * time.Second)
+	reading := 0
+	for i, h := range hosts {
+		if h.way.calls.Load() > before[i] {
+			reading++
+		}
+		is.True(h.age() < 1500*time.Millisecond)
+	}
+	is.Equal(reading, 1)
+}
+
+// TestAHostThatTheStoreTurnsAwayLearnsFromOthers guards against a host that
+// stops serving although its peers know the newest configuration.
+func TestAHostThatTheStoreTurnsAwayLearnsFromOthers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fake := storetest.New()
+	hosts := start(t, fake, 3)
+	put(t, fake, "x", "1")
+	for _, h := range hosts {
+		eventually(t, "all have the object", 3*time.Second, func() bool { return h.value(prefix+"x") == "1" })
+	}
+	hosts[0].way.cut.Store(true) // the reader
+	time.Sleep(300 * time.Millisecond)
+	put(t, fake, "x", "2")
+	for _, h := range hosts {
+		eventually(t, "another one reads", 1500*time.Millisecond, func() bool { return h.value(prefix+"x") == "2" })
+	}
+	time.Sleep(2 * time.Second)
+	is.True(hosts[0].age() < 1500*time.Millisecond)
+	is.True(!hosts[0].informer.Healthy())
+	is.Equal(len(hosts[0].informer.Reachable()), 2)
+}
+
+// TestNobodyCountsAsFreshWithoutTheStore guards against hosts that confirm to
+// each other what none of them has read.
+func TestNobodyCountsAsFreshWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fake := storetest.New()
+	hosts := start(t, fake, 3)
+	put(t, fake, "x", "1")
+	for _, h := range hosts {
+		eventually(t, "all have the object", 3*time.Second, func() bool { return h.value(prefix+"x") == "1" })
+	}
+	fake.SetDown(true)
+	down := time.Now()
+	time.Sleep(1500 * time.Millisecond)
+	for _, h := range hosts {
+		is.True(h.age() >= time.Since(down)-200*time.Millisecond) // a watch may have waited 100 ms
+	}
+	fake.SetDown(false)
+	for _, h := range hosts {
+		eventually(t, "fresh again", 3*time.Second, func() bool { return h.age() < time.Second })
+	}
+}
+
+// TestEventsThatComeTwice guards against an object that comes back to life by
+// an event that is delivered once more.
+func TestEventsThatComeTwice(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fake := storetest.New()
+	h := start(t, fake, 1)[0]
+	var all []store.Event
+	h.way.odd = func(r store.WatchResult) (store.WatchResult, error) {
+		r.Events = append(append([]store.Event(nil), all...), r.Events...)
+		all = r.Events
+		return r, nil
+	}
+	eventually(t, "a first copy", 3*time.Second, func() bool { return h.age() < time.Second })
+	put(t, fake, "x", "1")
+	eventually(t, "created", time.Second, func() bool { return h.value(prefix+"x") == "1" })
+	is.NoErr(fake.Delete(context.Background(), prefix+"x", store.AnyVersion))
+	eventually(t, "deleted", time.Second, func() bool { return h.value(prefix+"x") == "" })
+	for i := range 5 {
+		put(t, fake, "y", fmt.Sprint(i))
+		eventually(t, "changed", time.Second, func() bool { return h.value(prefix+"y") == fmt.Sprint(i) })
+		is.Equal(h.value(prefix+"x"), "")
+	}
+}
+
+// TestALostHistoryIsReadAgain guards against a copy that stays behind after
+// the store dropped the events it needs.
+func TestALostHistoryIsReadAgain(t *testing.T) {
+	t.Parallel()
+	fake := storetest.New()
+	h := start(t, fake, 1)[0]
+	eventually(t, "a first copy", 3*time.Second, func() bool { return h.age() < time.Second })
+	var gone atomic.Bool
+	h.way.odd = func(r store.WatchResult) (store.WatchResult, error) {
+		if gone.CompareAndSwap(true, false) {
+			return store.WatchResult{}, store.ErrHistoryGone
+		}
+		return r, nil
+	}
+	gone.Store(true)
+	put(t, fake, "x", "1")
+	eventually(t, "the copy is in step", 2*time.Second, func() bool { return h.value(prefix+"x") == "1" })
+}
