--- /dev/null
+++ b/internal/storerelay/storerelay_test.go
@@ -0,0 +1,134 @@
+package storerelay_test
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/metrics"
+	"ragwortstep/internal/peer"
+	"ragwortstep/internal/peer/peertest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
+	"ragwortstep/internal/storerelay"
+)
+
+// way is one host's own way to the store.
+type way struct {
+	*storetest.Fake
+	fault  atomic.Pointer[error]
+	silent atomic.Bool
+	calls  atomic.Int64
+}
+
+func (w *way) enter(ctx context.Context) error {
+	w.calls.Add(1)
+	if w.silent.Load() {
+		<-ctx.Done()
+		return store.ErrUnknownOutcome
+	}
+	if err := w.fault.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
+func (w *way) Get(ctx context.Context, key string) (store.Object, error) {
+	if err := w.enter(ctx); err != nil {
+		if errors.Is(err, store.ErrUnknownOutcome) {
+			err = store.ErrUnavailable
+		}
+		return store.Object{}, err
+	}
+	return w.Fake.Get(ctx, key)
+}
+
+func (w *way) Put(ctx context.Context, key string, value []byte, v int64) (store.Object, error) {
+	if err := w.enter(ctx); err != nil {
+		return store.Object{}, err
+	}
+	return w.Fake.Put(ctx, key, value, v)
+}
+
+// hosts returns the stores of hosts a and b over one store.
+func hosts(reachable bool) (*way, *way, *storerelay.Store) {
+	fake, network := storetest.New(), peertest.New()
+	a, b := &way{Fake: fake}, &way{Fake: fake}
+	options := func(name peer.HostID, w *way, peers ...peer.HostID) storerelay.Options {
+		return storerelay.Options{
+			Direct: w, Peers: network.Node(name), Metrics: metrics.New(), Logger: slog.New(slog.DiscardHandler),
+			Reachable: func() []peer.HostID {
+				if !reachable {
+					return nil
+				}
+				return peers
+			},
+		}
+	}
+	storerelay.New(options("b", b))
+	return a, b, storerelay.New(options("a", a, "b"))
+}
+
+func refuse(w *way, err error) { w.fault.Store(&err) }
+
+// TestAHostThatIsTurnedAwayUsesAPeer guards against refusing callers' jobs at
+// a host that the store does not serve.
+func TestAHostThatIsTurnedAwayUsesAPeer(t *testing.T) {
+	is := is.New(t)
+	a, b, s := hosts(true)
+	refuse(a, store.ErrUnavailable)
+	ctx := context.Background()
+	o, err := s.Put(ctx, "k/x", []byte("1"), 0)
+	is.NoErr(err)
+	got, err := s.Get(ctx, "k/x")
+	is.NoErr(err)
+	is.Equal(got, o)
+	is.Equal(a.calls.Load(), int64(1)) // the second call goes to the peer at once
+	is.Equal(b.calls.Load(), int64(2))
+	conflict, err := s.Put(ctx, "k/x", []byte("2"), 0)
+	is.True(errors.Is(err, store.ErrConflict))
+	is.Equal(conflict.Version, o.Version)
+	_, err = s.Get(ctx, "k/none")
+	is.True(errors.Is(err, store.ErrNotFound))
+}
+
+// TestAWriteThatMayHaveTakenEffectIsNotRepeated guards against a second write
+// under a condition that the first one changed.
+func TestAWriteThatMayHaveTakenEffectIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	a, b, s := hosts(true)
+	a.silent.Store(true)
+	started := time.Now()
+	_, err := s.Put(context.Background(), "k/x", []byte("1"), 7)
+	is.True(errors.Is(err, store.ErrUnknownOutcome))
+	is.Equal(b.calls.Load(), int64(0))
+	is.True(time.Since(started) < time.Second)
+	_, err = s.Get(context.Background(), "k/x") // a read goes to the peer at once
+	is.True(errors.Is(err, store.ErrNotFound))
+	is.Equal(b.calls.Load(), int64(1))
+}
+
+func TestWithoutAPeerTheStoreIsCalledDirectly(t *testing.T) {
+	is := is.New(t)
+	a, _, s := hosts(false)
+	_, err := s.Put(context.Background(), "k/x", []byte("1"), 0)
+	is.NoErr(err)
+	refuse(a, store.ErrUnavailable)
+	_, err = s.Get(context.Background(), "k/x")
+	is.True(errors.Is(err, store.ErrUnavailable))
+	is.Equal(a.calls.Load(), int64(2))
+}
+
+func TestThePeersOwnFaultIsTold(t *testing.T) {
+	is := is.New(t)
+	a, b, s := hosts(true)
+	refuse(a, store.ErrRateLimited)
+	refuse(b, store.ErrUnavailable)
+	_, err := s.Put(context.Background(), "k/x", []byte("1"), 0)
+	is.True(errors.Is(err, store.ErrUnavailable))
+}
