--- a/internal/bulk/ownership.go
+++ b/internal/bulk/ownership.go
@@ -97,8 +97,11 @@
 // contest settles that a peer runs a job that this host runs as well: one of
 // them was taken for lost. The host that ranks first for the job goes on.
 func (s *Service) contest(j *job, peer string) {
-	self := s.opts.Cluster.Self().Name
-	keep := rank(j.id, self) < rank(j.id, peer)
+	self := s.opts.Cluster.Self()
+	if self.Leaving {
+		return // the peer takes over what this host gives up
+	}
+	keep := rank(j.id, self.Name) < rank(j.id, peer)
 	s.log.Info("job run by two hosts", "event", "job_contested", "job", j.id, "peer", peer, "kept", keep)
 	if !keep {
 		s.release(j)
--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -149,6 +149,7 @@
 			if err := s.commitAll(ctx, j); err != nil {
 				s.log.Warn("results not written at shutdown", "step", "commit", "job", j.id, "error", err)
 			}
+			s.release(j)
 		}
 	}
 }
