--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -94,6 +94,7 @@
 
 func (f *testFleet) Current() *routing.Snapshot { return f.snapshot.Load() }
 func (f *testFleet) Fresh() bool                { return true }
+func (f *testFleet) Age() time.Duration         { return 0 }
 
 func newFleet(t *testing.T, servers ...*servertest.Server) *testFleet {
 	f := &testFleet{t: t, store: storetest.New(), network: peertest.New(), servers: servers, hosts: map[string]*testHost{}}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -138,7 +138,7 @@
 		Commands: []*cli.Command{
 			a.serveCommand(), a.configCommand(), a.workspaceCommand(), a.keyCommand(), a.routeCommand(),
 			a.serverCommand(), a.orderCommand(), a.jobCommand(), a.statusCommand(), a.timelineCommand(),
-			a.platformCommand(), a.versionCommand(),
+			a.explainCommand(), a.platformCommand(), a.versionCommand(),
 		},
 	}
 	a.prepare(root, true)
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -20,10 +20,17 @@
 	// above are not bound by it: failures are rarer than requests, and the
 	// ring bounds them.
 	linesPerSecond = 250
+	// sampledPerSecond bounds the lines of LevelSampled, so that answers that
+	// went well do not crowd out refusals and failures.
+	sampledPerSecond = 100
 	// flushInterval gathers lines into one write.
 	flushInterval = 100 * time.Millisecond
 )
 
+// LevelSampled is the level of lines about requests that went well. They are
+// shown as INFO, and are the first to be left out under load.
+const LevelSampled = slog.Level(-2)
+
 var counters = expvar.NewMap("log")
 
 // Writer is an io.Writer that does not block. Close flushes it.
@@ -107,7 +114,8 @@
 // handler bounds the rate of lines below Warn.
 type handler struct {
 	slog.Handler
-	limit *rate
+	limit   *rate
+	sampled *rate
 }
 
 // rate counts lines in the present second.
@@ -115,16 +123,24 @@
 	mu     sync.Mutex
 	second int64
 	lines  int
+	most   int // per second
 }
 
 // New returns a logger of JSON lines at or above a level to w.
 func New(w *Writer, level slog.Level) *slog.Logger {
-	opts := &slog.HandlerOptions{Level: level, ReplaceAttr: errorMessages}
-	return slog.New(&handler{slog.NewJSONHandler(w, opts), &rate{}})
+	if level == slog.LevelInfo {
+		level = LevelSampled
+	}
+	opts := &slog.HandlerOptions{Level: level, ReplaceAttr: replaceAttr}
+	return slog.New(&handler{slog.NewJSONHandler(w, opts), &rate{most: linesPerSecond}, &rate{most: sampledPerSecond}})
 }
 
-// errorMessages logs errors by their message, without stack traces.
-func errorMessages(_ []string, a slog.Attr) slog.Attr {
+// replaceAttr logs errors by their message, without stack traces, and
+// LevelSampled as INFO.
+func replaceAttr(_ []string, a slog.Attr) slog.Attr {
+	if a.Key == slog.LevelKey && a.Value.Any() == LevelSampled {
+		a.Value = slog.StringValue(slog.LevelInfo.String())
+	}
 	if err, ok := a.Value.Any().(error); ok {
 		a.Value = slog.StringValue(err.Error())
 	}
@@ -133,7 +149,11 @@
 
 // Handle implements slog.Handler.
 func (h *handler) Handle(ctx context.Context, r slog.Record) error {
-	if r.Level < slog.LevelWarn && !h.limit.allow(r.Time) {
+	limit := h.limit
+	if r.Level < slog.LevelInfo {
+		limit = h.sampled
+	}
+	if r.Level < slog.LevelWarn && !limit.allow(r.Time) {
 		counters.Add("dropped_rate", 1)
 		return nil
 	}
@@ -142,12 +162,12 @@
 
 // WithAttrs implements slog.Handler.
 func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
-	return &handler{h.Handler.WithAttrs(attrs), h.limit}
+	return &handler{h.Handler.WithAttrs(attrs), h.limit, h.sampled}
 }
 
 // WithGroup implements slog.Handler.
 func (h *handler) WithGroup(name string) slog.Handler {
-	return &handler{h.Handler.WithGroup(name), h.limit}
+	return &handler{h.Handler.WithGroup(name), h.limit, h.sampled}
 }
 
 func (r *rate) allow(now time.Time) bool {
@@ -157,5 +177,5 @@
 		r.second, r.lines = s, 0
 	}
 	r.lines++
-	return r.lines <= linesPerSecond
+	return r.lines <= r.most
 }
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -96,3 +96,30 @@
 	}
 	is.Equal(failures, 20)
 }
+
+// TestGoodNewsIsLeftOutFirst guards against refusals that are missing because
+// answers that went well filled the log.
+func TestGoodNewsIsLeftOutFirst(t *testing.T) {
+	is := is.New(t)
+	out := &buffer{}
+	w := NewWriter(out)
+	logger := New(w, slog.LevelInfo)
+	for range 5 * sampledPerSecond {
+		logger.Log(t.Context(), LevelSampled, "request served")
+	}
+	for range 20 {
+		logger.Info("request refused")
+	}
+	w.Close()
+	served, refused := 0, 0
+	for _, line := range out.lines() {
+		is.True(strings.Contains(line, `"level":"INFO"`))
+		if strings.Contains(line, "served") {
+			served++
+		} else {
+			refused++
+		}
+	}
+	is.True(served <= 2*sampledPerSecond)
+	is.Equal(refused, 20)
+}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -34,6 +34,15 @@
 	return ok && age < c.keyAge
 }
 
+// Age implements online.Config.
+func (c *configuration) Age() time.Duration {
+	age, ok := c.informer.Age(c.prefix)
+	if !ok {
+		return -1
+	}
+	return age
+}
+
 // changed adopts a newer version. A version never goes back.
 func (c *configuration) changed(copied informer.Copy) {
 	for _, obj := range copied.Objects {
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -11,6 +11,7 @@
 
 	"ragwortstep/internal/core/placement"
 	"ragwortstep/internal/core/routing"
+	"ragwortstep/internal/decisionlog"
 	"ragwortstep/internal/slots"
 	"ragwortstep/internal/upstream"
 )
@@ -28,7 +29,8 @@
 	last   int64    // last whole event passed on
 	events int      // whole events passed on
 	first  time.Duration
-	server string // of the last attempt
+	waited time.Duration // for places
+	server string        // of the last attempt
 	sent   time.Time
 	alone  bool // the call is a suspect and the only one at the server
 	// kept is the answer of a server that failed the request, passed on when
@@ -137,6 +139,7 @@
 func (f *forwarding) attempt(place *slots.Place) bool {
 	f.tried = append(f.tried, place.Server.ID)
 	f.server, f.sent = place.Server.ID, time.Now()
+	f.waited += place.Waited
 	if f.alone = f.opts.Suspects.Start(f.print, f.server); f.alone {
 		defer f.opts.Suspects.End(f.print)
 	}
@@ -310,9 +313,10 @@
 func (f *forwarding) served(status int) {
 	took := time.Since(f.call.Arrived)
 	f.opts.Metrics.Served(f.route.Name, status, f.first, took)
-	f.log.Debug("request served", "event", "served", "request", f.call.ID, "route", f.route.Name, "workspace", f.workspace.Name,
-		"server", f.server, "status", status, "sends", f.sends, "events", f.events, "first_ms", f.first.Milliseconds(),
-		"took_ms", took.Milliseconds(), "config_version", f.version)
+	f.log.Log(f.ctx, decisionlog.LevelSampled, "request served", "event", "served", "request", f.call.ID, "route", f.route.Name,
+		"workspace", f.workspace.Name, "server", f.server, "status", status, "sends", f.sends, "events", f.events,
+		"waited_ms", f.waited.Milliseconds(), "first_ms", f.first.Milliseconds(), "took_ms", took.Milliseconds(),
+		"config_version", f.version, "config_age_ms", f.opts.Config.Age().Milliseconds())
 }
 
 // firstByte bounds the wait for the answer's header where the call may go to
--- a/internal/online/online_test.go
+++ b/internal/online/online_test.go
@@ -38,6 +38,7 @@
 
 func (f *fixture) Current() *routing.Snapshot { return f.snapshot.Load() }
 func (f *fixture) Fresh() bool                { return f.fresh.Load() }
+func (f *fixture) Age() time.Duration         { return 0 }
 
 func route(name string, kind routing.Kind, attempts int) routing.Route {
 	return routing.Route{
--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -191,7 +191,7 @@
 	s.opts.Metrics.Refused(route, r.Code)
 	s.log.Info("request refused", "event", "refused", "request", call.ID, "route", route, "workspace", workspace,
 		"status", r.Status, "code", r.Code, "detail", r.Detail, "retry_after_ms", r.After.Milliseconds(),
-		"config_version", version, "sends", sends, "held_ms", time.Since(call.Arrived).Milliseconds())
+		"config_version", version, "config_age_ms", s.opts.Config.Age().Milliseconds(), "sends", sends, "held_ms", time.Since(call.Arrived).Milliseconds())
 	r.Write(w)
 }
 
--- a/internal/online/types.go
+++ b/internal/online/types.go
@@ -66,6 +66,9 @@
 	// Fresh reports whether a key that was withdrawn too long ago cannot still
 	// be in the current configuration.
 	Fresh() bool
+	// Age is the time since the current configuration was last known to be the
+	// newest, negative when it never was.
+	Age() time.Duration
 }
 
 // maxIdle is the longest idle time of a connection that carries a request that
