bulk: read segments again after a cut or a suspension

TestAHostThatWasCutOffShowsWhatOthersListed fails before (0 of 6 results) and passes after. The test of a contested job did not cut the digests, as it said; it does now. Conclusion: an owner's list counts only after a reading that began a second after every peer was back; a job marked complete elsewhere is given up.

--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -69,9 +69,32 @@
 	return s.Fake.Watch(ctx, prefix, from, wait)
 }
 
+// udpConn is a host's socket for digests, which a test can cut.
+type udpConn struct {
+	net.PacketConn
+	cut atomic.Bool
+}
+
+func (c *udpConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	if c.cut.Load() {
+		return len(p), nil
+	}
+	return c.PacketConn.WriteTo(p, to)
+}
+
+func (c *udpConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	for {
+		n, from, err := c.PacketConn.ReadFrom(p)
+		if err != nil || !c.cut.Load() {
+			return n, from, err
+		}
+	}
+}
+
 // testHost is one host of a fleet in this process.
 type testHost struct {
 	name    string
+	udp     *udpConn
 	store   *hostStore
 	cluster *cluster.Cluster
 	bulk    *bulk.Service
@@ -112,13 +135,14 @@
 // start starts a host, or a new process of one.
 func (f *testFleet) start(name string) *testHost {
 	f.t.Helper()
-	udp, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	raw, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	udp := &udpConn{PacketConn: raw}
 	f.starts++
 	logger := slog.New(slog.DiscardHandler)
-	h := &testHost{name: name, store: &hostStore{Fake: f.store}, address: udp.LocalAddr().String()}
+	h := &testHost{name: name, udp: udp, store: &hostStore{Fake: f.store}, address: udp.LocalAddr().String()}
 	node := f.network.Node(peer.HostID(name))
 	h.cluster = cluster.New(cluster.Options{Self: cluster.Member{Name: name, Incarnation: f.starts, Address: h.address}, Conn: udp, Logger: logger})
 	inf := informer.New(informer.Options{
@@ -528,12 +552,11 @@
 	f.settle()
 	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 16)))
 	// Digests stop in both directions; both still reach the store.
-	a.cluster.SetMembers(nil)
-	b.cluster.SetMembers(nil)
+	a.udp.cut.Store(true)
+	f.network.Cut("a", "b", true)
 	time.Sleep(3 * time.Second)
-	members := []cluster.Member{a.cluster.Self(), b.cluster.Self()}
-	a.cluster.SetMembers(members)
-	b.cluster.SetMembers(members)
+	a.udp.cut.Store(false)
+	f.network.Cut("a", "b", false)
 	is.Equal(f.complete(a, "job", 16), f.complete(b, "job", 16))
 }
 
@@ -560,3 +583,41 @@
 	}
 	group.Wait()
 }
+
+// TestAHostThatWasCutOffShowsWhatOthersListed guards against answering from
+// the list of a job that another host finished while this one was out of
+// reach: nobody contests a job that is complete.
+func TestAHostThatWasCutOffShowsWhatOthersListed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := servertest.New(t, generate(time.Millisecond))
+	f := newFleet(t, s)
+	a, b := f.start("a"), f.start("b")
+	f.settle()
+	var stuck atomic.Bool
+	stuck.Store(true)
+	s.Script(func(c *servertest.Conn) bool {
+		if stuck.Load() {
+			<-c.Gone()
+			return false
+		}
+		return generate(time.Millisecond)(c)
+	})
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 6)))
+	f.eventually("items run at a", func() bool { return len(s.Arrivals()) == 6 })
+	a.store.cut.Store(true) // cut off from the store and, below, from b
+	f.network.Cut("a", "b", true)
+	a.udp.cut.Store(true)
+	stuck.Store(false)
+	f.complete(b, "job", 6)
+	a.store.cut.Store(false)
+	f.network.Cut("a", "b", false)
+	a.udp.cut.Store(false)
+	time.Sleep(time.Second)
+	for range 20 {
+		if r, err := f.read(a, "job"); err == nil && len(r) < 6 {
+			t.Fatalf("%d results are shown, 6 had been read", len(r))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/bulk/ownership.go
+++ b/internal/bulk/ownership.go
@@ -10,7 +10,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"ragwortstep/internal/bootclock"
 	"ragwortstep/internal/cluster"
+	"ragwortstep/internal/core/freshness"
 )
 
 const (
@@ -314,3 +316,36 @@
 		j.mu.Unlock()
 	}
 }
+
+// noteApart notes whether a peer is out of reach, or this host was suspended.
+func (s *Service) noteApart(now time.Time) {
+	apart := s.watched.happened()
+	for _, p := range s.opts.Cluster.Peers() {
+		apart = apart || !p.Alive(now)
+	}
+	if !apart {
+		return
+	}
+	s.mu.Lock()
+	s.apart = now
+	s.mu.Unlock()
+}
+
+// suspension detects that the machine stood still: the boot clock went on and
+// the monotonic clock did not.
+type suspension struct {
+	boot freshness.Instant
+	at   time.Time
+}
+
+// suspendedFor is the difference of the clocks that counts as a suspension.
+const suspendedFor = 300 * time.Millisecond
+
+// happened reports whether there was a suspension since the last call.
+func (w *suspension) happened() bool {
+	boot, at := bootclock.Now(), time.Now()
+	gap := boot.Sub(w.boot) - at.Sub(w.at)
+	first := w.at.IsZero()
+	w.boot, w.at = boot, at
+	return !first && gap > suspendedFor
+}
--- a/internal/bulk/read.go
+++ b/internal/bulk/read.go
@@ -20,6 +20,9 @@
 	// checkEvery bounds how often the store is asked for further results of a
 	// job that no reachable host runs.
 	checkEvery = 500 * time.Millisecond
+	// reunionFor is how long after a peer is back another host may still write
+	// for a job of this one: until both have heard of each other's claims.
+	reunionFor = time.Second
 	// refreshTimeout bounds the reading of further segments for a caller, who
 	// can ask another host afterwards.
 	refreshTimeout = 1500 * time.Millisecond
@@ -115,12 +118,13 @@
 // confirmList looks for segments that another host wrote while it was out of
 // reach: it may have taken this host for lost.
 func (s *Service) confirmList(ctx context.Context, j *job) error {
-	now := time.Now()
-	apart := false
-	for _, p := range s.opts.Cluster.Peers() {
-		apart = apart || !p.Alive(now)
-	}
-	if !apart {
+	s.mu.Lock()
+	until := s.apart.Add(reunionFor)
+	s.mu.Unlock()
+	j.mu.Lock()
+	due := j.checked.Before(until)
+	j.mu.Unlock()
+	if !due {
 		return nil
 	}
 	return s.refresh(ctx, j)
--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -64,6 +64,10 @@
 	jobs     map[string]*job      // that this host runs or read lately
 	claimed  map[string]claimed   // by source
 	unowned  map[string]time.Time // since when no host was seen to run a job
+	// apart is when a peer was last out of reach, or this host suspended:
+	// another host may have run this one's jobs until then.
+	apart   time.Time
+	watched suspension
 }
 
 // headCopy is a head as the informer has it.
@@ -126,6 +130,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			s.noteApart(time.Now())
 			s.reviewOwnership(time.Now())
 			s.dropUnused(time.Now())
 		}
@@ -173,8 +178,12 @@
 	s.heads = heads
 	var ended []*job
 	for id, h := range heads {
-		if j, ok := s.jobs[id]; ok && h.Ended {
+		j, ok := s.jobs[id]
+		switch {
+		case ok && h.Ended:
 			ended = append(ended, j)
+		case ok && h.Done:
+			j.doneElsewhere()
 		}
 	}
 	s.mu.Unlock()
@@ -183,6 +192,20 @@
 	}
 }
 
+// doneElsewhere notes that all items of a job are listed. If this host does
+// not know them, another one listed them.
+func (j *job) doneElsewhere() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.head.Done = true
+	if !j.list.Complete() {
+		j.owned, j.loaded = false, false
+		if j.stop != nil {
+			j.stop()
+		}
+	}
+}
+
 // end stops a job that its caller ended.
 func (s *Service) end(j *job) {
 	j.mu.Lock()
@@ -302,7 +325,7 @@
 func (s *Service) adoptNew(sub *Submission, head Head, version int64) {
 	j := newJob(sub.ID, head)
 	j.setItems(sub.Items)
-	j.loaded = true
+	j.loaded, j.checked = true, time.Now()
 	s.mu.Lock()
 	if _, ok := s.jobs[sub.ID]; ok || s.leaving {
 		s.mu.Unlock()
