--- /dev/null
+++ b/test/coop/client.go
@@ -0,0 +1,181 @@
+package coop
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Ledger collects what callers saw, for the checks.
+type Ledger struct {
+	mu       sync.Mutex
+	Answers  map[string]int // status by id, 0 for none; the last attempt of an id
+	Routes   map[string]string
+	Served   int
+	Failures []string // broken promises
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{Answers: map[string]int{}, Routes: map[string]string{}} }
+
+// Fail notes a broken promise.
+func (l *Ledger) Fail(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Failures = append(l.Failures, fmt.Sprintf(format, args...))
+}
+
+func (l *Ledger) answered(route, id string, status int, whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Answers[id], l.Routes[id] = status, route
+	if status == http.StatusOK && whole {
+		l.Served++
+	}
+}
+
+// Client calls hosts.
+type Client struct {
+	Ledger *Ledger
+	http   http.Client
+}
+
+// NewClient returns a client with connections of its own.
+func NewClient(l *Ledger) *Client {
+	return &Client{Ledger: l, http: http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+}
+
+func (c *Client) request(method, host, path, id, key string, body []byte) (*http.Request, error) {
+	r, err := http.NewRequest(method, "http://"+host+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Host = "h.example"
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Authorization", "Token "+key)
+	r.Header.Set("Deadline-Ms", "5000")
+	return r, nil
+}
+
+// Call sends an online request and checks the answer.
+func (c *Client) Call(host, route, id, key string) int {
+	r, err := c.request(http.MethodPost, host, "/"+route+"/x", id, key, []byte("body "+id))
+	if err != nil {
+		c.Ledger.Fail("request %s: %v", id, err)
+		return 0
+	}
+	streams := route == "stream" || route == "resume"
+	if streams {
+		r.Header.Set("Token-Count", "100,50")
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		c.Ledger.answered(route, id, 0, false)
+		return 0
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	c.Ledger.answered(route, id, resp.StatusCode, err == nil)
+	if resp.StatusCode != http.StatusOK || err != nil {
+		return resp.StatusCode
+	}
+	if got := resp.Header.Get("Attempt-Id"); got != id {
+		c.Ledger.Fail("%s %s: answer to %q", route, id, got)
+	}
+	want := PlainBody(id)
+	if streams {
+		want = wholeStream(id)
+	}
+	if string(body) != want {
+		c.Ledger.Fail("%s %s: whole answer %q, want %q", route, id, body, want)
+	}
+	return resp.StatusCode
+}
+
+func wholeStream(id string) string {
+	var b strings.Builder
+	for n := int64(1); n <= EventCount(id); n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, EventData(id, n))
+	}
+	return b.String()
+}
+
+// Submit hands a job in. It returns the status, 0 for none.
+func (c *Client) Submit(host, job, key string, items int) int {
+	type item struct {
+		ID      string            `json:"id"`
+		Path    string            `json:"path"`
+		Headers map[string]string `json:"headers"`
+		Body    []byte            `json:"body"`
+		Tokens  int               `json:"tokens"`
+	}
+	var list []item
+	for n := range items {
+		list = append(list, item{fmt.Sprintf("%s-%d", job, n), "/batch/i", map[string]string{"Token-Count": "100,50"}, []byte("x"), 150})
+	}
+	raw, err := json.Marshal(map[string]any{"items": list})
+	if err != nil {
+		c.Ledger.Fail("job %s: %v", job, err)
+		return 0
+	}
+	return c.status(http.MethodPost, host, "/batch/"+job, job, key, raw)
+}
+
+// End ends a job.
+func (c *Client) End(host, job, key string) int {
+	return c.status(http.MethodDelete, host, "/lots/"+job, job, key, nil)
+}
+
+func (c *Client) status(method, host, path, id, key string, body []byte) int {
+	r, err := c.request(method, host, path, id, key, body)
+	if err != nil {
+		c.Ledger.Fail("%s %s: %v", method, path, err)
+		return 0
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body) // keeps the connection
+	return resp.StatusCode
+}
+
+// Result is one listed item.
+type Result struct {
+	ID     string `json:"id"`
+	State  string `json:"state"`
+	Output string `json:"output"`
+}
+
+// Results reads a job's results from a position. ok is false when the host did
+// not answer with them.
+func (c *Client) Results(host, job, key string, after int) (results []Result, total, status int) {
+	r, err := c.request(http.MethodGet, host, fmt.Sprintf("/lots/%s?after=%d", job, after), job, key, nil)
+	if err != nil {
+		c.Ledger.Fail("results of %s: %v", job, err)
+		return nil, 0, 0
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, 0, 0
+	}
+	defer resp.Body.Close()
+	var page struct {
+		Total   int      `json:"total"`
+		Results []Result `json:"results"`
+	}
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, resp.Body) // keeps the connection
+		return nil, 0, resp.StatusCode
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
+		return nil, 0, 0
+	}
+	return page.Results, page.Total, resp.StatusCode
+}
--- /dev/null
+++ b/test/coop/fleet.go
@@ -0,0 +1,189 @@
+package coop
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/test/standin/relay"
+)
+
+// graceS is the time from SIGTERM to SIGKILL, in seconds.
+const graceS = 6
+
+// Host is one process of the program, and its way to the store.
+type Host struct {
+	Name    string
+	Callers string // address
+	program string
+	file    string
+	log     *os.File
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+// Fleet is hosts that use one store. Each reaches it through a relay link of
+// its own, named "store-" and the host's name.
+type Fleet struct {
+	Store *Store
+	Relay *relay.Server
+	Hosts []*Host
+	dir   string
+}
+
+// NewFleet starts n hosts of the program. Their logs are in dir.
+func NewFleet(program, dir string, store *Store, n int) (*Fleet, error) {
+	f := &Fleet{Store: store, Relay: relay.New(), dir: dir}
+	for i := range n {
+		h := &Host{Name: fmt.Sprintf("host-%d", i), program: program}
+		if err := f.prepare(h); err != nil {
+			return nil, err
+		}
+		f.Hosts = append(f.Hosts, h)
+	}
+	for _, h := range f.Hosts {
+		if err := h.Start(); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// prepare writes a host's settings and opens its log.
+func (f *Fleet) prepare(h *Host) error {
+	ports, err := freePorts(4)
+	if err != nil {
+		return err
+	}
+	way := fmt.Sprintf("127.0.0.1:%d", ports[3])
+	if err := f.Relay.Add(relay.Spec{Name: "store-" + h.Name, Listen: way, Target: f.Store.Address()}); err != nil {
+		return err
+	}
+	h.Callers = fmt.Sprintf("127.0.0.1:%d", ports[0])
+	settings := map[string]any{
+		"nodeName": h.Name, "zone": "z1", "ip": "127.0.0.1", "internalPorts": []int{ports[2], ports[2]},
+		"listen":   map[string]string{"front": h.Callers, "ready": fmt.Sprintf("127.0.0.1:%d", ports[1])},
+		"limits":   map[string]float64{"cpuShare": 0.5, "cores": 1},
+		"bounds":   map[string]any{"graceS": graceS, "strictRevocation": true, "revokeMs": 5000, "statusS": 120},
+		"platform": map[string]string{"address": way},
+	}
+	raw, err := json.Marshal(settings)
+	if err != nil {
+		return errors.Wrap(err, "encode settings")
+	}
+	h.file = filepath.Join(f.dir, h.Name+".json")
+	if err := os.WriteFile(h.file, raw, 0o600); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	h.log, err = os.Create(filepath.Join(f.dir, h.Name+".log"))
+	return errors.Wrap(err, "create log")
+}
+
+// freePorts returns ports that were free a moment ago.
+func freePorts(n int) ([]int, error) {
+	var out []int
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		defer l.Close()
+		out = append(out, l.Addr().(*net.TCPAddr).Port)
+	}
+	return out, nil
+}
+
+// Start starts the host's process.
+func (h *Host) Start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cmd = exec.Command(h.program, "platform", "serve", "--settings", h.file)
+	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
+	return errors.Wrapf(h.cmd.Start(), "start %s", h.Name)
+}
+
+// Signal sends a signal to the host's process.
+func (h *Host) Signal(sig syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.cmd.Process.Signal(sig) // it may have ended
+}
+
+// Wait waits until the process has ended and returns its error.
+func (h *Host) Wait() error {
+	h.mu.Lock()
+	cmd := h.cmd
+	h.mu.Unlock()
+	return cmd.Wait()
+}
+
+// Restart ends the process by a signal, waits for its end and starts another.
+func (h *Host) Restart(sig syscall.Signal) error {
+	h.Signal(sig)
+	_ = h.Wait() // an error is the signal's
+	return h.Start()
+}
+
+// Close ends all processes.
+func (f *Fleet) Close() {
+	for _, h := range f.Hosts {
+		h.Signal(syscall.SIGCONT)
+		h.Signal(syscall.SIGKILL)
+		_ = h.Wait() // an error is the signal's
+		_ = h.log.Close()
+	}
+	f.Relay.Close()
+}
+
+// BuildProgram compiles the program into dir.
+func BuildProgram(ctx context.Context, dir string) (string, error) {
+	target := filepath.Join(dir, "ragwortstep")
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", target, "ragwortstep/cmd/ragwortstep")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", errors.Wrapf(err, "build: %s", out)
+	}
+	return target, nil
+}
+
+// Configure writes a configuration with a route of each kind and one key.
+func Configure(store *Store, version int64, keys ...string) {
+	route := func(name, kind string, attempts int, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 4000,
+			"targetLatencyMs": 100, "gapAimMs": 100, "maxAttempts": attempts, "service": "llm",
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	store.Set("config", "main", map[string]any{
+		"version": version,
+		"routes": []any{
+			route("plain", "idempotent", 2, map[string]any{"service": "app"}),
+			route("once", "non_idempotent", 2, map[string]any{"service": "app"}),
+			route("stream", "streaming", 1, nil),
+			route("resume", "streaming", 3, map[string]any{"resumable": true}),
+			route("batch", "batch", 3, map[string]any{"completionTargetMs": 10_000, "retentionS": 120}),
+		},
+		"services": []any{map[string]any{"name": "llm"}, map[string]any{"name": "app"}},
+		"tenants":  []any{map[string]any{"name": "w", "apiKeys": keys}},
+	})
+}
+
+// StopFor pauses the process of a host.
+func (h *Host) StopFor(d time.Duration) {
+	h.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	h.Signal(syscall.SIGCONT)
+}
--- /dev/null
+++ b/test/coop/server.go
@@ -0,0 +1,132 @@
+package coop
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Server is a backend server. It streams events to requests that name tokens
+// and answers others at once. What it says depends on the request's id alone,
+// so that readers can check it.
+type Server struct {
+	Name    string
+	Service string
+	Born    int64
+	Pause   time.Duration // between events
+	server  *httptest.Server
+
+	mu   sync.Mutex
+	runs []Run
+	gone bool
+}
+
+// Run is one request that a server began to run.
+type Run struct {
+	ID     string
+	After  int64
+	Tenant string
+	Leaked bool // the caller's key reached the server
+	At     time.Time
+}
+
+// slots is the number of requests that a server says it runs at once.
+const slots = 8
+
+// NewServer starts a server and registers it in the store.
+func NewServer(store *Store, name, service string, pause time.Duration) *Server {
+	s := &Server{Name: name, Service: service, Born: time.Now().UnixMilli(), Pause: pause}
+	s.server = httptest.NewServer(s)
+	s.Register(store, "ready")
+	return s
+}
+
+// Register writes the server's entry.
+func (s *Server) Register(store *Store, state string) {
+	store.Set("servers", s.Name, map[string]any{
+		"service": s.Service, "address": strings.TrimPrefix(s.server.URL, "http://"), "zone": "z1", "slots": slots, "state": state, "born": s.Born,
+	})
+}
+
+// Crash breaks all connections and ends the server.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	s.gone = true
+	s.mu.Unlock()
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// Runs returns the requests that the server began to run.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// EventCount is the number of events that a request's id stands for.
+func EventCount(id string) int64 { return 5 + int64(sum(id)%20) }
+
+// EventData is the data of one event.
+func EventData(id string, n int64) string { return fmt.Sprintf("%x-%d", sum(id), n) }
+
+// WholeOutput is the data of all events of a request.
+func WholeOutput(id string) string {
+	var lines []string
+	for n := int64(1); n <= EventCount(id); n++ {
+		lines = append(lines, EventData(id, n))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// PlainBody is the answer to a request without tokens.
+func PlainBody(id string) string { return fmt.Sprintf("answer %x", sum(id)) }
+
+func sum(id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // a hash does not fail
+	return h.Sum64()
+}
+
+// ServeHTTP implements the server's protocol.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Attempt-Id")
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Server-Load", fmt.Sprintf("1,0,%d", slots))
+	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != s.Name {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.ReadAll(r.Body); err != nil || id == "" {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	after, _ := strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64) // 0 without one
+	s.mu.Lock()
+	s.runs = append(s.runs, Run{ID: id, After: after, Tenant: r.Header.Get("Tenant"), Leaked: r.Header.Get("Authorization") != "", At: time.Now()})
+	s.mu.Unlock()
+	w.Header().Set("Response-Seal", fmt.Sprintf("%x", sum(id)))
+	if r.Header.Get("Token-Count") == "" {
+		_, _ = io.WriteString(w, PlainBody(id)) // the host may have gone
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := after + 1; n <= EventCount(id); n++ {
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(id, n))
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		select {
+		case <-time.After(s.Pause):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
