--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DURATION ?= 60s
 DEPLOYMENT ?= thies
 
-.PHONY: build test lint unit integration up demo bench bench-control capacity soak fuzz clean
+.PHONY: build test lint unit integration up demo bench bench-control capacity soak soak-platform fuzz clean
 
 build:
 	$(GO) build -o bin/ragwortstep ./cmd/ragwortstep
@@ -54,3 +54,9 @@
 
 clean:
 	rm -rf bin out
+
+# Plays fresh seeds of the fault soak with hosts on the platform's protocol:
+# make soak-platform SEEDS=50 DURATION=6s
+SEEDS ?= 5
+soak-platform:
+	SOAK_SEEDS=$(SEEDS) SOAK_DURATION=$(DURATION) $(GO) test -count=1 -timeout 3600s -run TestSoak -v ./test/coop
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -34,7 +34,7 @@
 			return f.cutShort(place, resp, err)
 		}
 		f.begin(resp)
-		if _, err := f.w.Write(event.Raw); err == nil {
+		if _, err = f.w.Write(event.Raw); err == nil {
 			err = controller.Flush()
 		}
 		if err != nil || f.ctx.Err() != nil {
