Remove old jobs and registrations from the store; fuzz targets side by side

Cause: nothing that belongs to the system expires by itself in the store, so heads (which every host holds), payloads and results would pile up. After: the host that reads the store removes complete or ended jobs 30 s after the time for which they stay readable, and registrations of hosts silent for 10 minutes. Conclusion: an open job is never removed.

--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -44,6 +44,9 @@
 	Slots    *slots.Scheduler
 	Upstream *upstream.Client
 	Metrics  *metrics.Registry
+	// Readable is how long a job's results stay in the store after its
+	// submission, 0 for ever.
+	Readable time.Duration
 	Logger   *slog.Logger
 }
 
@@ -123,12 +126,15 @@
 
 // Run looks after the ownership of jobs until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	ticker := time.NewTicker(ownershipTick)
+	ticker, sweeps := time.NewTicker(ownershipTick), time.NewTicker(sweepEvery)
 	defer ticker.Stop()
+	defer sweeps.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-sweeps.C:
+			s.sweep(ctx)
 		case <-ticker.C:
 			s.noteApart(time.Now())
 			s.reviewOwnership(time.Now())
--- /dev/null
+++ b/internal/bulk/sweep_test.go
@@ -0,0 +1,68 @@
+package bulk
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/cluster"
+	"ragwortstep/internal/informer"
+	"ragwortstep/internal/metrics"
+	"ragwortstep/internal/peer/peertest"
+	"ragwortstep/internal/slots"
+	"ragwortstep/internal/store/storetest"
+)
+
+// TestOldJobsAreRemoved guards against a store that fills up, since nothing
+// there expires by itself, and against removing what may still be read.
+func TestOldJobsAreRemoved(t *testing.T) {
+	is := is.New(t)
+	udp, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = udp.Close() })
+	objects, logger, ctx := storetest.New(), slog.New(slog.DiscardHandler), context.Background()
+	c := cluster.New(cluster.Options{Self: cluster.Member{Name: "a"}, Conn: udp, Logger: logger})
+	node := peertest.New().Node("a")
+	inf := informer.New(informer.Options{
+		Store: objects, Cluster: c, Peers: node, Members: Collection, Logger: logger,
+		Collections: []informer.Collection{{Prefix: Collection, Wait: time.Millisecond, TakeOver: time.Second}},
+	})
+	s := New(Options{
+		Store: objects, Cluster: c, Informer: inf, Peers: node, Slots: slots.New(slots.Options{Cluster: c, Logger: logger}),
+		Metrics: metrics.New(), Readable: time.Minute, Logger: logger,
+	})
+	old := time.Now().Add(-time.Minute - readableMargin - time.Second).UnixMilli()
+	heads := map[string]Head{
+		"done": {Accepted: old, Done: true, Segments: 2, Parts: 2}, "ended": {Accepted: old, Ended: true, Parts: 1},
+		"open": {Accepted: old, Parts: 1}, "new": {Accepted: time.Now().UnixMilli(), Done: true, Segments: 1, Parts: 1},
+	}
+	for id, head := range heads {
+		raw, err := json.Marshal(head)
+		is.NoErr(err)
+		for _, key := range []string{HeadKey(id), payloadKey(id, 0), payloadKey(id, 1), segmentKey(id, 0), segmentKey(id, 1)} {
+			_, err := objects.Put(ctx, key, raw, 0)
+			is.NoErr(err)
+		}
+		s.heads[id] = headCopy{head, 1}
+	}
+	s.sweep(ctx)
+	left := map[string]int{}
+	for _, prefix := range []string{headPrefix, payloadPrefix, segmentPrefix} {
+		page, err := objects.List(ctx, prefix, "", 100)
+		is.NoErr(err)
+		for _, o := range page.Objects {
+			for id := range heads {
+				if strings.Contains(o.Key, id) {
+					left[id]++
+				}
+			}
+		}
+	}
+	is.Equal(left, map[string]int{"ended": 1, "open": 5, "new": 5}) // one part that the ended job's head does not name
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -19,6 +19,7 @@
 	"ragwortstep/internal/servertest"
 	"ragwortstep/internal/slots"
 	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 	"ragwortstep/internal/upstream"
 )
 
@@ -154,3 +155,33 @@
 	r.answer(context.Background())
 	is.Equal(p.retired.Load(), int64(2))
 }
+
+// TestAHostThatIsGoneIsForgotten guards against registrations, and shares of
+// quotas reserved for them, that pile up as hosts are replaced.
+func TestAHostThatIsGoneIsForgotten(t *testing.T) {
+	is := is.New(t)
+	udp, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = udp.Close() })
+	objects := storetest.New()
+	ctx := context.Background()
+	for _, name := range []string{"a", "b"} {
+		_, err := objects.Put(ctx, memberKey(name), []byte(`{}`), 0)
+		is.NoErr(err)
+	}
+	c := cluster.New(cluster.Options{Self: cluster.Member{Name: "a"}, Conn: udp, Logger: quiet})
+	c.SetMembers([]cluster.Member{{Name: "a"}, {Name: "b", Incarnation: 1, Address: "127.0.0.1:1"}})
+	reader := false
+	m := &members{cluster: c, store: objects, isReader: func() bool { return reader }, log: quiet}
+	now := time.Now()
+	m.sweep(ctx, now)
+	m.sweep(ctx, now.Add(goneFor))
+	_, err = objects.Get(ctx, memberKey("b"))
+	is.NoErr(err) // another host reads the store
+	reader = true
+	m.sweep(ctx, now.Add(goneFor))
+	_, err = objects.Get(ctx, memberKey("b"))
+	is.True(errors.Is(err, store.ErrNotFound))
+	_, err = objects.Get(ctx, memberKey("a"))
+	is.NoErr(err)
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -111,9 +111,9 @@
 	})
 	h.jobs = bulk.New(bulk.Options{
 		Store: objects, Cluster: h.cluster, Informer: h.informer, Peers: h.node, Config: h.config,
-		Codec: h.platform, Items: h.platform, Slots: h.slots, Upstream: client, Metrics: h.metrics, Logger: h.log,
+		Codec: h.platform, Items: h.platform, Slots: h.slots, Upstream: client, Metrics: h.metrics, Readable: h.settings.Readable, Logger: h.log,
 	})
-	h.members = &members{cluster: h.cluster, node: h.node, store: objects, log: h.log}
+	h.members = &members{cluster: h.cluster, node: h.node, store: objects, isReader: h.informer.IsReader, log: h.log}
 	h.retire = &retirements{platform: h.platform, isReader: h.informer.IsReader, log: h.log}
 	servers := &serverList{platform: h.platform, slots: h.slots, upstream: client, log: h.log}
 	h.informer.OnChange(at.Config, h.config.changed)
@@ -169,6 +169,7 @@
 	group.Go(func() { h.slots.Run(parts) })
 	group.Go(func() { h.jobs.Run(parts) })
 	group.Go(func() { h.members.register(parts) })
+	group.Go(func() { h.members.run(parts) })
 	group.Go(func() { h.retire.run(parts) })
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -23,16 +23,23 @@
 	// registerRetry is the pause after a registration that failed.
 	registerRetry = 300 * time.Millisecond
 	registerCall  = time.Second
+	// goneFor is how long a host must have been silent before its registration
+	// is removed. Until then its share of quotas stays reserved. A host that
+	// lives registers itself again.
+	goneFor  = 10 * time.Minute
+	goneTick = 30 * time.Second
 )
 
 func memberKey(host string) string { return bulk.Collection + memberName + host }
 
 // members registers this host and follows the registrations of the others.
 type members struct {
-	cluster *cluster.Cluster
-	node    *peer.Node
-	store   store.Store
-	log     *slog.Logger
+	cluster  *cluster.Cluster
+	node     *peer.Node
+	store    store.Store
+	isReader func() bool
+	log      *slog.Logger
+	silent   map[string]time.Time // since when hosts are silent; used by sweep only
 }
 
 // register writes this host's registration until the store has it.
@@ -93,3 +100,45 @@
 		m.node.SetAddress(peer.HostID(p.Name), p.Address)
 	}
 }
+
+// run removes the registrations of hosts that are gone, until ctx ends.
+func (m *members) run(ctx context.Context) {
+	ticker := time.NewTicker(goneTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.sweep(ctx, time.Now())
+		}
+	}
+}
+
+// sweep removes what has been silent for goneFor, if this host reads the store
+// for all.
+func (m *members) sweep(ctx context.Context, now time.Time) {
+	silent := map[string]time.Time{}
+	for _, p := range m.cluster.Peers() {
+		if p.Alive(now) {
+			continue
+		}
+		since, ok := m.silent[p.Name]
+		if !ok {
+			since = now
+		}
+		silent[p.Name] = since
+		if now.Sub(since) < goneFor || !m.isReader() {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, registerCall)
+		err := m.store.Delete(callCtx, memberKey(p.Name), store.AnyVersion)
+		cancel()
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
+			m.log.Warn("registration not removed", "step", "remove registration", "peer", p.Name, "error", err)
+			continue
+		}
+		m.log.Info("host is gone", "event", "host_removed", "peer", p.Name, "silent_s", now.Sub(since).Seconds())
+	}
+	m.silent = silent
+}
--- a/test/run.sh
+++ b/test/run.sh
@@ -16,10 +16,9 @@
 echo "== unit and property tests (race detector on)"
 go test -race -count=1 -timeout 300s "${skip[@]}" $packages
 echo "== fuzz targets, a fixed number of inputs each"
+# Targets run side by side: most of the time goes into building and starting.
 grep -rl --include='*_test.go' '^func Fuzz' internal platform | while read -r file; do
-    sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' "$file" | while read -r target; do
-        go test -run '^$' -fuzz "^${target}\$" -fuzztime "${FUZZ_COUNT:-2000}x" "./$(dirname "$file")" </dev/null
-    done
-done
+    sed -n "s#^func \\(Fuzz[A-Za-z]*\\).*#\\1 ./$(dirname "$file")#p" "$file"
+done | xargs -P "${FUZZ_JOBS:-4}" -L1 bash -c 'go test -run "^\$" -fuzz "^$0\$" -fuzztime "${FUZZ_COUNT:-2000}x" -parallel 2 "$1" </dev/null'
 echo "== tests with real processes"
 go test -count=1 -timeout 480s -p 1 "${skip[@]}" ./test/integration/...
