informer: tell every host of the store's return; probe it while peers keep copies fresh

Cause: found by reading: a host that hears of the store's return from a peer never noted it, and would drop servers whose entries lapsed in the outage at once; and a host whose calls failed counted as cut off until its peers' copies grew old, so it was no reader and no way to the store for others. TestEveryHostLearnsOfTheStoresReturn and the end of TestAHostThatTheStoreTurnsAwayLearnsFromOthers cover both. Conclusion: an interruption ends when a copy is confirmed again, by whomever; a host whose calls failed tries one collection every 2 s.

--- a/internal/core/freshness/freshness.go
+++ b/internal/core/freshness/freshness.go
@@ -24,20 +24,15 @@
 
 // Confirm notes that a question asked at the given instant was answered with
 // nothing newer. Only the start of the question counts: a change may have come
-// while the answer was on its way.
+// while the answer was on its way. A peer's statement that its equal copy had
+// some age counts as of so long before the last question of this host that the
+// peer had received when it made the statement.
 func (m *Mark) Confirm(asked Instant) {
 	if !m.known || asked > m.at {
 		m.at, m.known = asked, true
 	}
 }
 
-// ConfirmByPeer notes a peer's statement that its equal copy had the given
-// age. asked is the instant of a question of this host that the peer had
-// received before it computed the age.
-func (m *Mark) ConfirmByPeer(asked Instant, age time.Duration) {
-	m.Confirm(asked.Add(-age))
-}
-
 // Age returns the time since the copy was last known to be the newest, and
 // false when it never was.
 func (m *Mark) Age(now Instant) (time.Duration, bool) {
--- a/internal/core/freshness/freshness_test.go
+++ b/internal/core/freshness/freshness_test.go
@@ -68,7 +68,7 @@
 				if len(network) > 0 {
 					i := rapid.IntRange(0, len(network)-1).Draw(t, "message")
 					m := network[i]
-					hosts[m.to].mark.ConfirmByPeer(m.echo, m.age)
+					hosts[m.to].mark.Confirm(m.echo.Add(-m.age))
 					hosts[m.to].truth = max(hosts[m.to].truth, m.truth)
 					network = append(network[:i:i], network[i+1:]...)
 				}
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -6,11 +6,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +34,12 @@
 	// hopTime is the age that a copy gains with each further host between the
 	// reader and this one: a digest there and one back.
 	hopTime = 500 * time.Millisecond
+	// probeEvery is how often a host whose calls failed tries the store again
+	// although its peers keep its copies fresh.
+	probeEvery = 2 * time.Second
+	// interruption is the age beyond TakeOver from which a copy's confirmation
+	// ends an outage of the store: copies are not as old in calm times.
+	interruption = time.Second
 	// listTimeout bounds a full reading of one page.
 	listTimeout = 2 * time.Second
 	// retryFirst and retryMost bound the delay after a failed read.
@@ -49,9 +52,9 @@
 // Collection describes one collection of the store.
 type Collection struct {
 	Prefix string // of its keys, ends with a slash
-	// Wait is how long the reading host lets each watch wait. The others' copies
-	// are confirmed at the watch's start, so their age goes up to this and the
-	// time of a digest.
+	// Wait is how long the reading host lets each watch wait. Copies are
+	// confirmed as of a watch's start, so their age goes up to twice this, and
+	// at the other hosts the time of two digests more.
 	Wait time.Duration
 	// TakeOver is the age of a copy from which a host reads the store itself.
 	TakeOver time.Duration
@@ -60,8 +63,9 @@
 // Copy is a collection's content at one moment.
 type Copy struct {
 	Objects map[string]store.Object // by key
-	// Returned is when contact with the store came back after an interruption,
-	// zero when there was none. Entries may have lapsed in between.
+	// Returned is when the store was heard of again after an interruption, by
+	// this host or through a peer; zero when there was none. Entries may have
+	// lapsed in between.
 	Returned time.Time
 }
 
@@ -76,36 +80,10 @@
 	returned time.Time
 	onChange []func(Copy)
 	wake     chan struct{} // capacity 1: a peer announced something
-	healthy  bool          // the last call to the store succeeded
+	tried    time.Time     // last call to the store for this collection
 	log      []delta       // latest changes, oldest first
 }
 
-// delta is the events between two versions of a copy.
-type delta struct {
-	From   int64         `json:"from"` // Changed before
-	To     int64         `json:"to"`   // Changed after
-	Events []store.Event `json:"events"`
-}
-
-// logLength bounds the changes that a host keeps for peers whose copies are a
-// little behind.
-const logLength = 64
-
-func (s *state) remember(d delta) {
-	s.log = append(s.log, d)
-	s.log = s.log[max(0, len(s.log)-logLength):]
-}
-
-// since returns the changes after a version, and false when they are not all known.
-func (s *state) since(changed int64) ([]delta, bool) {
-	for i, d := range s.log {
-		if d.From == changed {
-			return s.log[i:], true
-		}
-	}
-	return nil, false
-}
-
 // Options configures an Informer. All fields but Logger are required.
 type Options struct {
 	Store       store.Store
@@ -126,6 +104,8 @@
 	started time.Time
 	mu      sync.Mutex
 	states  map[string]*state
+	// healthy is whether the last call to the store succeeded.
+	healthy bool
 	// reading is which peers say that their calls to the store succeed.
 	reading map[string]bool
 	// ahead is, by collection, a peer whose copy is newer than this host's.
@@ -137,9 +117,9 @@
 	if opts.Logger == nil {
 		opts.Logger = slog.Default()
 	}
-	i := &Informer{opts: opts, log: opts.Logger, started: time.Now(), states: map[string]*state{}, reading: map[string]bool{}, ahead: map[string]peer.HostID{}}
+	i := &Informer{opts: opts, log: opts.Logger, started: time.Now(), healthy: true, states: map[string]*state{}, reading: map[string]bool{}, ahead: map[string]peer.HostID{}}
 	for _, c := range opts.Collections {
-		i.states[c.Prefix] = &state{Collection: c, objects: map[string]store.Object{}, wake: make(chan struct{}, 1), healthy: true}
+		i.states[c.Prefix] = &state{Collection: c, objects: map[string]store.Object{}, wake: make(chan struct{}, 1)}
 	}
 	opts.Cluster.Provide(section, i.digest)
 	opts.Cluster.Receive(section, i.received)
@@ -166,7 +146,7 @@
 func (i *Informer) Healthy() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.healthyLocked()
+	return i.healthy
 }
 
 // Reachable returns the live peers whose own calls to the store succeed.
@@ -183,15 +163,6 @@
 	return out
 }
 
-func (i *Informer) healthyLocked() bool {
-	for _, s := range i.states {
-		if !s.healthy {
-			return false
-		}
-	}
-	return true
-}
-
 // Run keeps the copies in step until ctx ends.
 func (i *Informer) Run(ctx context.Context) {
 	var group sync.WaitGroup
@@ -246,6 +217,9 @@
 	if reader || !ok || !s.known {
 		return 0
 	}
+	if !i.healthy && s.Prefix == i.opts.Members {
+		return max(probeEvery-time.Since(s.tried), 0)
+	}
 	return max(s.TakeOver+time.Duration(hops-1)*hopTime-age, 0)
 }
 
@@ -260,7 +234,7 @@
 	coordinators := i.opts.Cluster.Coordinators()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if !i.healthyLocked() {
+	if !i.healthy {
 		return false
 	}
 	first := ""
@@ -277,6 +251,7 @@
 func (i *Informer) read(ctx context.Context, s *state) error {
 	i.mu.Lock()
 	known, version := s.known, s.version
+	s.tried = time.Now()
 	i.mu.Unlock()
 	var err error
 	if known {
@@ -334,11 +309,8 @@
 // when that changed, since another host may have to read now.
 func (i *Informer) noteContact(s *state, err error) {
 	i.mu.Lock()
-	before := s.healthy
-	s.healthy = err == nil
-	if s.healthy && !before {
-		s.returned = time.Now()
-	}
+	before := i.healthy
+	i.healthy = err == nil
 	i.mu.Unlock()
 	if before == (err == nil) {
 		return
@@ -351,6 +323,18 @@
 	i.opts.Cluster.Hasten()
 }
 
+// confirm notes that the copy was the newest at an instant, and whether that
+// ends an interruption: nobody could tell for longer than TakeOver.
+func (s *state) confirm(at freshness.Instant) {
+	now := bootclock.Now()
+	before, known := s.mark.Age(now)
+	s.mark.Confirm(at)
+	after, _ := s.mark.Age(now)
+	if known && before > s.TakeOver+interruption && after <= s.TakeOver {
+		s.returned = time.Now()
+	}
+}
+
 // apply adds events to the copy. Events that the copy already holds are
 // skipped: a copy taken from a peer may be newer than the watch's start.
 func (i *Informer) apply(s *state, events []store.Event, version int64, asked freshness.Instant) {
@@ -365,7 +349,7 @@
 		s.objects, s.changed = objects, version
 	}
 	s.version = max(s.version, version)
-	s.mark.Confirm(asked)
+	s.confirm(asked)
 	i.mu.Unlock()
 	if fresh {
 		i.announce(s)
@@ -395,7 +379,7 @@
 	}
 	s.objects, s.version, s.known, s.log = objects, version, true, nil
 	s.changed = max(s.changed, version)
-	s.mark.Confirm(asked)
+	s.confirm(asked)
 	i.mu.Unlock()
 	i.announce(s)
 }
@@ -419,183 +403,3 @@
 		s.poke()
 	}
 }
-
-// copyDigest is the state of one copy in a digest.
-type copyDigest struct {
-	Changed int64 `json:"c"`
-	Age     int64 `json:"a"` // ms, -1 when the copy was never confirmed
-}
-
-// infoDigest is the section of the digests.
-type infoDigest struct {
-	Reading bool                  `json:"r"` // the sender's calls to the store succeed
-	Copies  map[string]copyDigest `json:"k"`
-}
-
-func (i *Informer) digest() any {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	out := infoDigest{Reading: i.healthyLocked(), Copies: map[string]copyDigest{}}
-	now := bootclock.Now()
-	for prefix, s := range i.states {
-		if s.known {
-			out.Copies[prefix] = copyDigest{s.changed, ageMillis(&s.mark, now)}
-		}
-	}
-	return out
-}
-
-// ageMillis rounds an age up, so that a statement is never too young.
-func ageMillis(m *freshness.Mark, now freshness.Instant) int64 {
-	age, ok := m.Age(now)
-	if !ok {
-		return -1
-	}
-	return int64(age/time.Millisecond) + 1
-}
-
-// received compares a peer's copies with this host's.
-func (i *Informer) received(n cluster.News) {
-	var d infoDigest
-	if err := json.Unmarshal(n.Raw, &d); err != nil {
-		i.log.Warn("peer's digest not decoded", "step", "decode digest", "peer", n.From.Name, "error", err)
-		return
-	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.reading[n.From.Name] = d.Reading
-	for prefix, theirs := range d.Copies {
-		s, ok := i.states[prefix]
-		if !ok {
-			continue
-		}
-		switch {
-		case !s.known || theirs.Changed > s.changed:
-			i.ahead[prefix] = peer.HostID(n.From.Name)
-			s.poke()
-		case theirs.Changed == s.changed && n.Known && theirs.Age >= 0:
-			s.mark.ConfirmByPeer(n.Echoed, time.Duration(theirs.Age)*time.Millisecond)
-		}
-	}
-}
-
-func (s *state) poke() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
-// takeAhead returns a peer with a newer copy, once.
-func (i *Informer) takeAhead(s *state) (peer.HostID, bool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	from, ok := i.ahead[s.Prefix]
-	delete(i.ahead, s.Prefix)
-	return from, ok
-}
-
-// copyRequest asks for a copy of a collection, or for what changed in it after
-// the asking host's own copy.
-type copyRequest struct {
-	Prefix  string `json:"prefix"`
-	Changed int64  `json:"changed"` // 0 without a copy
-}
-
-// copyAnswer is a whole copy, or the changes since the one of the request.
-type copyAnswer struct {
-	Known   bool           `json:"known"`
-	Deltas  []delta        `json:"deltas,omitempty"`
-	Objects []store.Object `json:"objects,omitempty"`
-	Version int64          `json:"version"`
-	Changed int64          `json:"changed"`
-	Age     int64          `json:"age"` // ms, -1 when it was never confirmed
-}
-
-func (i *Informer) serveCopy(_ context.Context, _ peer.HostID, raw json.RawMessage) (any, error) {
-	var req copyRequest
-	if err := json.Unmarshal(raw, &req); err != nil {
-		return nil, errors.Wrap(err, "decode request for a copy")
-	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	s, ok := i.states[req.Prefix]
-	if !ok {
-		return nil, errors.Newf("no collection %q", req.Prefix)
-	}
-	out := copyAnswer{Known: s.known, Version: s.version, Changed: s.changed, Age: ageMillis(&s.mark, bootclock.Now())}
-	if deltas, ok := s.since(req.Changed); ok {
-		out.Deltas = deltas
-		return out, nil
-	}
-	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
-		out.Objects = append(out.Objects, s.objects[key])
-	}
-	return out, nil
-}
-
-// fetch takes over a peer's newer copy.
-func (i *Informer) fetch(ctx context.Context, s *state, from peer.HostID) {
-	asked := bootclock.Now()
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	i.mu.Lock()
-	request := copyRequest{s.Prefix, s.changed}
-	i.mu.Unlock()
-	var answer copyAnswer
-	if err := i.opts.Peers.Call(ctx, from, method, request, &answer); err != nil {
-		i.log.Warn("copy not fetched", "event", "copy_not_fetched", "step", "fetch copy", "peer", from, "collection", strings.TrimSuffix(s.Prefix, "/"), "error", err)
-		return
-	}
-	if !answer.Known {
-		return
-	}
-	i.mu.Lock()
-	newer := s.take(answer)
-	if answer.Changed == s.changed && answer.Age >= 0 {
-		s.mark.ConfirmByPeer(asked, time.Duration(answer.Age)*time.Millisecond)
-	}
-	i.mu.Unlock()
-	if newer {
-		i.announce(s)
-	}
-}
-
-// take adopts a peer's copy, or the changes that lead to it, when it is newer.
-func (s *state) take(answer copyAnswer) bool {
-	if s.known && answer.Changed <= s.changed {
-		return false
-	}
-	if len(answer.Deltas) > 0 {
-		return s.takeDeltas(answer)
-	}
-	s.objects = make(map[string]store.Object, len(answer.Objects))
-	for _, o := range answer.Objects {
-		s.objects[o.Key] = o
-	}
-	s.known, s.changed, s.log = true, answer.Changed, nil
-	s.version = max(s.version, answer.Version)
-	return true
-}
-
-// takeDeltas applies changes that begin at this copy's version. The copy may
-// have moved on since the question; then the next digest asks again.
-func (s *state) takeDeltas(answer copyAnswer) bool {
-	newer := false
-	objects := maps.Clone(s.objects)
-	for _, d := range answer.Deltas {
-		if d.From != s.changed {
-			continue
-		}
-		for _, ev := range d.Events {
-			applyEvent(objects, ev, s.changed)
-		}
-		s.remember(d)
-		s.changed, newer = d.To, true
-	}
-	if newer {
-		s.objects = objects
-		s.version = max(s.version, s.changed)
-	}
-	return newer
-}
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -55,6 +55,7 @@
 	informer *informer.Informer
 	mu       sync.Mutex
 	copied   map[string]string
+	returned time.Time
 	udp      net.PacketConn
 }
 
@@ -67,6 +68,12 @@
 	return h.copied[key]
 }
 
+func (h *host) returnedAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.returned
+}
+
 func (h *host) age() time.Duration {
 	age, ok := h.informer.Age(prefix)
 	if !ok {
@@ -102,6 +109,7 @@
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.copied = map[string]string{}
+			h.returned = c.Returned
 			for key, o := range c.Objects {
 				h.copied[key] = string(o.Value)
 			}
@@ -184,6 +192,30 @@
 	is.True(hosts[0].age() < 1500*time.Millisecond)
 	is.True(!hosts[0].informer.Healthy())
 	is.Equal(len(hosts[0].informer.Reachable()), 2)
+	hosts[0].way.cut.Store(false)
+	eventually(t, "it finds out that it reaches the store again", 4*time.Second, hosts[0].informer.Healthy)
+}
+
+// TestEveryHostLearnsOfTheStoresReturn guards against dropping servers whose
+// entries lapsed in an outage, at hosts that hear of its end from a peer.
+func TestEveryHostLearnsOfTheStoresReturn(t *testing.T) {
+	t.Parallel()
+	fake := storetest.New()
+	hosts := start(t, fake, 3)
+	put(t, fake, "x", "1")
+	for _, h := range hosts {
+		eventually(t, "all have the object", 3*time.Second, func() bool { return h.value(prefix+"x") == "1" })
+	}
+	fake.SetDown(true)
+	time.Sleep(2500 * time.Millisecond)
+	fake.SetDown(false)
+	put(t, fake, "x", "2")
+	for _, h := range hosts {
+		eventually(t, "all have the change", 4*time.Second, func() bool { return h.value(prefix+"x") == "2" })
+		if back := h.returnedAt(); time.Since(back) > 4*time.Second {
+			t.Errorf("the store counts as back since %v", back)
+		}
+	}
 }
 
 // TestNobodyCountsAsFreshWithoutTheStore guards against hosts that confirm to
