bulk: list results that waited when a job is taken over again; round Retry-After up

Cause: found by reading: a host that gave a job up with results not yet listed, and took it over later with no item left to run, never started writing them; and advice of 4 ms was sent as 0.00. Conclusion: taking a job over starts the writing of what waits.

--- a/internal/bulk/run.go
+++ b/internal/bulk/run.go
@@ -59,7 +59,13 @@
 			todo = append(todo, item)
 		}
 	}
+	// Results that ended before this host lost the job for a while still wait.
+	left := j.list.Pending() > 0 && !j.commits
+	j.commits = j.commits || left
 	j.mu.Unlock()
+	if left {
+		go s.commitLoop(j)
+	}
 	s.opts.Cluster.Hasten()
 	for _, item := range todo {
 		s.pool.Submit(func() { s.runItem(ctx, j, item) })
--- a/internal/online/online_test.go
+++ b/internal/online/online_test.go
@@ -460,3 +460,14 @@
 	is.True(arrived <= 6) // three servers broken, and three retries
 	is.Equal(f.call("/get/1", "k").status, http.StatusServiceUnavailable)
 }
+
+// TestRetryAfterIsNeverRoundedToNothing guards against callers that come back
+// at once because the advice was a few milliseconds.
+func TestRetryAfterIsNeverRoundedToNothing(t *testing.T) {
+	is := is.New(t)
+	for after, want := range map[time.Duration]string{time.Millisecond: "0.01", 120 * time.Millisecond: "0.12", 121 * time.Millisecond: "0.13", 0: ""} {
+		w := httptest.NewRecorder()
+		(&online.Refusal{Status: 503, After: after}).Write(w)
+		is.Equal(w.Header().Get("Retry-After"), want)
+	}
+}
--- a/internal/online/refusal.go
+++ b/internal/online/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,7 +58,7 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(raw)))
 	if r.After > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(r.After.Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(r.After.Seconds()*100)/100, 'f', 2, 64)) // never rounded to 0
 	}
 	w.WriteHeader(r.Status)
 	_, _ = w.Write(raw) // the caller may have gone
