test: end the test of batch that steps aside without waiting for all items

After the burst the test sent as many further requests as items were left and waited for all items to be asked aside; an item stays, rightly, on a server that has a slot for it beside the online requests. Ruled out: a lost place (TestCountsReturnToZero, TestAnAbandonedWaitLosesNoPlace). The checks on the burst are unchanged; items that stay are ended by the test.

--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -60,12 +60,15 @@
 	is := is.New(t)
 	s := scheduler(t, 2, 8)
 	var group sync.WaitGroup
-	moved := make(chan struct{}, 100)
+	moved, over := make(chan struct{}, 100), make(chan struct{})
 	for range 14 { // all that batch work may take
 		p := acquire(t, s, work(placement.Batch, "b"))
 		group.Go(func() {
-			<-p.Aside
-			moved <- struct{}{}
+			select {
+			case <-p.Aside:
+				moved <- struct{}{}
+			case <-over:
+			}
 			p.Done(placement.Neutral, 0)
 		})
 	}
@@ -77,9 +80,7 @@
 	time.Sleep(50 * time.Millisecond)
 	is.True(len(moved) >= 6)
 	is.True(len(moved) <= 14)
-	for range 14 - len(moved) {
-		acquire(t, s, work(placement.Online, "o"))
-	}
+	close(over) // items stay where a server has slots for them beside the burst
 	group.Wait()
 }
 
