test: let the fake hosts of dedupe answer only once they are complete

Ruled out: the records themselves; all accesses in the report are the fake's. After: handlers change under the host's lock and a new process answers once it is built; the test passes 3 times and the package once with the race detector.

--- a/internal/dedupe/fakes_test.go
+++ b/internal/dedupe/fakes_test.go
@@ -34,15 +34,16 @@
 
 // host is one host: its fleet service and its peer transport.
 type host struct {
-	c        *cluster
-	id       peer.HostID
-	records  *Records
-	stop     context.CancelFunc
-	handlers map[string]peer.HandlerFunc
-	down     atomic.Bool
-	lapsed   atomic.Bool
-	mu       sync.Mutex
-	view     fleet.View
+	c          *cluster
+	id         peer.HostID
+	records    *Records
+	stop       context.CancelFunc
+	handlers   map[string]peer.HandlerFunc
+	registered map[string]peer.HandlerFunc // by the process that is starting
+	down       atomic.Bool
+	lapsed     atomic.Bool
+	mu         sync.Mutex
+	view       fleet.View
 }
 
 func newCluster(t *testing.T, names ...peer.HostID) *cluster {
@@ -59,10 +60,16 @@
 // start starts a new incarnation of a host.
 func (c *cluster) start(name peer.HostID, objects store.Store) {
 	h := c.hosts[name]
-	h.handlers = map[string]peer.HandlerFunc{}
+	registered := map[string]peer.HandlerFunc{}
+	h.mu.Lock()
+	h.handlers, h.registered = nil, registered
+	h.mu.Unlock()
 	opts := c.opts
 	opts.Fleet, opts.Peers, opts.Store = h, h, objects
 	h.records = New(opts)
+	h.mu.Lock()
+	h.handlers = registered // a new process answers once it is complete
+	h.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	c.t.Cleanup(cancel)
@@ -146,7 +153,13 @@
 	if err != nil {
 		return err
 	}
-	out, err := target.handlers[method](ctx, h.id, raw)
+	target.mu.Lock()
+	handle := target.handlers[method]
+	target.mu.Unlock()
+	if handle == nil {
+		return peer.ErrPeerUnreachable
+	}
+	out, err := handle(ctx, h.id, raw)
 	if err != nil {
 		return err
 	}
@@ -161,7 +174,11 @@
 }
 
 // Handle implements peer.Caller.
-func (h *host) Handle(method string, fn peer.HandlerFunc) { h.handlers[method] = fn }
+func (h *host) Handle(method string, fn peer.HandlerFunc) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.registered[method] = fn
+}
 
 // View implements fleet.Service.
 func (h *host) View() fleet.View {
