--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -35,8 +35,8 @@
 
 // InFlight counts requests at one server by class.
 type InFlight struct {
-	Online int `json:"o,omitempty"`
-	Batch  int `json:"b,omitempty"`
+	Online int
+	Batch  int
 }
 
 func (n InFlight) total() int { return n.Online + n.Batch }
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -219,7 +219,7 @@
 // untilRead returns how long this host may rely on its peers; 0 means that it
 // reads the store now.
 func (i *Informer) untilRead(s *state) time.Duration {
-	reader, hops := i.isReader(), i.opts.Cluster.Hops()
+	reader, hops := i.IsReader(), i.opts.Cluster.Hops()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	age, ok := s.mark.Age(bootclock.Now())
@@ -236,12 +236,9 @@
 }
 
 // IsReader reports whether this host is the one that watches the store, and so
-// should do what one host does for all.
-func (i *Informer) IsReader() bool { return i.isReader() }
-
-// isReader reports whether this host is the one that watches the store: the
-// first by name of the coordinators that reach it.
-func (i *Informer) isReader() bool {
+// should do what one host does for all: the first by name of the coordinators
+// that reach it.
+func (i *Informer) IsReader() bool {
 	self := i.opts.Cluster.Self()
 	coordinators := i.opts.Cluster.Coordinators()
 	i.mu.Lock()
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -236,7 +236,7 @@
 	select {
 	case p := <-w.ready:
 		if p == nil {
-			return nil, &RefusedError{Reason: fmt.Sprintf("no server of %s takes requests", work.Service), After: s.advise(work.Service)}
+			return nil, &RefusedError{Reason: fmt.Sprintf("no server of %s takes requests", work.Service), After: s.Advise(work.Service)}
 		}
 		return p, nil
 	case <-ctx.Done():
@@ -315,16 +315,14 @@
 
 func clampWait(d time.Duration) time.Duration { return min(max(d, leastWait), mostWait) }
 
-// advise returns after which time a new request is likely to get a place.
-func (s *Scheduler) advise(service string) time.Duration {
+// Advise returns after which time a new request is likely to get a place, for
+// refusals to name.
+func (s *Scheduler) Advise(service string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return clampWait(s.wait(service, s.queue(service), time.Now()))
 }
 
-// Advise is the wait that a refusal of a request for the service should name.
-func (s *Scheduler) Advise(service string) time.Duration { return s.advise(service) }
-
 // abandon takes a request out of the queue, or returns the place that it was
 // given meanwhile.
 func (s *Scheduler) abandon(service string, id uint64, w *waiter) *Place {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -113,8 +113,9 @@
 	return err == nil && quiet
 }
 
-// userTimeout bounds how long sent bytes may stay unacknowledged.
-func userTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+// UserTimeout returns a control function of net.Dialer that bounds how long
+// sent bytes may stay unacknowledged.
+func UserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var setErr error
 		err := raw.Control(func(fd uintptr) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -178,7 +178,7 @@
 		return kept, nil
 	}
 	counters.Add("dialed", 1)
-	dialer := net.Dialer{Timeout: c.opts.Dial, KeepAliveConfig: keepAlive, Control: userTimeout(c.opts.UserTimeout)}
+	dialer := net.Dialer{Timeout: c.opts.Dial, KeepAliveConfig: keepAlive, Control: UserTimeout(c.opts.UserTimeout)}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		var timeout net.Error
