limiter: wait for the first token while shares settle

Buckets start empty and larger shares come into force 0.7 s after the epoch is settled; the longest wait of 1 s equals the refill of one token, so settling, refill and collection from the lenders together never fitted. Change: limits.wait defaults to 2 s; while the shares of a workspace are not in force a request waits up to 4 s more, the lease of a lost member plus the delay of larger shares.

--- a/internal/core/limit/state.go
+++ b/internal/core/limit/state.go
@@ -61,6 +61,7 @@
 	bucket   bucket
 	target   Share     // share of the settled generation, in force from raiseAt
 	raiseAt  time.Time // zero when no larger share is pending
+	settled  time.Time // since when the shares are settled, zero while they are not
 	handed   float64   // tokens taken over, to be added when the share comes into force
 	borrowed []borrowed
 	lenders  map[Identity]*lenderState
@@ -231,17 +232,31 @@
 		w.handed = 0
 	}
 	if !s.settledFor(w) {
-		w.raiseAt = time.Time{}
+		w.raiseAt, w.settled = time.Time{}, time.Time{}
 		w.bucket.setShare(now, w.bucket.share.min(s.least(w, target)))
 		return
 	}
+	if w.settled.IsZero() {
+		w.settled = now
+	}
 	w.bucket.setShare(now, w.bucket.share.min(target))
 	if target != w.bucket.share && (w.raiseAt.IsZero() || target != w.target) {
-		w.raiseAt = now.Add(s.opts.OutsiderLifetime + s.opts.GrantMargin)
+		w.raiseAt = now.Add(s.raiseDelay())
 	}
 	w.target = target
 }
 
+// raiseDelay is the time from the settling of a generation until its larger
+// shares are in force: tokens lent to outsiders have expired by then.
+func (s *State) raiseDelay() time.Duration { return s.opts.OutsiderLifetime + s.opts.GrantMargin }
+
+// InForce reports whether the shares of a workspace add up to its whole limit.
+// After a change of members they are smaller for some time.
+func (s *State) InForce(now time.Time, name string) bool {
+	w := s.workspaces[name]
+	return w != nil && !w.settled.IsZero() && !now.Before(w.settled.Add(s.raiseDelay()))
+}
+
 // refill brings the bucket to now, including a raise that fell due meanwhile.
 func (s *State) refill(now time.Time, w *workspace) {
 	if !w.raiseAt.IsZero() && !now.Before(w.raiseAt) {
--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -413,3 +413,18 @@
 	is.True(entitled > 1000)
 	is.True(float64(refused) <= 0.001*float64(entitled))
 }
+
+// Guards against a refusal of the first request that a slow workspace sends
+// after the fleet has formed: it is within the rate, and its token comes 0.7s
+// (shares in force) and 1s (refill) after the settling of the epoch.
+func TestFirstRequestOfASlowWorkspaceAfterTheStart(t *testing.T) {
+	is := is.New(t)
+	objects := storetest.New()
+	mustWrite(t, objects, map[string]limit.Limit{"slow": {Rate: 1, Burst: 1}})
+	var nodes []*node
+	for i := range 8 {
+		nodes = append(nodes, startNode(t, objects, fmt.Sprintf("host-%d", i), nodeOptions{scale: 5}))
+	}
+	formed(t, nodes)
+	is.NoErr(nodes[0].limiter.Acquire(context.Background(), "slow", 1, limiter.Online))
+}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -130,8 +130,8 @@
 }
 
 // Acquire takes n tokens of the workspace. An online request waits at most
-// Options.Wait and then fails with *RefusedError; a batch item waits until ctx
-// ends. Without a freshness lease an online request fails with the error of
+// Options.Wait, while shares settle settleWait more, and then fails with
+// *RefusedError; a batch item waits until ctx ends. Without a freshness lease an online request fails with the error of
 // fleet.Service.MayAdmit, and an unknown workspace with ErrUnknownWorkspace.
 func (l *Limiter) Acquire(ctx context.Context, workspace string, n float64, class Class) error {
 	w, err := l.enter(workspace, n, class)
@@ -141,7 +141,7 @@
 	stats.Add("waited", 1)
 	var expired <-chan time.Time
 	if class == Online {
-		timer := time.NewTimer(l.opts.Wait)
+		timer := time.NewTimer(w.wait)
 		defer timer.Stop()
 		expired = timer.C
 	}
@@ -183,11 +183,21 @@
 		return nil, l.refused(workspace, lim, q, n)
 	}
 	w := q.push(n, class)
+	w.wait = l.longestWait(now, workspace)
 	l.waiting++
 	l.wake()
 	return w, nil
 }
 
+// longestWait returns how long an online request may wait for its tokens. While
+// shares settle, a host cannot tell whether the workspace is within its rate.
+func (l *Limiter) longestWait(now time.Time, workspace string) time.Duration {
+	if l.opts.Wait == 0 || l.state.InForce(now, workspace) {
+		return l.opts.Wait
+	}
+	return l.opts.Wait + settleWait
+}
+
 // hopeless reports whether a request cannot get its tokens within the wait,
 // even if this host received the whole rate.
 func (l *Limiter) hopeless(lim limit.Limit, q *queue, n float64) bool {
--- a/internal/limiter/options.go
+++ b/internal/limiter/options.go
@@ -16,7 +16,14 @@
 var ErrUnknownWorkspace = errors.New("unknown workspace")
 
 const (
-	defaultWait   = time.Second
+	// defaultWait covers the next token of a workspace of one request per
+	// second: it refills in 1s, and two tries of borrowTimeout may be needed to
+	// collect it from the lenders.
+	defaultWait = 2 * time.Second
+	// settleWait is added to the wait while shares settle after a change of
+	// members: the lease of a lost member (3s), its margin (0.2s) and the delay
+	// of larger shares (0.7s).
+	settleWait    = 4 * time.Second
 	borrowTimeout = 300 * time.Millisecond
 	// borrowGap is the least time between two messages to one lender, so that
 	// one message carries the wants of many requests.
@@ -35,7 +42,7 @@
 	Incarnation string // of this process, from Fleet.Incarnation
 
 	Policy        limit.Policy  // lending (default), static or owner
-	Wait          time.Duration // longest wait of an online request for tokens, default 1s, negative for none
+	Wait          time.Duration // longest wait of an online request for tokens, default 2s, negative for none
 	GrantLifetime time.Duration // of borrowed tokens, default 2s
 	GrantMargin   time.Duration // added to it at the lender, default 200ms
 
--- a/internal/limiter/queue.go
+++ b/internal/limiter/queue.go
@@ -1,12 +1,16 @@
 package limiter
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // waiter is one request that waits for tokens.
 type waiter struct {
 	n     float64
 	class Class
-	done  chan error // receives the outcome once
+	wait  time.Duration // longest wait of an online request
+	done  chan error    // receives the outcome once
 }
 
 // queue holds the waiting requests of one workspace in order of arrival, by class.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,7 +101,7 @@
 		Host:     Host{Size: 1},
 		Platform: Platform{Poll: time.Second},
 		Peers:    Peers{Beat: 500 * time.Millisecond, Lease: 3 * time.Second},
-		Limits:   Limits{Policy: "lending", Wait: time.Second},
+		Limits:   Limits{Policy: "lending", Wait: 2 * time.Second},
 		Balance:  Balance{Policy: "two_choices", Preempt: true},
 		Batch:    Batch{Retention: 720 * time.Hour, Workers: 256},
 		Gateway:  Gateway{MaxBody: 4 << 20, Timeout: time.Minute, Drain: 30 * time.Second, Unready: 2 * time.Second},
