jobs: commit results when the tail of a chunk stalls; bound sends by attempts left

Cause 1: results of under a third of a chunk waited six commit intervals (30 s) or for the last item, so items beside one that hangs were shown with the end of the job (TestPoisonItemsFailAlone: 16.6 and 17.1 s, bound 12 s). They are now committed when nothing is left to start and no result came for a fifth of the commit interval. Cause 2: the dispatcher repeats a send that got no answer up to three times within one attempt of an item, and the runner counted one attempt: 4 sends of 3 allowed, once in the same test. Such repeats now count, and the dispatcher stops at what the item has left (Request.MaxUnanswered). Tests that fail first: TestResultsDoNotWaitForAHangingItem, TestSendsWithinAnAttemptCount, TestUnansweredSendsAreBounded.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -460,3 +460,21 @@
 	names := d.bal.Pools()
 	is.True(slices.Contains(names, "p"))
 }
+
+// Guards against more runs of a batch item than the attempts it has left: the
+// dispatcher repeats a send that got no answer only within the given bound.
+func TestUnansweredSendsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var crashes atomic.Int64
+	list := engines(t, 4, 8, func(e *engine, _ http.ResponseWriter, _ *http.Request, _ []byte) {
+		crashes.Add(1)
+		e.crash()
+	})
+	n := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1")
+	d := n.start(t, "h1", Options{})
+	_, err := call(context.Background(), d, &Request{ID: "once", Workspace: "a", Idempotent: true, MaxUnanswered: 1, Body: []byte("x")})
+	var refused *RefusedError
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Unanswered, 1)
+	is.Equal(crashes.Load(), int64(1))
+}
--- a/internal/dispatch/do.go
+++ b/internal/dispatch/do.go
@@ -206,6 +206,7 @@
 	}
 	if failure.Stage > backend.NotSent {
 		j.sends++
+		j.unanswered++
 	}
 	return nil, failure
 }
@@ -260,6 +261,9 @@
 	if j.sends >= maxSent || j.attempts >= maxAttempts {
 		return false
 	}
+	if most := j.req.MaxUnanswered; most > 0 && j.unanswered >= most {
+		return false
+	}
 	if !j.req.Idempotent && (j.sends > 0 || !nothingSent) {
 		return false
 	}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -92,15 +92,16 @@
 
 // job is one call of Do.
 type job struct {
-	id       uint64
-	req      *Request
-	class    schedule.Class
-	cost     float64
-	fp       retry.Fingerprint
-	ready    chan grant // capacity 1
-	tried    []string   // servers that failed
-	attempts int
-	sends    int // attempts that sent at least one byte
+	id         uint64
+	req        *Request
+	class      schedule.Class
+	cost       float64
+	fp         retry.Fingerprint
+	ready      chan grant // capacity 1
+	tried      []string   // servers that failed
+	attempts   int
+	sends      int // attempts that sent at least one byte
+	unanswered int // sends that ended without an answer
 }
 
 // grant is the end of a job's wait: a slot or a refusal.
@@ -389,6 +390,6 @@
 	}
 	return &RefusedError{
 		Status: status, Code: code, Message: message, Executed: executed,
-		RetryAfter: retryAfter, Step: "dispatch to pool " + j.req.Pool,
+		RetryAfter: retryAfter, Unanswered: j.unanswered, Step: "dispatch to pool " + j.req.Pool,
 	}
 }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -49,8 +49,11 @@
 	Stream     bool // the answer is an SSE stream
 	Idempotent bool
 	Deadline   time.Time
-	PrefixHash uint64  // hash of the prompt's prefix, 0 when there is none
-	Cost       float64 // estimated work in tokens
+	// MaxUnanswered bounds the sends that end without an answer, after which
+	// the request may have run; 0 leaves only the bound of all sends.
+	MaxUnanswered int
+	PrefixHash    uint64  // hash of the prompt's prefix, 0 when there is none
+	Cost          float64 // estimated work in tokens
 }
 
 // Response is a server's answer. The caller must close Body, which frees the
@@ -69,6 +72,7 @@
 	Message    string
 	Executed   Executed
 	RetryAfter time.Duration // 0 when there is no advice
+	Unanswered int           // sends that ended without an answer
 	Step       string        // step at which the request failed
 	Peer       string        // backend server, or empty
 }
--- a/internal/jobs/chunkrun.go
+++ b/internal/jobs/chunkrun.go
@@ -24,6 +24,10 @@
 	// up to three slow intervals costs at most 0.016 calls per item.
 	commitsPerChunk  = 3
 	slowCommitFactor = 6
+	// Once no item is left to start, results are committed when none was added
+	// for a part of the commit interval, so that they do not wait for an item
+	// that hangs. Only items that run at the same time cause such commits.
+	stallChecks = 5
 	// touchInterval is the longest time without a commit. Other hosts take a
 	// chunk over when its object does not change for much longer.
 	touchInterval = time.Minute
@@ -72,6 +76,7 @@
 	held        heldChunk
 	heldBytes   int64
 	oldestHeld  time.Time
+	newestHeld  time.Time
 	committedAt time.Time
 	lost        bool
 	opened      bool
@@ -313,6 +318,7 @@
 	if len(r.held.lines) == 0 {
 		r.oldestHeld = r.s.now()
 	}
+	r.newestHeld = r.s.now()
 	r.held.add(item, line[0] == markError, line)
 	r.heldBytes += int64(len(line))
 	if r.heldBytes > earlyCommitBytes {
@@ -352,14 +358,20 @@
 
 // commitLoop commits while items run.
 func (r *chunkRun) commitLoop(stopped chan struct{}) {
+	interval, checks := jitter(r.s.commitInterval()), 0
 	for {
-		timer := time.NewTimer(jitter(r.s.commitInterval()))
+		timer := time.NewTimer(interval / stallChecks)
 		select {
 		case <-stopped:
 			timer.Stop()
 			return
 		case <-timer.C:
-			if !r.due() {
+			checks++
+			full := checks == stallChecks
+			if full {
+				interval, checks = jitter(r.s.commitInterval()), 0
+			}
+			if !r.stalled(interval/stallChecks) && !(full && r.due()) {
 				continue
 			}
 		case <-r.commitNow:
@@ -385,6 +397,20 @@
 	return len(r.held.lines) > 0
 }
 
+// stalled reports whether no item can start now and no result was added for
+// the given time, while results are held.
+func (r *chunkRun) stalled(quiet time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.s.now()
+	for _, q := range r.queue {
+		if !now.Before(q.notBefore) {
+			return false
+		}
+	}
+	return len(r.held.lines) > 0 && now.Sub(r.newestHeld) >= quiet
+}
+
 // due reports whether results are to be committed now. Few results of an
 // idempotent chunk wait longer, so that slow jobs cost few platform calls per
 // item; those of non-idempotent items could not be had again.
--- a/internal/jobs/harness_test.go
+++ b/internal/jobs/harness_test.go
@@ -44,14 +44,15 @@
 	audit *audit
 	ctx   context.Context
 
-	mu     sync.Mutex
-	nodes  map[peer.HostID]*node
-	runs   map[string]int         // runs by custom id
-	serve  func(id string) answer // behaviour of the backend servers
-	starts []time.Time
-	rate   func(workspace string) error // answer of the limiter
-	peers  bool                         // deliver peer calls
-	beats  bool                         // deliver heartbeat sections
+	mu         sync.Mutex
+	nodes      map[peer.HostID]*node
+	runs       map[string]int         // runs by custom id
+	unanswered map[string][]int       // bounds of unanswered sends by custom id
+	serve      func(id string) answer // behaviour of the backend servers
+	starts     []time.Time
+	rate       func(workspace string) error // answer of the limiter
+	peers      bool                         // deliver peer calls
+	beats      bool                         // deliver heartbeat sections
 }
 
 type answer struct {
@@ -77,7 +78,7 @@
 func newCluster(t *testing.T) *cluster {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	c := &cluster{t: t, store: storetest.New(), ctx: ctx, nodes: map[peer.HostID]*node{}, runs: map[string]int{}, peers: true, beats: true}
+	c := &cluster{t: t, store: storetest.New(), ctx: ctx, nodes: map[peer.HostID]*node{}, runs: map[string]int{}, unanswered: map[string][]int{}, peers: true, beats: true}
 	c.audit = &audit{Store: c.store, chunks: map[string]batch.Chunk{}}
 	c.serve = func(string) answer { return answer{status: 200} }
 	t.Cleanup(func() {
@@ -253,6 +254,7 @@
 	}
 	n.c.mu.Lock()
 	a := n.c.serve(body.ID)
+	n.c.unanswered[body.ID] = append(n.c.unanswered[body.ID], req.MaxUnanswered)
 	var refused *dispatch.RefusedError
 	if !errors.As(a.err, &refused) || refused.Executed != dispatch.ExecutedNo {
 		n.c.runs[body.ID]++
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -33,6 +33,7 @@
 type outcome struct {
 	line    []byte // a final result, or nil
 	counted bool   // the attempt counts
+	repeats int    // further sends within a counted attempt that got no answer
 	unsent  bool   // nothing was sent to a server
 	delay   time.Duration
 	// last is the result to record when the attempts are used up.
@@ -212,7 +213,7 @@
 		ID: r.requestID(item), Workspace: r.job.entry.Workspace, Class: dispatch.Batch,
 		Route: route.Name, Pool: route.Pool, Method: http.MethodPost, Path: line.URL,
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: line.Body,
-		Idempotent: route.Idempotent, Deadline: deadline,
+		Idempotent: route.Idempotent, Deadline: deadline, MaxUnanswered: r.attemptsLeft(item),
 		Cost: float64(len(line.Body)/bytesPerToken + tokens),
 	}
 }
@@ -279,7 +280,18 @@
 		failure = itemError{Code: "outcome_unknown", Message: "the item may have run and is not idempotent: " + failure.Message}
 		return outcome{line: last()}
 	}
-	return outcome{counted: true, delay: r.attemptDelay(item), last: last}
+	repeats := 0
+	if isRefusal {
+		repeats = max(0, refused.Unanswered-1)
+	}
+	return outcome{counted: true, repeats: repeats, delay: r.attemptDelay(item), last: last}
+}
+
+// attemptsLeft returns how many attempts a started item has, this one included.
+func (r *chunkRun) attemptsLeft(item int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(1, r.s.o.MaxAttempts-int(r.attempts[item])+1)
 }
 
 // answered judges a complete answer of a server.
@@ -336,6 +348,7 @@
 	defer r.mu.Unlock()
 	defer r.signal()
 	r.running--
+	r.attempts[item] += byte(o.repeats)
 	if o.unsent {
 		r.sent = r.sent.Without(item)
 	}
--- a/internal/jobs/runner_test.go
+++ b/internal/jobs/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"fmt"
 	"io"
 	"net/http"
@@ -472,3 +473,54 @@
 		}
 	})
 }
+
+// Guards against results that wait for an item that does not end: they are to
+// be committed when no further ones come, not with the last one.
+func TestResultsDoNotWaitForAHangingItem(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	const interval = time.Second
+	c.serve = func(id string) answer {
+		switch {
+		case id == "i3":
+			return answer{status: 200, delay: time.Hour}
+		case strings.HasPrefix(id, "i9"): // 11 items, too few for a commit at the next interval
+			return answer{status: 200, delay: 3 * interval / 2}
+		}
+		return answer{status: 200}
+	}
+	a := c.start("a", func(o *Options) { o.CommitInterval, o.ItemTimeout, o.Workers = interval, time.Minute, 64 })
+	puts := func() int64 { return counters.Get("chunk_puts").(*expvar.Int).Value() }
+	counters.Add("chunk_puts", 0)
+	before := puts()
+	job := a.submit(100, chatPath)
+	began := time.Now()
+	for a.job(job.ID).RequestCounts.Completed < 99 {
+		if time.Since(began) > 3*interval+sampleAge {
+			t.Fatalf("after %s: %+v", time.Since(began), a.job(job.ID).RequestCounts)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(puts()-before <= 4) // the claim, and a commit at the interval and at each pause of the results
+}
+
+// Guards against more sends of an item than its attempts: what the dispatcher
+// repeats within an attempt counts, and it may not repeat beyond what is left.
+func TestSendsWithinAnAttemptCount(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	c.serve = func(id string) answer {
+		if id == "i3" {
+			return answer{err: &dispatch.RefusedError{Status: 502, Code: "server_failed", Executed: dispatch.ExecutedUnknown, Unanswered: 2}}
+		}
+		return answer{status: 200}
+	}
+	a := c.start("a", nil)
+	ended := c.await(a.submit(10, chatPath).ID, func() *node { return a })
+	_, failed := a.checkAll(ended, 10)
+	is.Equal(failed["i3"].Error.Code, "server_failed")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	is.Equal(c.runs["i3"], 2)                 // 2 sends and, of the 3 allowed, one more
+	is.Equal(c.unanswered["i3"], []int{3, 1}) // allowed in each attempt
+}
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -250,10 +250,10 @@
 	is.True(errors.Is(g.limiters[0].Acquire(context.Background(), "x", 1, Online), ErrUnknownWorkspace))
 	var refused *RefusedError
 	is.True(errors.As(g.limiters[0].Acquire(context.Background(), "w", 3, Online), &refused)) // more than the burst
-	is.NoErr(g.limiters[0].Acquire(context.Background(), "w", 2, Online)) // waits while shares settle
+	is.NoErr(g.limiters[0].Acquire(context.Background(), "w", 2, Online))                     // waits while shares settle
 	begin := time.Now()
 	is.True(errors.As(g.limiters[0].Acquire(context.Background(), "w", 1, Online), &refused)) // 300ms bring 0.6 tokens
-	is.True(time.Since(begin) >= 250*time.Millisecond) // it waited
+	is.True(time.Since(begin) >= 250*time.Millisecond)                                        // it waited
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	is.True(errors.Is(g.limiters[0].Acquire(ctx, "w", 1, Batch), context.Canceled))
