--- a/internal/online/online_test.go
+++ b/internal/online/online_test.go
@@ -1,13 +1,16 @@
 package online_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -34,6 +37,37 @@
 	slots    *slots.Scheduler
 	url      string
 	leaving  atomic.Bool
+	logs     logBuffer
+}
+
+// logBuffer keeps log lines for tests.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+// find returns the fields of the first line with the code.
+func (b *logBuffer) find(t *testing.T, code string) map[string]any {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range bytes.Lines(b.lines.Bytes()) {
+		var fields map[string]any
+		if err := json.Unmarshal(line, &fields); err != nil {
+			t.Fatalf("log line %s: %v", line, err)
+		}
+		if fields["code"] == code {
+			return fields
+		}
+	}
+	t.Fatalf("no log line with code %s", code)
+	return nil
 }
 
 func (f *fixture) Current() *routing.Snapshot { return f.snapshot.Load() }
@@ -76,7 +110,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = udp.Close() })
-	logger := slog.New(slog.DiscardHandler)
+	logger := slog.New(slog.NewJSONHandler(&f.logs, nil))
 	c := cluster.New(cluster.Options{Self: cluster.Member{Name: "a", Incarnation: 1}, Conn: udp, Logger: logger})
 	f.slots = slots.New(slots.Options{Zone: "z", Cluster: c, Logger: logger})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -351,6 +385,18 @@
 	is.True(time.Since(started) < 500*time.Millisecond)
 }
 
+// TestRefusalsNameTheConfiguration guards against log lines of refusals that
+// do not tell which configuration decided them.
+func TestRefusalsNameTheConfiguration(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture(t, servertest.New(t, ok))
+	is.Equal(f.call("/nowhere/1", "k").status, http.StatusNotFound)
+	is.Equal(f.logs.find(t, "no_route")["config_version"], 1.0)
+	is.Equal(f.call("/get/1", "unknown").status, http.StatusUnauthorized)
+	is.Equal(f.logs.find(t, "unknown_key")["config_version"], 1.0)
+}
+
 // TestKeys guards against serving without a valid key, and against refusing
 // for good while this host cannot know.
 func TestKeys(t *testing.T) {
--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -188,14 +188,14 @@
 
 // refuse answers with a refusal and logs it with what decided it.
 func (s *Service) refuse(w http.ResponseWriter, call *Call, a *admitted, r *Refusal, sends int) {
-	route, workspace, version := "", "", int64(0)
+	route, workspace := "", ""
 	if a.route != nil {
-		route, workspace, version = a.route.Name, a.workspace.Name, a.version
+		route, workspace = a.route.Name, a.workspace.Name
 	}
 	s.opts.Metrics.Refused(route, r.Code)
 	s.log.Info("request refused", "event", "refused", "request", call.ID, "route", route, "workspace", workspace,
 		"status", r.Status, "code", r.Code, "detail", r.Detail, "retry_after_ms", r.After.Milliseconds(),
-		"config_version", version, "config_age_ms", s.opts.Config.Age().Milliseconds(), "sends", sends, "held_ms", time.Since(call.Arrived).Milliseconds())
+		"config_version", a.version, "config_age_ms", s.opts.Config.Age().Milliseconds(), "sends", sends, "held_ms", time.Since(call.Arrived).Milliseconds())
 	r.Write(w)
 }
 
