--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -131,8 +131,9 @@
 
 // Acquire takes n tokens of the workspace. An online request waits at most
 // Options.Wait, while shares settle settleWait more, and then fails with
-// *RefusedError; a batch item waits until ctx ends. Without a freshness lease an online request fails with the error of
-// fleet.Service.MayAdmit, and an unknown workspace with ErrUnknownWorkspace.
+// *RefusedError; a batch item waits until ctx ends. Without a freshness lease
+// an online request fails with the error of fleet.Service.MayAdmit, and an
+// unknown workspace with ErrUnknownWorkspace.
 func (l *Limiter) Acquire(ctx context.Context, workspace string, n float64, class Class) error {
 	w, err := l.enter(workspace, n, class)
 	if w == nil {
