One copy of option defaults and of the socket options

setDefault stood in six packages and the function that sets TCP_USER_TIMEOUT in two; internal/defaults and internal/rawconn hold them now. The look at whether a kept connection is quiet joins the other raw calls, so that it no longer asks for the raw connection each time.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/defaults"
 )
 
 const (
@@ -44,27 +45,21 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.DialTimeout, time.Second)
-	setDefault(&o.FirstByte, time.Minute)
-	setDefault(&o.BetweenBytes, 10*time.Second)
-	setDefault(&o.KeepAlive, 2*time.Second)
-	setDefault(&o.UserTimeout, 5*time.Second)
-	setDefault(&o.Suspect, time.Second)
-	setDefault(&o.SilentGrace, time.Second)
-	setDefault(&o.PollInterval, 500*time.Millisecond)
-	setDefault(&o.PollTimeout, time.Second)
+	defaults.Positive(&o.DialTimeout, time.Second)
+	defaults.Positive(&o.FirstByte, time.Minute)
+	defaults.Positive(&o.BetweenBytes, 10*time.Second)
+	defaults.Positive(&o.KeepAlive, 2*time.Second)
+	defaults.Positive(&o.UserTimeout, 5*time.Second)
+	defaults.Positive(&o.Suspect, time.Second)
+	defaults.Positive(&o.SilentGrace, time.Second)
+	defaults.Positive(&o.PollInterval, 500*time.Millisecond)
+	defaults.Positive(&o.PollTimeout, time.Second)
 	if o.PollRate <= 0 {
 		o.PollRate = 32
 	}
 	return o
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
-
 // Request is one attempt at one server.
 type Request struct {
 	ID         string // unique per attempt
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -4,10 +4,9 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"ragwortstep/internal/rawconn"
 )
 
 // trackedConn counts the bytes that the kernel accepted for sending, so that a
@@ -53,9 +52,7 @@
 			Interval: o.KeepAlive,
 			Count:    keepAliveProbes,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw, o.UserTimeout)
-		},
+		Control: rawconn.UserTimeout(o.UserTimeout),
 	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, address)
@@ -65,15 +62,3 @@
 		return &trackedConn{Conn: conn, opened: time.Now()}, nil
 	}
 }
-
-// setUserTimeout bounds how long sent data may stay unacknowledged.
-func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
-	var setErr error
-	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return setErr
-}
--- a/internal/dedupe/dedupe.go
+++ b/internal/dedupe/dedupe.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"ragwortstep/internal/defaults"
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/store"
@@ -99,10 +100,10 @@
 	if o.Logger == nil {
 		o.Logger = slog.Default()
 	}
-	setDefault(&o.Retention, time.Hour)
-	setDefault(&o.RunFor, 10*time.Minute)
-	setDefault(&o.ClaimWait, 2*time.Second)
-	setDefault(&o.GroupInterval, 100*time.Millisecond)
+	defaults.Positive(&o.Retention, time.Hour)
+	defaults.Positive(&o.RunFor, 10*time.Minute)
+	defaults.Positive(&o.ClaimWait, 2*time.Second)
+	defaults.Positive(&o.GroupInterval, 100*time.Millisecond)
 	if o.MaxRecords <= 0 {
 		o.MaxRecords = 100_000
 	}
@@ -112,12 +113,6 @@
 	return o
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
-
 // Records claims idempotency keys at their owners and serves the keys that
 // this host owns. It is safe for concurrent use.
 type Records struct {
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"ragwortstep/internal/core/membership"
+	"ragwortstep/internal/defaults"
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/store"
@@ -68,12 +69,12 @@
 	if o.Self.Incarnation == "" {
 		o.Self.Incarnation = uuid.Must(uuid.NewV7()).String()
 	}
-	setDefault(&o.Self.Size, 1)
-	setDefault(&o.Heartbeat, membership.DefaultInterval)
-	setDefault(&o.Lease, membership.DefaultLease)
-	setDefault(&o.Margin, membership.DefaultMargin)
-	setDefault(&o.SilentAfter, o.Lease)
-	setDefault(&o.Poll, membership.DefaultPoll)
+	defaults.Set(&o.Self.Size, 1)
+	defaults.Set(&o.Heartbeat, membership.DefaultInterval)
+	defaults.Set(&o.Lease, membership.DefaultLease)
+	defaults.Set(&o.Margin, membership.DefaultMargin)
+	defaults.Set(&o.SilentAfter, o.Lease)
+	defaults.Set(&o.Poll, membership.DefaultPoll)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -83,13 +84,6 @@
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (o Options) tick() time.Duration { return min(o.Heartbeat/ticksPerInterval, maxTick) }
 
 func (o Options) heartbeatTimeout() time.Duration {
--- a/internal/jobs/options.go
+++ b/internal/jobs/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ragwortstep/internal/core/config"
+	"ragwortstep/internal/defaults"
 	"ragwortstep/internal/dispatch"
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/fleet"
@@ -84,34 +85,27 @@
 	Now func() time.Time // default time.Now
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // withDefaults returns the options with defaults in place of zero values.
 func (o Options) withDefaults() Options {
-	setDefault(&o.Workers, 256)
-	setDefault(&o.OpenChunks, 16)
-	setDefault(&o.MaxAttempts, 3)
-	setDefault(&o.ItemTimeout, 10*time.Minute)
-	setDefault(&o.Retention, 720*time.Hour)
-	setDefault(&o.HeldBytes, 32<<20)
-	setDefault(&o.HeldDiskBytes, 1<<30)
-	setDefault(&o.MaxFileBytes, 2<<30)
-	setDefault(&o.MaxItems, 200_000)
-	setDefault(&o.MaxUploads, 4)
-	setDefault(&o.Discovery, 10*time.Second)
-	setDefault(&o.WatchInterval, time.Second)
-	setDefault(&o.CommitInterval, 5*time.Second)
-	setDefault(&o.FinishInterval, 10*time.Second)
-	setDefault(&o.RepairInterval, time.Minute)
-	setDefault(&o.SweepInterval, time.Hour)
-	setDefault(&o.CommitRate, 20)
-	setDefault(&o.RetryDelay, 500*time.Millisecond)
-	setDefault(&o.SealGrace, time.Second)
+	defaults.Set(&o.Workers, 256)
+	defaults.Set(&o.OpenChunks, 16)
+	defaults.Set(&o.MaxAttempts, 3)
+	defaults.Set(&o.ItemTimeout, 10*time.Minute)
+	defaults.Set(&o.Retention, 720*time.Hour)
+	defaults.Set(&o.HeldBytes, 32<<20)
+	defaults.Set(&o.HeldDiskBytes, 1<<30)
+	defaults.Set(&o.MaxFileBytes, 2<<30)
+	defaults.Set(&o.MaxItems, 200_000)
+	defaults.Set(&o.MaxUploads, 4)
+	defaults.Set(&o.Discovery, 10*time.Second)
+	defaults.Set(&o.WatchInterval, time.Second)
+	defaults.Set(&o.CommitInterval, 5*time.Second)
+	defaults.Set(&o.FinishInterval, 10*time.Second)
+	defaults.Set(&o.RepairInterval, time.Minute)
+	defaults.Set(&o.SweepInterval, time.Hour)
+	defaults.Set(&o.CommitRate, 20)
+	defaults.Set(&o.RetryDelay, 500*time.Millisecond)
+	defaults.Set(&o.SealGrace, time.Second)
 	o.MaxAttempts = min(o.MaxAttempts, 255)
 	if o.IsPreempted == nil {
 		o.IsPreempted = func(error) bool { return false }
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/defaults"
 )
 
 // Defaults of Options.
@@ -49,25 +51,18 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.CallTimeout, defaultCallTimeout)
-	setDefault(&o.DialTimeout, defaultDialTimeout)
-	setDefault(&o.PingInterval, defaultPingInterval)
-	setDefault(&o.PingTimeout, defaultPingTimeout)
-	setDefault(&o.RedialBackoff, defaultRedialBackoff)
-	setDefault(&o.MaxInFlight, defaultMaxInFlight)
+	defaults.Set(&o.CallTimeout, defaultCallTimeout)
+	defaults.Set(&o.DialTimeout, defaultDialTimeout)
+	defaults.Set(&o.PingInterval, defaultPingInterval)
+	defaults.Set(&o.PingTimeout, defaultPingTimeout)
+	defaults.Set(&o.RedialBackoff, defaultRedialBackoff)
+	defaults.Set(&o.MaxInFlight, defaultMaxInFlight)
 	if o.Logger == nil {
 		o.Logger = slog.Default()
 	}
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (o Options) validate() error {
 	if o.Self == "" {
 		return errors.New("peer: Self is required")
--- a/internal/rawconn/rawconn.go
+++ b/internal/rawconn/rawconn.go
@@ -1,8 +1,9 @@
-// Package rawconn reads and writes TCP connections with system calls that do
-// not tell the Go scheduler. The sockets are non-blocking, so that no such call
-// can hold up a thread, and a process that forwards small events at a low rate
-// is spared the wake-up of the runtime's monitor thread at each of them: about
-// half of its system calls.
+// Package rawconn uses the sockets of TCP connections directly.
+//
+// It reads and writes with system calls that do not tell the Go scheduler. The
+// sockets are non-blocking, so that no such call can hold up a thread, and a
+// process that forwards small events at a low rate is spared the wake-up of
+// the runtime's monitor thread at each of them.
 package rawconn
 
 import (
@@ -11,6 +12,9 @@
 	"os"
 	"syscall"
 	"unsafe"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Conn is a TCP connection. Deadlines and closing work as those of net.TCPConn.
@@ -19,11 +23,11 @@
 	raw syscall.RawConn
 }
 
-// Wrap returns a TCP connection as a Conn, and any other as it is.
-func Wrap(c net.Conn) (net.Conn, error) {
+// Wrap returns a TCP connection as a Conn. It fails for any other.
+func Wrap(c net.Conn) (*Conn, error) {
 	t, ok := c.(*net.TCPConn)
 	if !ok {
-		return c, nil
+		return nil, errors.Newf("%T is not a TCP connection", c)
 	}
 	raw, err := t.SyscallConn()
 	if err != nil {
@@ -73,6 +77,17 @@
 	return written, nil
 }
 
+// Quiet reports whether the connection is open and no byte waits to be read.
+func (c *Conn) Quiet() bool {
+	errno := syscall.Errno(0)
+	err := c.raw.Read(func(fd uintptr) bool {
+		_, _, peek := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		errno, _ = peek.(syscall.Errno)
+		return true // does not wait
+	})
+	return err == nil && errno == syscall.EAGAIN
+}
+
 // call makes a system call on a buffer, again while a signal interrupts it.
 func call(trap, fd uintptr, p []byte) (int, syscall.Errno) {
 	for {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,10 +4,9 @@
 	"bufio"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"ragwortstep/internal/rawconn"
 )
 
 // keepAlive detects idle connections whose server has gone without a word.
@@ -15,7 +14,7 @@
 
 // conn is a connection to a server.
 type conn struct {
-	net.Conn
+	*rawconn.Conn
 	reader *bufio.Reader
 	pool   *pool
 	idle   time.Duration // kept so long without a statement of the server
@@ -91,39 +90,4 @@
 
 // quiet reports whether nothing arrived on an idle connection. A byte would
 // belong to no request, and an end means that the server closed it.
-func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && quiet
-}
-
-// UserTimeout returns a control function of net.Dialer that bounds how long
-// sent bytes may stay unacknowledged.
-func UserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var setErr error
-		err := raw.Control(func(fd uintptr) {
-			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return setErr
-	}
-}
+func (c *conn) quiet() bool { return c.reader.Buffered() == 0 && c.Conn.Quiet() }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,6 +21,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"ragwortstep/internal/defaults"
 	"ragwortstep/internal/rawconn"
 )
 
@@ -113,18 +114,12 @@
 
 // New returns a client without connections.
 func New(opts Options) *Client {
-	setDefault(&opts.Dial, defaultDial)
-	setDefault(&opts.UserTimeout, defaultUserTimeout)
-	setDefault(&opts.Idle, defaultIdle)
+	defaults.Positive(&opts.Dial, defaultDial)
+	defaults.Positive(&opts.UserTimeout, defaultUserTimeout)
+	defaults.Positive(&opts.Idle, defaultIdle)
 	return &Client{opts: opts, pools: map[string]*pool{}}
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d <= 0 {
-		*d = value
-	}
-}
-
 // Keep closes idle connections to all addresses that are not listed.
 func (c *Client) Keep(addresses map[string]bool) {
 	c.mu.Lock()
@@ -180,7 +175,7 @@
 		return kept, nil
 	}
 	counters.Add("dialed", 1)
-	dialer := net.Dialer{Timeout: c.opts.Dial, KeepAliveConfig: keepAlive, Control: UserTimeout(c.opts.UserTimeout)}
+	dialer := net.Dialer{Timeout: c.opts.Dial, KeepAliveConfig: keepAlive, Control: rawconn.UserTimeout(c.opts.UserTimeout)}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		var timeout net.Error
