--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -103,14 +103,19 @@
 
 // run removes the registrations of hosts that are gone, until ctx ends.
 func (m *members) run(ctx context.Context) {
-	ticker := time.NewTicker(goneTick)
+	every(ctx, goneTick, func() { m.sweep(ctx, time.Now()) })
+}
+
+// every calls fn at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, fn func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			m.sweep(ctx, time.Now())
+			fn()
 		}
 	}
 }
--- a/internal/entry/retirements.go
+++ b/internal/entry/retirements.go
@@ -45,18 +45,11 @@
 
 // run answers open requests until ctx ends.
 func (r *retirements) run(ctx context.Context) {
-	ticker := time.NewTicker(retireTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if r.isReader() {
-				r.answer(ctx)
-			}
+	every(ctx, retireTick, func() {
+		if r.isReader() {
+			r.answer(ctx)
 		}
-	}
+	})
 }
 
 func (r *retirements) answer(ctx context.Context) {
