bulk: check the items of a submission and bound readers' waits in the product

platform/ decided how many items a job has, which ids and paths are usable and how long a reader waits. It only decodes now. Behaviour is unchanged; the tests keep their assertions.

--- a/internal/bulk/read.go
+++ b/internal/bulk/read.go
@@ -56,9 +56,14 @@
 	Found bool   `json:"found,omitempty"`
 }
 
+// longestWait bounds how long a reader of results is kept waiting.
+const longestWait = time.Second
+
 // Results returns the results of a job from a position onward. It waits up to
-// wait for a result that is not there yet. It fails with ErrNoJob or ErrUnsure.
+// wait, one second at most, for a result that is not there yet. It fails with
+// ErrNoJob or ErrUnsure.
 func (s *Service) Results(ctx context.Context, workspace, id string, after int, wait time.Duration) (*Page, error) {
+	wait = min(wait, longestWait)
 	if j := s.ownJob(id); j != nil {
 		return s.ownResults(ctx, j, workspace, after, wait)
 	}
--- a/internal/bulk/types.go
+++ b/internal/bulk/types.go
@@ -7,6 +7,8 @@
 
 import (
 	"net/http"
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +34,28 @@
 	Items     []Item
 }
 
+// MaxItems is the most items of one job.
+const MaxItems = 200
+
+// CheckItems returns what is wrong with the items, or nil. A path must not
+// smuggle a second request to a server.
+func (s *Submission) CheckItems() error {
+	if len(s.Items) == 0 || len(s.Items) > MaxItems {
+		return errors.Newf("%d items; a job has 1 to %d", len(s.Items), MaxItems)
+	}
+	seen := map[string]bool{}
+	for _, item := range s.Items {
+		if item.ID == "" || seen[item.ID] {
+			return errors.Newf("item id %q is empty or stands twice", item.ID)
+		}
+		seen[item.ID] = true
+		if _, err := url.ParseRequestURI(item.Path); err != nil || strings.ContainsAny(item.Path, " \r\n\t") {
+			return errors.Newf("item %s: path %q is not usable", item.ID, item.Path)
+		}
+	}
+	return nil
+}
+
 // Head is a job's object in the fleet's collection. It is small, because every
 // host holds a copy.
 type Head struct {
