--- a/internal/bulk/sweep_test.go
+++ b/internal/bulk/sweep_test.go
@@ -3,19 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"log/slog"
-	"net"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"ragwortstep/internal/cluster"
-	"ragwortstep/internal/informer"
-	"ragwortstep/internal/metrics"
-	"ragwortstep/internal/peer/peertest"
-	"ragwortstep/internal/slots"
 	"ragwortstep/internal/store/storetest"
 )
 
@@ -23,20 +16,8 @@
 // there expires by itself, and against removing what may still be read.
 func TestOldJobsAreRemoved(t *testing.T) {
 	is := is.New(t)
-	udp, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { _ = udp.Close() })
-	objects, logger, ctx := storetest.New(), slog.New(slog.DiscardHandler), context.Background()
-	c := cluster.New(cluster.Options{Self: cluster.Member{Name: "a"}, Conn: udp, Logger: logger})
-	node := peertest.New().Node("a")
-	inf := informer.New(informer.Options{
-		Store: objects, Cluster: c, Peers: node, Members: Collection, Logger: logger,
-		Collections: []informer.Collection{{Prefix: Collection, Wait: time.Millisecond, TakeOver: time.Second}},
-	})
-	s := New(Options{
-		Store: objects, Cluster: c, Informer: inf, Peers: node, Slots: slots.New(slots.Options{Cluster: c, Logger: logger}),
-		Metrics: metrics.New(), Readable: time.Minute, Logger: logger,
-	})
+	objects, ctx := storetest.New(), context.Background()
+	s := newLocal(t, objects, time.Minute)
 	old := time.Now().Add(-time.Minute - readableMargin - time.Second).UnixMilli()
 	heads := map[string]Head{
 		"done": {Accepted: old, Done: true, Segments: 2, Parts: 2}, "ended": {Accepted: old, Ended: true, Parts: 1},
