informer: changes of copies are logged with their source and age

The lines config_adopted and servers_changed could not tell a change that arrived late from one that was applied late: they now name the way on which it came (watch, list, digest, peer), the age of the copy and the number of servers that take requests. No change of behaviour.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -70,6 +70,6 @@
 		}
 		c.current.Store(next)
 		c.log.Info("configuration applied", "event", "config_adopted", "version", next.Version, "object_version", obj.Version,
-			"routes", len(next.Routes), "workspaces", len(next.Workspaces))
+			"source", copied.Source, "copy_age_ms", copied.Age.Milliseconds(), "routes", len(next.Routes), "workspaces", len(next.Workspaces))
 	}
 }
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -47,7 +47,7 @@
 		l.scheduleUpdate(copied, left)
 	}
 	l.entries = next
-	l.setServers()
+	l.setServers(copied)
 }
 
 // scheduleUpdate repeats the update with the same copy after the grace time of
@@ -61,8 +61,9 @@
 
 // setServers passes the decodable entries to the scheduler and the upstream
 // client. The caller holds mu.
-func (l *serverList) setServers() {
+func (l *serverList) setServers(copied informer.Copy) {
 	var list []placement.Server
+	ready := 0
 	addresses := map[string]bool{}
 	undecodable := map[string]int64{}
 	for _, key := range slices.Sorted(maps.Keys(l.entries)) {
@@ -76,10 +77,14 @@
 			continue
 		}
 		list = append(list, server)
+		if server.Ready {
+			ready++
+		}
 		addresses[server.Address] = true
 	}
 	l.undecodable = undecodable
 	l.slots.SetServers(list)
 	l.upstream.CloseIdleExcept(addresses)
-	l.log.Info("backend servers updated", "event", "servers_changed", "servers", len(list), "skipped", len(undecodable))
+	l.log.Info("backend servers updated", "event", "servers_changed", "servers", len(list), "ready", ready, "kept", len(l.entries)-len(copied.Objects),
+		"skipped", len(undecodable), "copy_version", copied.Version, "source", copied.Source, "copy_age_ms", copied.Age.Milliseconds())
 }
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -85,8 +85,22 @@
 	// of the store, by this host or a peer; zero if there was none. Entries may
 	// have expired during the outage.
 	StoreReturnedAt time.Time
+	Version         int64         // store version of the copy's last change
+	Source          Source        // of that change
+	Age             time.Duration // since the copy was last confirmed to be the newest, negative if it never was
 }
 
+// Source is where a host got a change of a copy from.
+type Source string
+
+// Sources.
+const (
+	FromWatch  Source = "watch"  // of the store
+	FromList   Source = "list"   // of the store
+	FromDigest Source = "digest" // of a peer
+	FromPeer   Source = "peer"   // fetched by a call
+)
+
 // collection is this host's copy of one collection.
 type collection struct {
 	Collection
@@ -381,7 +395,7 @@
 	col.confirm(requestedAt)
 	i.mu.Unlock()
 	if fresh {
-		i.publish(col)
+		i.publish(col, FromWatch)
 	}
 }
 
@@ -410,18 +424,21 @@
 	col.changedVersion = max(col.changedVersion, version)
 	col.confirm(requestedAt)
 	i.mu.Unlock()
-	i.publish(col)
+	i.publish(col, FromList)
 }
 
 // publish passes the copy to the functions registered with OnChange. If the
 // peers get changes through this host it also sends them, unless they may wait
 // for the next digest.
-func (i *Informer) publish(col *collection) {
+func (i *Informer) publish(col *collection, source Source) {
 	if col.Gather == 0 && i.pushes() {
 		i.opts.Cluster.SendNow()
 	}
 	i.mu.Lock()
-	c := Copy{Objects: col.objects, StoreReturnedAt: col.storeReturnedAt}
+	c := Copy{Objects: col.objects, StoreReturnedAt: col.storeReturnedAt, Version: col.changedVersion, Source: source, Age: -1}
+	if age, ok := col.confirmed.Age(bootclock.Now()); ok {
+		c.Age = age
+	}
 	i.mu.Unlock()
 	for _, fn := range col.onChange {
 		fn(c)
--- a/internal/informer/relay.go
+++ b/internal/informer/relay.go
@@ -199,7 +199,7 @@
 	}
 	i.mu.Unlock()
 	if newer {
-		i.publish(col)
+		i.publish(col, FromDigest)
 	}
 	return newer
 }
@@ -275,7 +275,7 @@
 	}
 	i.mu.Unlock()
 	if newer {
-		i.publish(col)
+		i.publish(col, FromPeer)
 	}
 }
 
