online: lines of failed servers name the shared parts of the request's prompt

The logs could not tell which requests were in flight without an answer when a server ended, by what they share. No change of behaviour.

--- a/internal/online/call.go
+++ b/internal/online/call.go
@@ -26,6 +26,9 @@
 	CallerTimeout time.Duration // the caller's timeout, 0 if it stated none
 	Cost          float64       // estimated tokens, 0 if unknown
 	LastEventID   int64         // id of the last event that the caller received, 0 for none
+	// SharedParts holds the ids of the parts of the prompt that other requests may
+	// contain too, in order.
+	SharedParts []string
 }
 
 // RequestMeta is the metadata sent to a server with a forwarded call.
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -253,7 +253,8 @@
 	slot.Done(placement.Failed, 0)
 	f.opts.Metrics.ServerFailed(f.service)
 	f.log.Warn("server failed", "event", "server_failed", "request", f.call.ID, "server", slot.Server.ID, "address", slot.Server.Address,
-		"stage", int(failure.Stage), "silent", failure.Silent, "reused", failure.Reused, "events", f.eventsSent, "error", failure)
+		"stage", int(failure.Stage), "silent", failure.Silent, "reused", failure.Reused, "events", f.eventsSent,
+		"prompt_parts", f.call.SharedParts, "error", failure)
 }
 
 // dropInvalid drops a response that cannot be a valid one of this server to
