dispatch: batch items are not quarantined when servers crash under them

Cause: the quarantine made no difference between a caller's request, which may come again for ever and crash each server, and an item of a batch job, which is owed. The jobs took its 422 as final.

TestItemUnderCrashingServersIsNotQuarantined fails on the code before (request_quarantined).

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -256,6 +256,7 @@
 	}
 	out := j.refuse(status, code, failure.Error(), time.Second)
 	out.Step, out.Peer = failure.Step, failure.Peer
+	out.ServerLost = failure.Cause == backend.Broken && failure.Stage > backend.NotSent
 	return out
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -313,6 +313,38 @@
 	is.True(refused >= 45)
 }
 
+// Guards against a batch item that is refused for good because servers crashed under
+// it, and against an error that does not tell such losses from other failures. The
+// same request of an online caller is quarantined.
+func TestItemUnderCrashingServersIsNotQuarantined(t *testing.T) {
+	is := is.New(t)
+	var crashes atomic.Int64
+	list := newFakeServers(t, 6, 4, func(e *fakeServer, w http.ResponseWriter, r *http.Request, body []byte) {
+		if string(body) == "unlucky" && crashes.Add(1) <= 5 {
+			e.crash()
+			return
+		}
+		respondAfter(time.Millisecond)(e, w, r, body)
+	})
+	d := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1").start(t, "h1", Options{})
+	item := &Request{ID: "item", Workspace: "a", Class: Batch, Idempotent: true, Body: []byte("unlucky")}
+	lost := 0
+	for range 100 {
+		_, err := call(context.Background(), d, item)
+		if err == nil {
+			break
+		}
+		refused := refusedError(t, err)
+		is.True(refused.Code != "request_quarantined")
+		if refused.ServerLost {
+			lost++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.True(crashes.Load() > 5) // the item has run
+	is.True(lost > 0)
+}
+
 // Guards against refusals with a wrong status or Executed value, and against
 // requests that wait past their deadline.
 func TestRefusals(t *testing.T) {
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -23,6 +23,7 @@
 	Executed   Executed
 	RetryAfter time.Duration // 0 if no delay is suggested
 	Unanswered int           // sends that ended without a response
+	ServerLost bool          // the server broke the connection during the last send
 	Step       string        // step at which the request failed
 	Peer       string        // backend server, or empty
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -176,10 +176,7 @@
 // pickServer chooses a server with a slot for a job, preferring servers that
 // have not failed for it.
 func (d *Dispatcher) pickServer(p *poolState, j *job, now time.Time) (string, bool) {
-	verdict := retry.NotSuspect
-	if d.suspects.HasRecords() {
-		verdict, _ = d.suspects.Check(j.fingerprint, now)
-	}
+	verdict, _ := d.verdict(j, now)
 	if verdict == retry.Quarantined {
 		return "", false // the next tick refuses it
 	}
@@ -287,13 +284,11 @@
 	if j.class == schedule.Online && !d.isBaselinePolicy() {
 		d.preemptAtServer(p, server, now)
 	}
-	if d.suspects.HasRecords() {
-		verdict, _ := d.suspects.Check(j.fingerprint, now)
-		invariant.Check(verdict != retry.Quarantined, "quarantine", "send", server)
-		if verdict == retry.Suspect {
-			r.suspect = d.suspects.Start(j.fingerprint, server)
-			d.suspectsChanged = true
-		}
+	verdict, _ := d.verdict(j, now)
+	invariant.Check(verdict != retry.Quarantined, "quarantine", "send", server)
+	if verdict == retry.Suspect {
+		r.suspect = d.suspects.Start(j.fingerprint, server)
+		d.suspectsChanged = true
 	}
 	r.ticket = d.bal.RecordSent(now, server)
 	r.ctx, r.cancel = context.WithCancelCause(context.Background())
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ragwortstep/internal/core/retry"
+	"ragwortstep/internal/core/schedule"
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/peer"
 )
@@ -26,13 +27,20 @@
 	return retry.Fingerprint(h.Sum64())
 }
 
+// verdict returns whether a job is suspected of crashing servers, and for
+// Quarantined the remaining time. Batch items are not: they are owed until their
+// job's deadline, however many servers crash under them. The caller holds mu.
+func (d *Dispatcher) verdict(j *job, now time.Time) (retry.Verdict, time.Duration) {
+	if j.class == schedule.Batch || !d.suspects.HasRecords() {
+		return retry.NotSuspect, 0
+	}
+	return d.suspects.Check(j.fingerprint, now)
+}
+
 // quarantineError returns the refusal of a quarantined job, or nil. The
 // caller holds mu.
 func (d *Dispatcher) quarantineError(j *job, now time.Time) error {
-	if !d.suspects.HasRecords() {
-		return nil
-	}
-	verdict, remaining := d.suspects.Check(j.fingerprint, now)
+	verdict, remaining := d.verdict(j, now)
 	if verdict != retry.Quarantined {
 		return nil
 	}
@@ -44,11 +52,14 @@
 	return j.refuse(http.StatusUnprocessableEntity, "request_quarantined", "backend servers were lost twice while running this request", remaining)
 }
 
-// recordConnectionLoss records that a connection broke during a run. Its
-// request is a suspect until the server is found to have survived. The caller
+// recordConnectionLoss records that a connection broke during a run. Its request,
+// unless it is a batch item, is a suspect until the server is found to have survived. The caller
 // holds mu.
 func (d *Dispatcher) recordConnectionLoss(r *run, now time.Time) {
 	counters.Add("lost_in_flight", 1)
+	if r.job.class == schedule.Batch {
+		return
+	}
 	d.suspects.ConnectionLost(r.job.fingerprint, r.server, r.suspect, now)
 	d.suspectsChanged = true
 	time.AfterFunc(2*pollMargin, func() { d.client.PollNow(r.server) })
