jobs: an item under which servers crashed is still owed

What owners of a job saw: an item ended as failed after three losses of its server, for example in one burst of crashes, though it was sound and servers had room again.

Cause: each broken connection used up one of the item's attempts, and the dispatcher's own resends counted too. Now an attempt that ended because the server broke the connection before its answer counts only after the job's deadline, like a refusal, so that the job still ends.

Evidence: TestItemUnderCrashingServersIsStillOwed fails on the code before (18 of 19 results). TestItemUnderCrashingServersIsPlacedAgain shows the same for the platform's side; it passes on the code before as well.

What remains: an answer that breaks off midway still counts as an attempt here, since it cannot be told from an answer that never comes whole.

--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 
 	"ragwortstep/internal/bulk"
 	"ragwortstep/internal/core/itemlist"
+	"ragwortstep/internal/core/placement"
 	"ragwortstep/internal/servertest"
 )
 
@@ -388,3 +390,41 @@
 	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 1)))
 	f.complete(a, "job", 1) // compares the text
 }
+
+// A burst of server crashes hits the same item several times, before and in the
+// middle of its answer, until no server is left. The item must not be given up: it
+// is placed again once there are servers, and completes with each event once.
+func TestItemUnderCrashingServersIsPlacedAgain(t *testing.T) {
+	is := is.New(t)
+	var crashes atomic.Int64
+	sound := generate(time.Millisecond)
+	unlucky := func(c *servertest.Conn) bool {
+		if c.ID != "job-2" {
+			return sound(c)
+		}
+		n := crashes.Add(1)
+		if n > 8 {
+			return sound(c)
+		}
+		if n%2 == 0 {
+			c.StartStream()
+			c.WriteEvents(c.After+1, min(c.After+1, lastEvent))
+		}
+		return false
+	}
+	f := newFleet(t, servertest.New(t, unlucky), servertest.New(t, unlucky), servertest.New(t, unlucky))
+	a := f.start("a")
+	f.eventually("accepted", func() bool { return a.bulk.Submit(context.Background(), submission("job", 5)) == nil })
+	f.eventually("some crashes", func() bool { return crashes.Load() >= 3 })
+	a.slots.SetServers(nil)
+	time.Sleep(500 * time.Millisecond)
+	var list []placement.Server
+	for i, s := range f.servers {
+		list = append(list, s.PlacementServer(fmt.Sprint("restarted", i), "s", 8))
+	}
+	a.slots.SetServers(list)
+	for _, r := range f.complete(a, "job", 5) {
+		is.Equal(r.State, itemlist.Completed)
+	}
+	is.True(crashes.Load() > 8)
+}
--- a/internal/jobs/chunkrun_test.go
+++ b/internal/jobs/chunkrun_test.go
@@ -154,6 +154,35 @@
 	is.Equal(c.runs["i4"], 8)
 }
 
+// Guards against an item that is given up because servers crashed under it, for
+// example several times in a burst of crashes: its losses use up no attempt, so it
+// is sent again until it completes. An item whose attempts fail for another reason
+// still ends.
+func TestItemUnderCrashingServersIsStillOwed(t *testing.T) {
+	const maxItemAttempts = 3 // the default
+	is := is.New(t)
+	c := newTestCluster(t)
+	losses := map[string]int{}
+	c.serve = func(id string) response {
+		switch losses[id]++; {
+		case id == "i1" && losses[id] <= 3*maxItemAttempts:
+			return response{err: &dispatch.RefusedError{Status: 502, Code: "server_failed", Executed: dispatch.ExecutedUnknown, Unanswered: 2, ServerLost: true}}
+		case id == "i2":
+			return response{err: &dispatch.RefusedError{Status: 504, Code: "server_silent", Executed: dispatch.ExecutedUnknown, Unanswered: 1}}
+		}
+		return response{status: 200}
+	}
+	a := c.start("a", nil)
+	ended := c.awaitEnd(a.submit(20, chatPath).ID, func() *node { return a })
+	output, failed := a.checkOneResultPerItem(ended, 20)
+	is.Equal(len(output), 19)
+	is.Equal(failed["i2"].Error.Code, "server_silent")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	is.Equal(losses["i1"], 3*maxItemAttempts+1)
+	is.Equal(losses["i2"], maxItemAttempts)
+}
+
 // Guards against a host that starts items or commits results while its freshness
 // lease has lapsed.
 func TestNoWorkWithLapsedLease(t *testing.T) {
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -282,6 +282,10 @@
 		failure = itemError{Code: "outcome_unknown", Message: "the item may have run and is not idempotent: " + failure.Message}
 		return outcome{line: finalLine()}
 	}
+	if isRefusal && refused.ServerLost {
+		// Servers crash for other reasons than the item, which is owed until its deadline.
+		return outcome{countsAsAttempt: r.pastDeadline(), delay: r.refusalDelay(), finalLine: finalLine}
+	}
 	extraSends := 0
 	if isRefusal {
 		extraSends = max(0, refused.Unanswered-1)
