online, bulk: a stream that ends with its connection before any event is not complete

What callers would see: a server that ends after its header leaves an answer that is complete and empty; a job's item was listed as completed without output.

Cause: the end of the connection was taken for the end of the stream at any event boundary, also before the first event. A stream has at least one event, so without one of this server it was broken off: the caller gets 502, a stream that may be resumed and an item go on at another server, and the loss counts for the quarantine instead of clearing the parts of the prompt.

TestStreamUntilCloseWithoutEventIsNotComplete (200 instead of 502) and TestStreamUntilCloseWithoutEventIsNoResult (output empty) fail on the code before. TestStreamUntilClose shows that an end between events is complete and one inside an event is not; it passes before as well. An end at a later event boundary without a reset cannot be told from a complete stream.

--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -428,3 +428,24 @@
 	}
 	is.True(crashes.Load() > 8)
 }
+
+// A stream without length or chunks ends with its connection. An item whose server
+// ends before the first event must not be listed as completed without output.
+func TestStreamUntilCloseWithoutEventIsNoResult(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	sound := generate(time.Millisecond)
+	f := newFleet(t, servertest.New(t, func(c *servertest.Conn) bool {
+		if runs.Add(1) <= 2 {
+			c.WriteHead(200, "Content-Type: text/event-stream")
+			return false
+		}
+		return sound(c)
+	}))
+	a := f.start("a")
+	f.eventually("accepted", func() bool { return a.bulk.Submit(context.Background(), submission("job", 2)) == nil })
+	for _, r := range f.complete(a, "job", 2) {
+		is.Equal(r.State, itemlist.Completed)
+		is.Equal(r.Output, wholeOutput)
+	}
+}
--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -295,6 +295,9 @@
 			r.s.awaitReadTick(ctx)
 		}
 		event, err := reader.Next()
+		if err == io.EOF && resp.UntilClose && got == 0 {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			r.s.pace.recordItem(r.eventCount)
 			return &itemlist.Result{ID: r.item.ID, State: itemlist.Completed, Output: r.output.String()}, placement.Success, float64(max(got, 1))
--- a/internal/online/faulty_server_test.go
+++ b/internal/online/faulty_server_test.go
@@ -157,3 +157,38 @@
 		})
 	}
 }
+
+// A stream without length or chunks ends with its connection, so a server that ends
+// before the first event leaves an answer that looks complete. Its caller must not
+// take it for one; a stream that may be resumed goes on at another server.
+func TestStreamUntilCloseWithoutEventIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	untilClose := func(c *servertest.Conn) bool { c.WriteHead(200, "Content-Type: text/event-stream"); return false }
+	f := newFixture(t, servertest.New(t, untilClose))
+	is.Equal(f.call("/stream/1", "k").status, http.StatusBadGateway)
+	f = newFixture(t, servertest.New(t, untilClose), servertest.New(t, stream))
+	for range 4 {
+		got := f.call("/resumable/1", "k")
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(got.body, events(1, 4))
+	}
+}
+
+// A stream without length or chunks that ends between two events is complete, one
+// that ends inside an event is not.
+func TestStreamUntilClose(t *testing.T) {
+	is := is.New(t)
+	ending := func(tail string) func(*servertest.Conn) bool {
+		return func(c *servertest.Conn) bool {
+			c.WriteHead(200, "Content-Type: text/event-stream")
+			_, _ = io.WriteString(c, events(1, 4)+tail)
+			return false
+		}
+	}
+	got := newFixture(t, servertest.New(t, ending(""))).call("/stream/1", "k")
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.body, events(1, 4))
+	is.NoErr(got.err)
+	got = newFixture(t, servertest.New(t, ending("id: 5\ndata: tok"))).call("/stream/1", "k")
+	is.True(got.err != nil) // broken off
+}
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -17,13 +17,16 @@
 // stream relays complete events as they arrive. It returns true if the stream
 // is complete or the caller has disconnected.
 func (f *forwarding) stream(slot *slots.Slot, resp *upstream.Response) bool {
-	began := time.Now()
+	began, before := time.Now(), f.eventsSent
 	reader := upstream.NewEventReader(resp.Body)
 	controller := http.NewResponseController(f.w)
 	eventGapTimeout := f.eventGapTimeout()
 	resp.Body.SetReadTimeout(eventGapTimeout)
 	for {
 		event, err := reader.Next()
+		if err == io.EOF && resp.UntilClose && f.eventsSent == before {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			_ = resp.Body.Close()
 			return f.finishStream(slot, resp, controller)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -100,7 +100,10 @@
 	Status int
 	Header http.Header
 	Length int64 // -1 when unknown
-	Body   *Body
+	// UntilClose is set if the body has neither length nor chunks and ends with the
+	// connection, so that the end of the server looks like the end of the body.
+	UntilClose bool
+	Body       *Body
 }
 
 var counters = expvar.NewMap("upstream")
@@ -230,7 +233,7 @@
 	}
 	ex.setReadDeadline(0)
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, UntilClose: endsWithConnection(resp),
 		Body: &Body{ex: ex, body: resp.Body, reusable: !resp.Close, idle: keepAliveTimeout(resp.Header)},
 	}, nil
 }
@@ -248,11 +251,15 @@
 		return nil, ex.newError(Sent, "send to", sendErr)
 	}
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, UntilClose: endsWithConnection(resp),
 		Body: &Body{ex: ex, body: resp.Body},
 	}, nil
 }
 
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // setReadDeadline bounds the next reads. If the context has ended, it restores
 // the past deadline that makes all I/O fail.
 func (ex *exchange) setReadDeadline(d time.Duration) {
