test/coop: a part of a prompt that crashes servers, over real processes

Streams of the soak share a part of their prompt, and after the faults every host must answer such a stream within 5 s: a part must not stay quarantined because servers were replaced.

--- a/test/coop/client.go
+++ b/test/coop/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -62,9 +63,17 @@
 	return r, nil
 }
 
+// sharedPart is a part of the prompts of all streams.
+const sharedPart = "5a4ed0"
+
 // Call sends an online request and checks the answer. It returns the status, 0
 // without an answer.
 func (c *Client) Call(host, route, id, key string) int {
+	return c.CallWithParts(host, route, id, key, sharedPart)
+}
+
+// CallWithParts is Call for a prompt with the shared parts and one of its own.
+func (c *Client) CallWithParts(host, route, id, key string, parts ...string) int {
 	r, err := c.request(http.MethodPost, host, "/"+route+"/x", id, key, []byte("body "+id))
 	if err != nil {
 		c.Ledger.AddFailure("request %s: %v", id, err)
@@ -73,6 +82,11 @@
 	streams := route == "stream" || route == "resume"
 	if streams {
 		r.Header.Set("Token-Count", "100,50")
+		prompt := fmt.Sprintf("%x:20", idHash(id))
+		for _, part := range slices.Backward(parts) {
+			prompt = part + ":40," + prompt
+		}
+		r.Header.Set("Prompt-Prefix", prompt)
 	}
 	resp, err := c.http.Do(r)
 	if err != nil {
--- a/test/coop/server.go
+++ b/test/coop/server.go
@@ -20,6 +20,8 @@
 	Service     string
 	StartedAtMS int64
 	Pause       time.Duration // between events
+	CrashPart   string        // a part of prompts; the server crashes when it begins to answer on it
+	OnCrash     func()
 	server      *httptest.Server
 
 	mu      sync.Mutex
@@ -118,6 +120,12 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if s.CrashPart != "" && strings.Contains(r.Header.Get("Prompt-Prefix"), s.CrashPart+":") {
+		_ = http.NewResponseController(w).Flush() // the host may have disconnected
+		go s.OnCrash()
+		<-r.Context().Done()
+		return
+	}
 	for n := after + 1; n <= EventCount(id); n++ {
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(id, n))
 		if http.NewResponseController(w).Flush() != nil {
--- a/test/coop/soak_test.go
+++ b/test/coop/soak_test.go
@@ -155,6 +155,23 @@
 	}
 }
 
+// awaitStreams waits until every host answers a stream. All streams share a part of
+// their prompt, which must not be quarantined for the faults of the run.
+func (run *soakRun) awaitStreams() {
+	run.t.Helper()
+	client := NewClient(run.ledger)
+	deadline := time.Now().Add(5 * time.Second)
+	for i, h := range run.fleet.Hosts {
+		for n := 0; client.Call(h.Callers, "stream", fmt.Sprintf("after-%d-%d", i, n), callerKey) != http.StatusOK; n++ {
+			if time.Now().After(deadline) {
+				run.ledger.AddFailure("%s answers no stream after the faults", h.Name)
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
 // startCallers starts n callers that send online requests until stop is closed.
 func (run *soakRun) startCallers(n int) {
 	for c := range n {
@@ -284,6 +301,7 @@
 		h.Signal(syscall.SIGCONT)
 	}
 	run.awaitServing(20 * time.Second)
+	run.awaitStreams()
 	client := NewClient(run.ledger)
 	deadline := time.Now().Add(30 * time.Second)
 	for _, j := range run.jobs {
