--- a/test/coop/prompt_part_test.go
+++ b/test/coop/prompt_part_test.go
@@ -47,8 +47,7 @@
 	var serversMu sync.Mutex
 	var add func(n int)
 	add = func(n int) {
-		s := NewServer(run.store, fmt.Sprint("part-", n), "llm", 10*time.Millisecond)
-		s.CrashPart = crashingPart
+		s := &Server{Name: fmt.Sprint("part-", n), Service: "llm", Pause: 10 * time.Millisecond, CrashPart: crashingPart}
 		var once sync.Once
 		s.OnCrash = func() {
 			once.Do(func() {
@@ -61,6 +60,7 @@
 				add(n + 100)
 			})
 		}
+		s.Start(run.store)
 		serversMu.Lock()
 		defer serversMu.Unlock()
 		run.allServers = append(run.allServers, s)
--- a/test/coop/server.go
+++ b/test/coop/server.go
@@ -21,7 +21,7 @@
 	StartedAtMS int64
 	Pause       time.Duration // between events
 	CrashPart   string        // a part of prompts; the server crashes when it begins to answer on it
-	OnCrash     func()
+	OnCrash     func()        // called when it has received such a request
 	server      *httptest.Server
 
 	mu      sync.Mutex
@@ -43,10 +43,16 @@
 
 // NewServer starts a server and registers it in the store.
 func NewServer(store *Store, name, service string, pause time.Duration) *Server {
-	s := &Server{Name: name, Service: service, StartedAtMS: time.Now().UnixMilli(), Pause: pause}
+	s := &Server{Name: name, Service: service, Pause: pause}
+	s.Start(store)
+	return s
+}
+
+// Start starts the server and registers it in the store.
+func (s *Server) Start(store *Store) {
+	s.StartedAtMS = time.Now().UnixMilli()
 	s.server = httptest.NewServer(s)
 	s.Register(store, "ready")
-	return s
 }
 
 // Register writes the server's entry.
