--- a/internal/online/suspects.go
+++ b/internal/online/suspects.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	set   *retry.Suspects
 	parts *retry.PartSuspects
+	// quarantinedParts holds the parts that this host quarantines, as last logged.
+	quarantinedParts map[retry.Fingerprint]bool
 }
 
 // NewSuspects returns an empty set and registers it with the cluster.
@@ -147,7 +149,16 @@
 	if !s.parts.Used() {
 		return nil
 	}
-	return s.parts.Report(maxHostLosses, time.Now())
+	r := s.parts.Report(maxHostLosses, time.Now())
+	quarantined := map[retry.Fingerprint]bool{}
+	for _, q := range r.Quarantined {
+		quarantined[q.Fingerprint] = true
+		if !s.quarantinedParts[q.Fingerprint] {
+			s.log.Warn("part of a prompt quarantined", "event", "quarantined", "fingerprint", uint64(q.Fingerprint), "left_ms", q.LeftMS)
+		}
+	}
+	s.quarantinedParts = quarantined
+	return r
 }
 
 const (
