--- a/test/coop/soak_test.go
+++ b/test/coop/soak_test.go
@@ -73,6 +73,7 @@
 // soakRun is the fleet, load and checks of one seed.
 type soakRun struct {
 	t          *testing.T
+	seed       uint64
 	rng        *rand.Rand
 	mu         sync.Mutex // of rng
 	store      *Store
@@ -118,7 +119,7 @@
 
 func newSoakRun(t *testing.T, seed uint64) *soakRun {
 	t.Helper()
-	run := &soakRun{t: t, rng: rand.New(rand.NewPCG(seed, 7)), store: NewStore(seed), ledger: NewLedger(), stop: make(chan struct{}), jobs: map[string]*soakJob{}}
+	run := &soakRun{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), store: NewStore(seed), ledger: NewLedger(), stop: make(chan struct{}), jobs: map[string]*soakJob{}}
 	Configure(run.store, 1, callerKey)
 	for i := range 3 {
 		run.addServer(fmt.Sprint("llm-", i), "llm", 5*time.Millisecond)
@@ -148,6 +149,7 @@
 	for i, h := range run.fleet.Hosts {
 		for n := 0; NewClient(NewLedger()).Call(h.Callers, "plain", fmt.Sprintf("ready-%d-%d-%d", i, n, time.Now().UnixNano()), callerKey) != http.StatusOK; n++ {
 			if time.Now().After(deadline) {
+				run.keepLogs()
 				run.t.Fatalf("%s does not serve", h.Name)
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -384,7 +386,7 @@
 				t.Errorf("%d requests were served", run.ledger.Served)
 			}
 			if t.Failed() {
-				run.keepLogs(seed)
+				run.keepLogs()
 			}
 			t.Logf("served %d of %d requests, %d jobs, %d store calls", run.ledger.Served, len(run.ledger.Answers), len(run.jobs), run.store.Calls())
 		})
@@ -392,8 +394,8 @@
 }
 
 // keepLogs keeps the hosts' logs of a failed seed.
-func (run *soakRun) keepLogs(seed uint64) {
-	to := filepath.Join(os.TempDir(), fmt.Sprint("ragwortstep-soak-", seed))
+func (run *soakRun) keepLogs() {
+	to := filepath.Join(os.TempDir(), fmt.Sprint("ragwortstep-soak-", run.seed))
 	if err := os.MkdirAll(to, 0o700); err != nil {
 		run.t.Log(err)
 		return
