--- a/test/coop/fleet.go
+++ b/test/coop/fleet.go
@@ -45,9 +45,14 @@
 // NewFleet starts n hosts of the program. Their logs are in dir.
 func NewFleet(program, dir string, store *Store, n int) (*Fleet, error) {
 	f := &Fleet{Store: store, Relay: relay.New(), dir: dir}
+	// One call for all hosts: a port that another host has not bound yet is free.
+	ports, err := freePorts(n * portsPerHost)
+	if err != nil {
+		return nil, err
+	}
 	for i := range n {
 		h := &Host{Name: fmt.Sprintf("host-%d", i), program: program}
-		if err := f.prepareHost(h); err != nil {
+		if err := f.prepareHost(h, ports[i*portsPerHost:(i+1)*portsPerHost]); err != nil {
 			return nil, err
 		}
 		f.Hosts = append(f.Hosts, h)
@@ -60,12 +65,11 @@
 	return f, nil
 }
 
+// portsPerHost counts the addresses for callers, readiness, peers and the store's relay.
+const portsPerHost = 4
+
 // prepareHost writes a host's settings and opens its log.
-func (f *Fleet) prepareHost(h *Host) error {
-	ports, err := freePorts(4)
-	if err != nil {
-		return err
-	}
+func (f *Fleet) prepareHost(h *Host, ports []int) error {
 	storeAddress := fmt.Sprintf("127.0.0.1:%d", ports[3])
 	if err := f.Relay.Add(relay.Spec{Name: "store-" + h.Name, Listen: storeAddress, Target: f.Store.Address()}); err != nil {
 		return err
