--- a/internal/core/retry/parts.go
+++ b/internal/core/retry/parts.go
@@ -184,21 +184,30 @@
 // Where another part accounts for the losses as well, only requests with both are
 // refused: one of them is sound, and its next answer shows which.
 func (s *PartSuspects) Check(parts []Fingerprint, now time.Time) (PartRefusal, bool) {
+	outside := func(other Fingerprint) bool { return !slices.Contains(parts, other) }
 	for i, part := range parts {
-		if q, ok := s.reported[part]; ok && now.Before(q.until) && now.Sub(q.heardAt) < peerReportExpiry {
-			return PartRefusal{i, q.until.Sub(now)}, true
+		left := s.reportedLeft(part, now)
+		if s.isSuspect(part) {
+			left = s.left(part, now)
 		}
-		if !s.isSuspect(part) {
-			continue
-		}
-		outside := func(other Fingerprint) bool { return !slices.Contains(parts, other) }
-		if left := s.left(part, now); left > 0 && !slices.ContainsFunc(s.alternatives(part), outside) {
+		if left > 0 && !slices.ContainsFunc(s.alternatives(part), outside) {
 			return PartRefusal{i, left}, true
 		}
 	}
 	return PartRefusal{}, false
 }
 
+// reportedLeft returns how long a quarantine that a peer reports lasts, 0 if there
+// is none. A host that knows an answer on the part judges by itself: the peer may
+// not have heard of all losses yet, and another part may account for them.
+func (s *PartSuspects) reportedLeft(part Fingerprint, now time.Time) time.Duration {
+	q, ok := s.reported[part]
+	if _, answered := s.lastAnswer(part); !ok || answered || now.Sub(q.heardAt) >= peerReportExpiry {
+		return 0
+	}
+	return q.until.Sub(now)
+}
+
 // left returns how long a quarantine for the losses of a part lasts.
 func (s *PartSuspects) left(part Fingerprint, now time.Time) time.Duration {
 	return s.lastLoss(part).Add(QuarantineDuration).Sub(now)
@@ -236,6 +245,9 @@
 func (s *PartSuspects) alternatives(part Fingerprint) []Fingerprint {
 	_, answered := s.lastAnswer(part)
 	lost := s.losses[part]
+	if len(lost) == 0 {
+		return nil
+	}
 	var out []Fingerprint
 	for other, list := range s.losses {
 		if _, ok := s.lastAnswer(other); other == part || len(list) < len(lost) || (ok && !answered) {
--- a/internal/core/retry/parts_test.go
+++ b/internal/core/retry/parts_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -218,7 +220,8 @@
 
 // crash ends a server, which is back later under another name.
 func (r *loadRun) crash(server int, down time.Duration) {
-	for id, w := range r.inFlight[server] {
+	for _, id := range slices.Sorted(maps.Keys(r.inFlight[server])) {
+		w := r.inFlight[server][id]
 		r.hosts[w.host].ServerLost(r.requests[id], r.name(server), w.sentAt, r.now)
 	}
 	r.inFlight[server] = map[int]waiting{}
