informer: a take-over in a large fleet is no outage of the store

Cause: entries that expire while the store is away are used for 2 s after its return, and a copy older than TakeOver + 1 s = 2.6 s counts as the sign of an outage. In fleets with delegates hosts read the store themselves at 2.6 s, so each take-over counted as one, and servers that had left without a word were used for 2 s more.

Why this works: the bound follows the age at which this host takes over, so only a copy that nobody could confirm for a second more is the sign of an outage.

Ruled out: late application (the copies' ages are 8 to 611 ms at that host).

--- a/internal/informer/faults_test.go
+++ b/internal/informer/faults_test.go
@@ -108,6 +108,7 @@
 		next.mu.Lock()
 		defer next.mu.Unlock()
 		next.copied = map[string]string{}
+		next.returned = c.StoreReturnedAt
 		for key, o := range c.Objects {
 			next.copied[key] = string(o.Value)
 		}
@@ -296,3 +297,45 @@
 		x.end()
 	}
 }
+
+// The reader and its successors lose the store, so the other hosts of a fleet with
+// delegates read it themselves, later than in a small fleet. That is no outage of
+// the store: hosts that took it for one would use servers whose entries were removed
+// meanwhile for two seconds more, and send requests to servers that have left.
+func TestTakeOverInLargeFleetIsNoOutage(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 15)
+	f.change(1)
+	for _, h := range f.hosts {
+		eventually(t, "all have a copy", 10*time.Second, func() bool { return h.value(prefix+"counter") == "1" })
+	}
+	time.Sleep(time.Second)
+	coordinators := map[string]bool{}
+	for _, m := range f.hosts[0].cluster.Coordinators() {
+		coordinators[m.Name] = true
+	}
+	if len(coordinators) != 3 {
+		t.Fatalf("coordinators %v, want one for each of three zones", coordinators)
+	}
+	for _, h := range f.hosts {
+		h.storeLink.silent.Store(coordinators[h.name])
+	}
+	time.Sleep(2 * time.Second)
+	f.change(2)
+	for _, h := range f.hosts {
+		if !coordinators[h.name] {
+			eventually(t, "the change has arrived", applyTime, func() bool { return h.value(prefix+"counter") == "2" })
+		}
+	}
+	time.Sleep(time.Second)
+	f.change(3)
+	for _, h := range f.hosts {
+		if coordinators[h.name] {
+			continue
+		}
+		eventually(t, "the next change has arrived", applyTime, func() bool { return h.value(prefix+"counter") == "3" })
+		if back := h.returnedAt(); !back.IsZero() {
+			t.Errorf("host %s recorded the end of an outage %v ago", h.name, time.Since(back))
+		}
+	}
+}
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -39,8 +39,8 @@
 	// again although its peers confirm its copies.
 	probeInterval = 2 * time.Second
 	// interruptionMargin distinguishes the end of a store outage from a normal
-	// confirmation: without an outage no copy becomes older than TakeOver by this
-	// much.
+	// confirmation: without an outage no copy becomes older than the age at which
+	// hosts read the store themselves by this much.
 	interruptionMargin = time.Second
 	// listTimeout bounds the listing of one page.
 	listTimeout = 2 * time.Second
@@ -109,6 +109,7 @@
 	version         int64 // store version from which the next watch starts
 	changedVersion  int64 // store version of the copy's last change
 	confirmed       freshness.Tracker
+	takeOverAge     time.Duration // at which this host reads the store itself, as last computed
 	storeReturnedAt time.Time
 	onChange        []func(Copy)
 	wake            chan struct{} // capacity 1; ends a sleep of keepInSync
@@ -151,7 +152,7 @@
 	}
 	i := &Informer{opts: opts, log: opts.Logger, started: time.Now(), storeReachable: true, collections: map[string]*collection{}, storeReachableBy: map[string]bool{}, newerCopyAt: map[string]peer.HostID{}}
 	for _, c := range opts.Collections {
-		i.collections[c.Prefix] = &collection{Collection: c, objects: map[string]store.Object{}, wake: make(chan struct{}, 1)}
+		i.collections[c.Prefix] = &collection{Collection: c, objects: map[string]store.Object{}, takeOverAge: c.TakeOver, wake: make(chan struct{}, 1)}
 	}
 	opts.Cluster.Provide(copiesSection, i.digest)
 	opts.Cluster.Receive(copiesSection, i.receiveDigest)
@@ -255,6 +256,7 @@
 	reader, hops := i.IsReader(), i.opts.Cluster.MaxHops()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	col.takeOverAge = col.TakeOver + time.Duration(hops-1)*agePerHop
 	age, ok := col.confirmed.Age(bootclock.Now())
 	if !col.loaded && col.Prefix != i.opts.Members && (!i.collections[i.opts.Members].loaded || !reader) {
 		return max(startupWait-time.Since(i.started), 0)
@@ -265,7 +267,7 @@
 	if !i.storeReachable && col.Prefix == i.opts.Members {
 		return max(probeInterval-time.Since(col.lastAttempt), 0)
 	}
-	return max(col.TakeOver+time.Duration(hops-1)*agePerHop-age, 0)
+	return max(col.takeOverAge-age, 0)
 }
 
 // IsReader reports whether this host is the reader: the first by name of the
@@ -366,14 +368,14 @@
 }
 
 // confirm records that the copy was the newest one at an instant. If that ends a
-// store outage, in which the copy became older than TakeOver by more than
+// store outage, in which the copy became older than takeOverAge by more than
 // interruptionMargin, it sets storeReturnedAt.
 func (col *collection) confirm(at freshness.Instant) {
 	now := bootclock.Now()
 	before, known := col.confirmed.Age(now)
 	col.confirmed.Confirm(at)
 	after, _ := col.confirmed.Age(now)
-	if known && before > col.TakeOver+interruptionMargin && after <= col.TakeOver {
+	if known && before > col.takeOverAge+interruptionMargin && after <= col.takeOverAge {
 		col.storeReturnedAt = time.Now()
 	}
 }
