informer: the next reader reads at once when the reader loses the store

What callers met: a change that is acknowledged right after the reader is turned away or leaves comes into force up to 1.6 s later (2.6 s in a fleet with delegates), and a call and three digests later still; 2 s and 3 s are allowed.

Cause: a host sleeps for as long as it may rely on its peers, and nothing woke it when it became the reader.

TestSuccessorOfReaderReadsAtOnce fails on the code before (after 2.5 s of quiet: not within 1.5 s) and passes after (3 runs of 7 phases). The users' CONFIG itself was not reproduced.

Why this works: a peer's word on the store, or a change of the membership, makes each host look again who reads; that costs a comparison.

--- a/internal/informer/faults_test.go
+++ b/internal/informer/faults_test.go
@@ -339,3 +339,32 @@
 		}
 	}
 }
+
+// The store turns the reader of a fleet with delegates away. The next coordinator must
+// read at once, whenever it last looked at the age of its copy: if it waits until the
+// copy is old, a change made meanwhile comes into force too late at every host.
+func TestSuccessorOfReaderReadsAtOnce(t *testing.T) {
+	t.Parallel()
+	for quiet := 1600 * time.Millisecond; quiet < 3500*time.Millisecond; quiet += 300 * time.Millisecond {
+		t.Run(quiet.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 15)
+			f.change(1)
+			for _, h := range f.hosts {
+				eventually(t, "all have a copy", 10*time.Second, func() bool { return h.value(prefix+"counter") == "1" })
+			}
+			time.Sleep(quiet)
+			reader := f.hosts[0]
+			if !reader.informer.IsReader() {
+				t.Fatal("the first host is not the reader")
+			}
+			reader.storeLink.refuse.Store(true)
+			eventually(t, "the reader notices", time.Second, func() bool { return !reader.informer.StoreReachable() })
+			f.change(2)
+			lag := reader.cluster.MaxLag()
+			for _, h := range f.hosts { // one lag for the news of the reader, one for the change
+				eventually(t, h.name+" has the change", 2*lag, func() bool { return h.value(prefix+"counter") == "2" })
+			}
+		})
+	}
+}
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -156,6 +156,7 @@
 	}
 	opts.Cluster.Provide(copiesSection, i.digest)
 	opts.Cluster.Receive(copiesSection, i.receiveDigest)
+	opts.Cluster.OnChange(i.wakeAll) // the reader may have left
 	opts.Peers.Handle(copyMethod, i.serveCopy)
 	return i
 }
--- a/internal/informer/relay.go
+++ b/internal/informer/relay.go
@@ -155,7 +155,10 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.storeReachableBy[n.From.Name] = d.StoreReachable
+	if i.storeReachableBy[n.From.Name] != d.StoreReachable {
+		i.storeReachableBy[n.From.Name] = d.StoreReachable
+		i.wakeAll() // this host may be the reader now
+	}
 	for prefix, peerCopy := range d.Copies {
 		col, ok := i.collections[prefix]
 		if !ok {
