quota: a young host assumes that its peers get as many requests as it does

Cause: a host divides a surge by the demand that its peers report. For the first 0.3 s there are no reports, so each of the hosts took the fleet's tokens since its start for its own.

Ruled out: buckets that survive a restart (all hosts were new processes), and admissions that reports lose when the members of a zone change (no host admitted after the first reports).

Until a report can have arrived, a host now takes its own demand for that of each peer.

A workspace whose requests all reach one host is refused for up to 0.75 s after that host's start, with Retry-After.

--- a/internal/core/quota/large_fleet_test.go
+++ b/internal/core/quota/large_fleet_test.go
@@ -18,6 +18,7 @@
 	reported     []Report   // what each host's delegate knows of it
 	heard        []bool     // the delegate has a report of the present process
 	sums         [][]report // by receiving zone and sending zone
+	restartedAt  time.Time  // of all hosts
 	admitted     []time.Time
 	now          time.Time
 	rng          *rand.Rand
@@ -35,6 +36,8 @@
 	reportInterval = 250 * time.Millisecond
 	fleetStep      = 5 * time.Millisecond
 	reportLag      = 3 * reportInterval / 2 // from a host by two delegates to another
+	// firstReports is the time from the start of all hosts until they send reports.
+	firstReports = 150 * time.Millisecond
 )
 
 func newLargeFleet(zones, hostsPerZone int, limit Limit, seed uint64) *largeFleet {
@@ -56,15 +59,21 @@
 
 func (f *largeFleet) restart(i int) {
 	f.hosts[i] = New(f.now, f.rng)
-	f.hosts[i].SetHosts(len(f.hosts))
-	f.hosts[i].SetReportLag(reportLag)
+	f.register(i)
 	f.incarnations[i]++
 	f.reported[i], f.heard[i] = Report{}, false
 }
 
+// register gives a host the list of hosts.
+func (f *largeFleet) register(i int) {
+	f.hosts[i].SetHosts(len(f.hosts))
+	f.hosts[i].SetReportLag(reportLag)
+}
+
 // restartAll kills all hosts, which start again after the given time.
 func (f *largeFleet) restartAll(down time.Duration) {
 	f.now = f.now.Add(down)
+	f.restartedAt = f.now
 	for i := range f.hosts {
 		f.restart(i)
 	}
@@ -99,6 +108,9 @@
 
 // due reports whether an interval with the given phase ends in this step.
 func (f *largeFleet) due(phase int) bool {
+	if f.now.Before(f.restartedAt.Add(firstReports)) {
+		return false
+	}
 	steps := int64(reportInterval / fleetStep)
 	return (f.now.UnixMilli()/fleetStep.Milliseconds())%steps == int64(phase)%steps
 }
@@ -170,6 +182,37 @@
 	}
 }
 
+// TestRetriesAfterRestartOfLargeFleetShareItsRate guards against hosts that each
+// admit at the workspace's full rate until the first reports arrive: all callers
+// whose connections a restart broke send again at the same time.
+func TestRetriesAfterRestartOfLargeFleetShareItsRate(t *testing.T) {
+	t.Parallel()
+	testRetriesAfterRestart(t)
+}
+
+func testRetriesAfterRestart(t *testing.T) {
+	const (
+		firstRequests = 100 * time.Millisecond // after the hosts' start
+		retries       = 600 * time.Millisecond
+	)
+	for _, hostsPerZone := range []int{19, 50} {
+		for _, rate := range []float64{10, 40, 120} {
+			for seed := range uint64(2) {
+				limit := Limit{Rate: rate, Burst: 4 * rate}
+				f := newLargeFleet(3, hostsPerZone, withTolerance(limit), seed)
+				f.run(4*time.Second, rate/2)
+				f.restartAll(time.Second)
+				f.run(firstRequests, 0)
+				_, n := f.run(retries, 20*rate)
+				tolerance := allowed(limit) - limit.Rate*window.Seconds() - limit.Burst
+				if most := rate*(firstRequests+retries).Seconds() + tolerance; float64(n) > most {
+					t.Errorf("%d hosts, rate %g, seed %d: %d admitted, %g allowed", 3*hostsPerZone, rate, seed, n, most)
+				}
+			}
+		}
+	}
+}
+
 // TestSurgeInLargeFleetStaysWithinLimit guards against hosts that each admit a
 // sudden surge until the reports of the others arrive.
 func TestSurgeInLargeFleetStaysWithinLimit(t *testing.T) {
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -177,6 +177,9 @@
 
 // Admit takes a token for one request. When there is none, it returns false and
 // the time after which to expect one. A limit with rate 0 admits everything.
+//
+// Until its peers' first reports have arrived, a host assumes that each of them
+// gets as many requests as it gets itself.
 func (q *Quotas) Admit(workspace string, limit Limit, now time.Time) (bool, time.Duration) {
 	if limit.Rate <= 0 {
 		return true, 0
@@ -185,6 +188,9 @@
 	b.askedRate += 1 / rateTimeConstant.Seconds()
 	lag := q.reportLag.Seconds()
 	admitted, asked := b.peerRates(now)
+	if now.Sub(q.startedAt) < 2*q.reportLag {
+		asked = max(asked, b.askedRate*float64(q.hosts-1))
+	}
 	level := b.level - max(admitted*lag-limit.Slack, 0) // without admissions that are likely not reported yet
 	if level < 1 {
 		return false, refillTime(1-level, limit.Rate)
