quota: a host admits nothing under a quota before it knows its fleet

A host took itself for the only one until it had the list of registered hosts, and admitted at a workspace's full rate.

A host without the list now refuses requests of workspaces with a quota with 503 and Retry-After, as it does without a configuration. After 3 s without a list it takes the hosts that it has heard from for the fleet, so that it does not refuse for good. The event quota_hosts tells when the number of hosts changed and whether the list was known.

TestHostAdmitsNothingBeforeItKnowsTheFleet and TestHostWithoutAListOfHostsAdmitsInTheEnd guard the wiring.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -101,6 +101,7 @@
 	peers           map[string]*peer
 	byHash          map[uint32]*peer // by nameHash; nil after a peer was added or removed
 	snapshot        *roster          // nil after the membership changed
+	membersKnown    bool             // SetMembers was called
 	remote          map[string]remoteZone
 	sent            []sentSections // of the last rounds, oldest first
 	providers       map[string]func() any
--- a/internal/cluster/roster.go
+++ b/internal/cluster/roster.go
@@ -157,6 +157,10 @@
 			c.setRegistered(m)
 		}
 	}
+	if !c.membersKnown {
+		c.membersKnown = true
+		c.membershipChanged()
+	}
 	now := time.Now()
 	for name, p := range c.peers {
 		if !registered[name] && !p.alive(now) {
@@ -167,6 +171,14 @@
 	}
 }
 
+// MembersKnown reports whether SetMembers was called. Before, the peers are only
+// those that have sent a digest.
+func (c *Cluster) MembersKnown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.membersKnown
+}
+
 // setRegistered applies one registration. The caller holds mu.
 func (c *Cluster) setRegistered(m Member) {
 	p, ok := c.peers[m.Name]
--- a/internal/core/quota/large_fleet_test.go
+++ b/internal/core/quota/large_fleet_test.go
@@ -19,10 +19,13 @@
 	heard        []bool     // the delegate has a report of the present process
 	sums         [][]report // by receiving zone and sending zone
 	restartedAt  time.Time  // of all hosts
-	admitted     []time.Time
-	now          time.Time
-	rng          *rand.Rand
-	limit        Limit
+	// hostsKnownAfter is the time from the start of all hosts until they have the
+	// list of hosts.
+	hostsKnownAfter time.Duration
+	admitted        []time.Time
+	now             time.Time
+	rng             *rand.Rand
+	limit           Limit
 }
 
 // report is a zone's sum.
@@ -59,14 +62,16 @@
 
 func (f *largeFleet) restart(i int) {
 	f.hosts[i] = New(f.now, f.rng)
-	f.register(i)
+	if f.hostsKnownAfter == 0 {
+		f.register(i)
+	}
 	f.incarnations[i]++
 	f.reported[i], f.heard[i] = Report{}, false
 }
 
 // register gives a host the list of hosts.
 func (f *largeFleet) register(i int) {
-	f.hosts[i].SetHosts(len(f.hosts))
+	f.hosts[i].SetHosts(len(f.hosts), f.now)
 	f.hosts[i].SetReportLag(reportLag)
 }
 
@@ -86,6 +91,9 @@
 func (f *largeFleet) run(d time.Duration, offered float64) (asked, admitted int) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(fleetStep) {
 		for i, q := range f.hosts {
+			if f.hostsKnownAfter > 0 && f.now.Equal(f.restartedAt.Add(f.hostsKnownAfter)) {
+				f.register(i)
+			}
 			if f.rng.Float64() < offered/float64(len(f.hosts))*fleetStep.Seconds() {
 				asked++
 				if ok, _ := q.Admit("w", f.limit, f.now); ok {
@@ -187,10 +195,17 @@
 // whose connections a restart broke send again at the same time.
 func TestRetriesAfterRestartOfLargeFleetShareItsRate(t *testing.T) {
 	t.Parallel()
-	testRetriesAfterRestart(t)
+	testRetriesAfterRestart(t, 0)
+}
+
+// TestRetriesBeforeHostsAreKnownShareTheRate guards against hosts that take
+// themselves for the only one until they have the list of hosts.
+func TestRetriesBeforeHostsAreKnownShareTheRate(t *testing.T) {
+	t.Parallel()
+	testRetriesAfterRestart(t, 150*time.Millisecond)
 }
 
-func testRetriesAfterRestart(t *testing.T) {
+func testRetriesAfterRestart(t *testing.T, hostsKnownAfter time.Duration) {
 	const (
 		firstRequests = 100 * time.Millisecond // after the hosts' start
 		retries       = 600 * time.Millisecond
@@ -200,6 +215,7 @@
 			for seed := range uint64(2) {
 				limit := Limit{Rate: rate, Burst: 4 * rate}
 				f := newLargeFleet(3, hostsPerZone, withTolerance(limit), seed)
+				f.hostsKnownAfter = hostsKnownAfter
 				f.run(4*time.Second, rate/2)
 				f.restartAll(time.Second)
 				f.run(firstRequests, 0)
--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -64,7 +64,8 @@
 type Quotas struct {
 	rng       *rand.Rand
 	buckets   map[string]*bucket
-	hosts     int                  // in the fleet, this one included
+	hosts     int                  // in the fleet, this one included; 0 if unknown
+	knownAt   time.Time            // when hosts became known
 	peersSeen map[string]time.Time // when each peer was last known alive
 	startedAt time.Time            // of this host
 	reportLag time.Duration        // mean time until the peers' admissions are known here
@@ -74,9 +75,9 @@
 	silentAt    time.Time
 }
 
-// New returns quotas of a fleet with one host that starts now.
+// New returns the quotas of a host that starts now and does not know its fleet.
 func New(now time.Time, rng *rand.Rand) *Quotas {
-	return &Quotas{rng: rng, buckets: map[string]*bucket{}, hosts: 1, peersSeen: map[string]time.Time{}, startedAt: now}
+	return &Quotas{rng: rng, buckets: map[string]*bucket{}, peersSeen: map[string]time.Time{}, startedAt: now}
 }
 
 // SetReportLag sets the mean time until a report of an admission reaches the
@@ -84,7 +85,13 @@
 func (q *Quotas) SetReportLag(lag time.Duration) { q.reportLag = lag }
 
 // SetHosts sets the number of hosts that may admit requests, this one included.
-func (q *Quotas) SetHosts(n int) { q.hosts, q.silentAt = max(n, 1), time.Time{} }
+// Until the first call, no request of a workspace with a limit is admitted.
+func (q *Quotas) SetHosts(n int, now time.Time) {
+	if q.hosts == 0 {
+		q.knownAt = now
+	}
+	q.hosts, q.silentAt = max(n, 1), time.Time{}
+}
 
 // Seen records that a peer was alive at the given time.
 func (q *Quotas) Seen(peer string, now time.Time) {
@@ -153,7 +160,7 @@
 	decay := math.Exp(-dt / rateTimeConstant.Seconds())
 	b.meanRate *= decay
 	b.askedRate *= decay
-	silent := float64(q.silent(now)) / float64(q.hosts)
+	silent := float64(q.silent(now)) / float64(max(q.hosts, 1))
 	level := b.level + b.limit.Rate*dt*(1-silent)
 	for _, p := range b.peers {
 		if now.Sub(p.updatedAt) < maxProjection {
@@ -178,7 +185,8 @@
 // Admit takes a token for one request. When there is none, it returns false and
 // the time after which to expect one. A limit with rate 0 admits everything.
 //
-// Until its peers' first reports have arrived, a host assumes that each of them
+// A host that does not know its fleet yet admits nothing: it cannot know its
+// part. Until its peers' first reports have arrived, it assumes that each of them
 // gets as many requests as it gets itself.
 func (q *Quotas) Admit(workspace string, limit Limit, now time.Time) (bool, time.Duration) {
 	if limit.Rate <= 0 {
@@ -186,9 +194,12 @@
 	}
 	b := q.bucket(workspace, limit, now)
 	b.askedRate += 1 / rateTimeConstant.Seconds()
+	if q.hosts == 0 {
+		return false, q.reportLag
+	}
 	lag := q.reportLag.Seconds()
 	admitted, asked := b.peerRates(now)
-	if now.Sub(q.startedAt) < 2*q.reportLag {
+	if now.Sub(q.knownAt) < 2*q.reportLag {
 		asked = max(asked, b.askedRate*float64(q.hosts-1))
 	}
 	level := b.level - max(admitted*lag-limit.Slack, 0) // without admissions that are likely not reported yet
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -44,7 +44,7 @@
 
 func (f *fleet) restart(i int) {
 	f.hosts[i] = New(f.now, f.rng)
-	f.hosts[i].SetHosts(len(f.hosts))
+	f.hosts[i].SetHosts(len(f.hosts), f.now)
 	f.hosts[i].SetReportLag(100 * time.Millisecond)
 	f.incarnations[i]++
 }
@@ -195,6 +195,7 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	q := New(now.Add(-time.Second), testRand()) // long enough to fill the bucket
+	q.SetHosts(1, now)
 	limit := Limit{Rate: 2, Burst: 1}
 	ok, _ := q.Admit("w", limit, now)
 	is.True(ok)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -103,7 +103,7 @@
 		}
 		registered[key] = registration{member, obj.Version}
 	}
-	changed = changed || len(registered) != len(m.registered)
+	changed = changed || m.registered == nil || len(registered) != len(m.registered)
 	m.registered = registered
 	if !changed {
 		return
--- a/internal/online/fixture_test.go
+++ b/internal/online/fixture_test.go
@@ -134,6 +134,7 @@
 	f.snapshot.Store(config(map[string]string{"k": "w", "l": "limited"}))
 	logger := slog.New(slog.NewJSONHandler(&f.logs, nil))
 	c := cluster.New(cluster.Options{Self: cluster.Member{Name: "a", Incarnation: 1}, Conn: udp, Logger: logger})
+	c.SetMembers(nil) // this host is alone
 	f.slots = slots.New(slots.Options{Zone: "z", Cluster: c, Logger: logger})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(cancel)
--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -157,6 +157,9 @@
 	if refusal := s.opts.Suspects.refusal(call, a.fps); refusal != nil {
 		return a, refusal
 	}
+	if workspace.Rate > 0 && !s.opts.Quotas.KnowsHosts() {
+		return a, unavailable(codeNoConfig, "this host does not know yet which hosts share the workspace's quota", staleRetryAfter)
+	}
 	if ok, after := s.opts.Quotas.Admit(workspace); !ok {
 		return a, &Refusal{Status: http.StatusTooManyRequests, Code: codeQuota, Detail: "the workspace is over its quota", RetryAfter: after}
 	}
--- a/internal/quotas/quotas.go
+++ b/internal/quotas/quotas.go
@@ -50,6 +50,8 @@
 	workspaces     Workspaces
 	mu             sync.Mutex
 	core           *quota.Quotas
+	startedAt      time.Time
+	hosts          int // as set in core
 	digestCount    int
 	aliveCheckedAt time.Time // last time that live peers were recorded
 }
@@ -61,7 +63,8 @@
 // New returns a Quotas that is registered with the cluster.
 func New(c *cluster.Cluster, tolerance Tolerance, workspaces Workspaces, logger *slog.Logger) *Quotas {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	q := &Quotas{log: logger, cluster: c, tolerance: tolerance, workspaces: workspaces, core: quota.New(time.Now(), rng)}
+	now := time.Now()
+	q := &Quotas{log: logger, cluster: c, tolerance: tolerance, workspaces: workspaces, startedAt: now, core: quota.New(now, rng)}
 	q.core.SetReportLag(c.MeanLag())
 	c.Provide(quotaSection, q.digest)
 	c.Merge(quotaSection, mergeUses)
@@ -70,6 +73,17 @@
 	return q
 }
 
+// KnowsHosts reports whether this host knows how many hosts share the quotas. It
+// admits no request of a workspace with a quota before.
+func (q *Quotas) KnowsHosts() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.hosts == 0 {
+		q.updateHosts(time.Now())
+	}
+	return q.hosts > 0
+}
+
 // Admit takes a token of the workspace. If there is none it returns false and
 // the time until one is likely.
 func (q *Quotas) Admit(w routing.Workspace) (bool, time.Duration) {
@@ -195,11 +209,30 @@
 	}
 }
 
+// membersWait is how long after the start a host waits for the list of registered
+// hosts before it takes those that it has heard from for the whole fleet.
+const membersWait = 3 * time.Second
+
 func (q *Quotas) peersChanged() {
-	peers, now := q.cluster.Peers(), time.Now()
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.core.SetHosts(len(peers) + 1)
+	q.updateHosts(now)
 	q.core.SetReportLag(q.cluster.MeanLag())
 	q.recordAlivePeers(now)
 }
+
+// updateHosts sets the number of hosts that share the quotas, once it is known.
+// The caller holds mu.
+func (q *Quotas) updateHosts(now time.Time) {
+	registered := q.cluster.MembersKnown()
+	if !registered && now.Sub(q.startedAt) < membersWait {
+		return
+	}
+	hosts := len(q.cluster.Peers()) + 1
+	if hosts != q.hosts {
+		q.log.Info("number of hosts that share quotas changed", "event", "quota_hosts", "hosts", hosts, "before", q.hosts, "registered", registered)
+	}
+	q.hosts = hosts
+	q.core.SetHosts(hosts, now)
+}
