dispatch: a crash before a time-out uses no attempt of an item

What owners of a job saw: an item under which servers crashed could still end early on the project's own interface.

Cause: the dispatcher reports the number of sends without an answer, and counted those that a crash ended. Servers crash for other reasons than the item, so it leaves them out for items. Online requests are as before.

TestCrashBeforeATimeoutUsesNoAttemptOfAnItem: 2 unanswered sends before, 1 now.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -210,7 +210,9 @@
 	}
 	if failure.Stage > backend.NotSent {
 		j.sends++
-		j.unanswered++
+		if j.class != schedule.Batch || failure.Cause != backend.Broken {
+			j.unanswered++
+		}
 	}
 	return nil, failure
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -345,6 +345,27 @@
 	is.True(lost > 0)
 }
 
+// Guards against an item whose attempts are used up by crashes: a send that ended
+// with its server's connection was counted when the next send of the same attempt
+// ended for another reason.
+func TestCrashBeforeATimeoutUsesNoAttemptOfAnItem(t *testing.T) {
+	is := is.New(t)
+	var sends atomic.Int64
+	list := newFakeServers(t, 2, 4, func(e *fakeServer, w http.ResponseWriter, r *http.Request, _ []byte) {
+		if sends.Add(1) == 1 {
+			e.crash()
+			return
+		}
+		<-r.Context().Done() // never answers
+	})
+	d := newNetwork(t, snapshot(list, map[string]float64{"a": 1}), "h1").start(t, "h1", Options{})
+	_, err := call(context.Background(), d, &Request{
+		ID: "item", Workspace: "a", Class: Batch, Idempotent: true, MaxUnanswered: 2, Body: []byte("x"), Deadline: time.Now().Add(time.Second),
+	})
+	is.Equal(sends.Load(), int64(2))
+	is.Equal(refusedError(t, err).Unanswered, 1)
+}
+
 // Guards against refusals with a wrong status or Executed value, and against
 // requests that wait past their deadline.
 func TestRefusals(t *testing.T) {
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -22,10 +22,12 @@
 	Message    string
 	Executed   Executed
 	RetryAfter time.Duration // 0 if no delay is suggested
-	Unanswered int           // sends that ended without a response
-	ServerLost bool          // the server broke the connection during the last send
-	Step       string        // step at which the request failed
-	Peer       string        // backend server, or empty
+	// Unanswered is the number of sends that ended without a response. Those of a
+	// batch item under which the server crashed are left out.
+	Unanswered int
+	ServerLost bool   // the server broke the connection during the last send
+	Step       string // step at which the request failed
+	Peer       string // backend server, or empty
 }
 
 // Error implements error.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -103,7 +103,7 @@
 	failedServers []string
 	attempts      int
 	sends         int // attempts that sent at least one byte
-	unanswered    int // sends that ended without a response
+	unanswered    int // see RefusedError.Unanswered
 }
 
 // queueResult ends a job's wait in the queue with a slot or a refusal.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -46,8 +46,8 @@
 	Stream     bool // the response is an SSE stream
 	Idempotent bool
 	Deadline   time.Time
-	// MaxUnanswered bounds the sends that end without a response. The request
-	// may have run each time. With 0 only the bound on all sends applies.
+	// MaxUnanswered bounds RefusedError.Unanswered. The request may have run each
+	// time. With 0 only the bound on all sends applies.
 	MaxUnanswered int
 	PrefixHash    uint64  // hash of the prompt prefix, 0 if there is none
 	Cost          float64 // estimated work in tokens
