jobs: items of several chunks keep the limit of held results together

Cause: a chunk asked whether there is room for one more result, then waited for its rate token and its slot, and only then counted as running. Chunks that asked at the same time all found the same room.

An item now takes its part when it has its slot, under one lock, and gives the slot back if there is no room.

TestItemsOfSeveralChunksKeepTheLimitOfHeldResults shows it without a wait, and fails if check and reservation are separated.

--- a/internal/jobs/chunkrun.go
+++ b/internal/jobs/chunkrun.go
@@ -291,7 +291,7 @@
 	}
 }
 
-// startItem submits the item to the pool. The caller has acquired a slot for it.
+// startItem submits the item to the pool. waitToStart has acquired a slot for it.
 func (r *chunkRun) startItem(item int) {
 	r.mu.Lock()
 	r.attempts[item]++
@@ -300,6 +300,7 @@
 	r.mu.Unlock()
 	r.svc.pool.Submit(func() {
 		defer r.svc.slots.release(r.job.entry.Workspace)
+		defer r.svc.held.endItem()
 		r.recordOutcome(item, r.attempt(item))
 	})
 }
--- a/internal/jobs/chunkrun_test.go
+++ b/internal/jobs/chunkrun_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"expvar"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -75,6 +77,29 @@
 	is.True(puts > 8 && puts < 40)
 }
 
+// Guards against a limit of held results that the items of several chunks exceed
+// together: each chunk found room for one more item before another one started its
+// own.
+func TestItemsOfSeveralChunksKeepTheLimitOfHeldResults(t *testing.T) {
+	is := is.New(t)
+	const limit, size = 64 << 10, 512
+	h := newHeldResults(limit, 0, "")
+	h.meanSize = size
+	var ended sync.WaitGroup
+	for range 64 {
+		ended.Go(func() {
+			for h.startItem() {
+				runtime.Gosched() // the item runs
+				h.reserve(size)
+				h.endItem()
+			}
+		})
+	}
+	ended.Wait()
+	is.Equal(h.memory, int64(limit))
+	is.Equal(h.running, int64(0))
+}
+
 // Guards against repeated items, lost results and exceeded limits in a platform
 // outage: results are held in memory or on disk, no item starts at the limit,
 // and the results are committed when the platform recovers.
@@ -89,7 +114,7 @@
 			job := a.submit(4000, chatPath)
 			c.awaitRuns(520, 4000)
 			c.store.SetDown(true)
-			for c.ctx.Err() == nil && !(a.held.full(0) && a.slots.inUse() == 0) {
+			for c.ctx.Err() == nil && !(a.held.full() && a.slots.inUse() == 0) {
 				time.Sleep(time.Millisecond)
 			}
 			runsAtLimit := c.itemRuns()
--- a/internal/jobs/held.go
+++ b/internal/jobs/held.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	memory   int64
 	disk     int64
+	running  int64 // items that were started and have not ended
 	meanSize int64 // running mean of a result's size
 }
 
@@ -51,14 +52,37 @@
 
 // full reports whether no further item may start, because the held results and
 // the expected results of the running items would exceed the limit.
-func (h *heldResults) full(running int) bool {
+func (h *heldResults) full() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.fullLocked()
+}
+
+func (h *heldResults) fullLocked() bool {
 	limit := h.memoryLimit
 	if h.folder != "" {
 		limit = h.diskLimit
 	}
-	return h.memory+h.disk+int64(running+1)*h.meanSize > limit
+	return h.memory+h.disk+(h.running+1)*h.meanSize > limit
+}
+
+// startItem accounts for the expected result of an item that starts, unless the
+// results are full.
+func (h *heldResults) startItem() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.fullLocked() {
+		return false
+	}
+	h.running++
+	return true
+}
+
+// endItem undoes startItem. The item's result is accounted for before.
+func (h *heldResults) endItem() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.running--
 }
 
 // reserve accounts for a result and reports whether to write it to disk.
--- a/internal/jobs/item.go
+++ b/internal/jobs/item.go
@@ -58,12 +58,23 @@
 		return err
 	}
 	workspace := r.job.entry.Workspace
-	return r.svc.slots.acquire(ctx, workspace, func() float64 { return r.svc.slotShare(workspace) })
+	for {
+		if err := r.svc.slots.acquire(ctx, workspace, func() float64 { return r.svc.slotShare(workspace) }); err != nil {
+			return err
+		}
+		if r.svc.held.startItem() {
+			return nil
+		}
+		r.svc.slots.release(workspace) // items of other chunks started in the meantime
+		if err := r.waitHeld(ctx); err != nil {
+			return err
+		}
+	}
 }
 
 // waitHeld waits while held results reach this host's limit.
 func (r *chunkRun) waitHeld(ctx context.Context) error {
-	for r.svc.held.full(r.svc.slots.inUse()) {
+	for r.svc.held.full() {
 		r.requestCommit()
 		if !sleep(ctx, heldPollInterval) {
 			return ctx.Err()
--- a/internal/jobs/slots.go
+++ b/internal/jobs/slots.go
@@ -87,9 +87,3 @@
 	}
 	s.broadcast()
 }
-
-func (s *slots) inUse() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.used
-}
--- a/internal/jobs/slots_test.go
+++ b/internal/jobs/slots_test.go
@@ -69,3 +69,9 @@
 	is.NoErr(<-waited)
 	is.Equal(s.inUse(), 16)
 }
+
+func (s *slots) inUse() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used
+}
