online: a paused stream keeps its server until another one goes on with it

What callers saw: a stream that may be resumed was cut in the middle of its answer though its server was sound and still at work. After a pause of three times the gap objective (half a second at least) the host gave the server up and asked another one. If that one was full, failed, or there was none with a place, the answer was over.

Cause: the first server was given up before anything took its place. And a failed read spoils a chunked body, so there was no way back.

The host now waits for data without reading, and keeps the paused stream while another server is asked, for 100 ms until a place is free and as long as a first byte may take. Once that server has begun to answer, the paused one is dropped; if it doesn't, the stream goes on at its own server, logged as not_taken_over. A pause within an event is still given up, as the rest can't be told from what the next server sends.

--- a/internal/online/faulty_server_test.go
+++ b/internal/online/faulty_server_test.go
@@ -192,3 +192,71 @@
 	got = newFixture(t, servertest.New(t, ending("id: 5\ndata: tok"))).call("/stream/1", "k")
 	is.True(got.err != nil) // broken off
 }
+
+// A sound stream that pauses for longer than the allowed gap must not be cut
+// because no other server takes it over: its own server goes on.
+func TestPausedStreamIsNotCutWhenNoOtherServerTakesIt(t *testing.T) {
+	for name, elsewhere := range map[string]func(*servertest.Conn) bool{
+		"no other server": nil,
+		"rejected":        func(c *servertest.Conn) bool { c.RespondNotRun(http.StatusServiceUnavailable); return true },
+		"error":           func(c *servertest.Conn) bool { c.Respond(http.StatusInternalServerError, "e"); return true },
+		"broken":          func(*servertest.Conn) bool { return false },
+		"silent":          func(c *servertest.Conn) bool { <-c.PeerClosed(); return false },
+		"not signed": func(c *servertest.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+			return true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				others := []string{"a", "b"}
+				if elsewhere == nil {
+					others = others[:1]
+				}
+				f := newPipedFixture(t, func(c *servertest.Conn) bool {
+					if c.After > 0 {
+						return elsewhere(c)
+					}
+					c.StartStream()
+					c.WriteEvents(1, 2)
+					time.Sleep(900 * time.Millisecond)
+					c.WriteEvents(3, 4)
+					c.EndStream()
+					return true
+				}, others...)
+				got, _ := f.serve("/resumable/1", "k")
+				is.Equal(got.Body.String(), events(1, 4))
+				load, _ := f.slots.ServiceLoad("s")
+				is.Equal(load, 0)
+			})
+		})
+	}
+}
+
+// A stream that is paused for good must end at the call's deadline, and free its
+// server.
+func TestPausedStreamEndsAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		closed := 0
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			if c.After > 0 {
+				c.RespondNotRun(http.StatusServiceUnavailable)
+				return true
+			}
+			c.StartStream()
+			c.WriteEvents(1, 2)
+			<-c.PeerClosed()
+			closed++
+			return false
+		}, "a", "b")
+		status, took := f.serveAborting("/resumable/1", "k")
+		is.Equal(status, 0) // aborted
+		is.Equal(took, 2*time.Second)
+		synctest.Wait()
+		is.Equal(closed, 1)
+		load, _ := f.slots.ServiceLoad("s")
+		is.Equal(load, 0)
+	})
+}
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -40,6 +40,9 @@
 	// failureResponse is the last error response of a server, relayed if no
 	// later attempt succeeds.
 	failureResponse *bufferedResponse
+	// paused is a stream without an event for a while, which goes on at its own
+	// server unless another one takes it over.
+	paused *serverStream
 }
 
 // bufferedResponse is a complete response held in memory.
@@ -58,11 +61,18 @@
 			f.finishAbandoned()
 			return
 		}
-		if refusal != nil {
+		if refusal != nil && f.paused == nil {
 			f.fail(refusal)
 			return
 		}
-		if f.attempt(slot) || !f.retryOrFinish() {
+		paused, finished := f.paused, false
+		if refusal == nil {
+			finished = f.attempt(slot)
+		}
+		if !finished && paused != nil && f.paused == paused {
+			finished = f.continuePaused()
+		}
+		if finished || !f.retryOrFinish() {
 			return
 		}
 	}
@@ -74,7 +84,13 @@
 	if request.Tried = f.tried; f.returning {
 		request.Tried, request.Only = nil, f.full
 	}
-	slot, err := f.opts.Slots.Acquire(f.ctx, request)
+	ctx := f.ctx
+	if f.paused != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeoutCause(ctx, takeOverWait, errDeadline)
+		defer cancel()
+	}
+	slot, err := f.opts.Slots.Acquire(ctx, request)
 	if err == nil {
 		if refusal := f.recheck(f.admitted); refusal != nil {
 			slot.Done(placement.Neutral, 0)
@@ -132,6 +148,7 @@
 // so. If it may have executed, the caller gets the server's error response or
 // a 502 or 504, which make no statement about execution.
 func (f *forwarding) fail(r *Refusal) {
+	f.dropPaused()
 	if !f.mayRun {
 		f.opts.Quotas.ReturnToken(f.workspace)
 	}
@@ -198,7 +215,8 @@
 	success := resp.Status < http.StatusMultipleChoices && meta.Sealed && !meta.Encoded
 	switch {
 	case success && f.route.Kind == routing.Stream:
-		return f.stream(slot, resp)
+		f.dropPaused()
+		return f.relay(newServerStream(slot, resp, f.sentAt))
 	case success:
 		return f.relayWhole(slot, resp)
 	case resp.Status < http.StatusMultipleChoices:
@@ -286,7 +304,7 @@
 	}
 	slot.Done(outcome, f.call.Cost)
 	f.failureResponse = &bufferedResponse{resp.Status, resp.Header, body}
-	if resp.Status >= http.StatusInternalServerError && f.route.Repeatable() && f.sends < f.route.MaxAttempts {
+	if resp.Status >= http.StatusInternalServerError && f.route.Repeatable() && f.sends < f.route.MaxAttempts || f.paused != nil {
 		return false
 	}
 	if f.headerSent {
@@ -345,9 +363,9 @@
 }
 
 // firstByteTimeout bounds the wait for the response header if the call may go
-// to another server afterwards, 0 for no bound.
+// to another server or on at its paused one afterwards, 0 for no bound.
 func (f *forwarding) firstByteTimeout() time.Duration {
-	if !f.route.Repeatable() || f.sends+1 >= f.route.MaxAttempts {
+	if f.paused == nil && (!f.route.Repeatable() || f.sends+1 >= f.route.MaxAttempts) {
 		return 0
 	}
 	return max(firstByteFactor*f.route.Objective, minFirstByte)
--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -31,10 +31,13 @@
 	// minFirstByte.
 	firstByteFactor = 3
 	minFirstByte    = 250 * time.Millisecond
-	// A resumable stream goes to another server if no event arrives within
+	// A resumable stream is offered to another server if no event arrives within
 	// eventGapFactor times the route's gap objective, and at least minEventGap.
 	eventGapFactor = 3
 	minEventGap    = 500 * time.Millisecond
+	// takeOverWait is how long a paused stream waits for a place at another server
+	// before it is read again.
+	takeOverWait = 100 * time.Millisecond
 	// fullRetryPart is the part of the route's objective for which a call returns
 	// to servers that were full. Later its caller is told to come back, and reaches
 	// another host.
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -14,17 +14,40 @@
 
 var errEventOrder = errors.New("missing or duplicate event")
 
-// stream relays complete events as they arrive. It returns true if the stream
-// is complete or the caller has disconnected.
-func (f *forwarding) stream(slot *slots.Slot, resp *upstream.Response) bool {
-	began, before := time.Now(), f.eventsSent
-	reader := upstream.NewEventReader(resp.Body)
+// serverStream is a stream of one server.
+type serverStream struct {
+	slot   *slots.Slot
+	resp   *upstream.Response
+	reader *upstream.EventReader
+	sentAt time.Time
+	began  time.Time
+	events int // relayed
+	// pause is the time-out that paused the stream, and answered the forwarding's
+	// field at that time.
+	pause    *upstream.Error
+	answered bool
+}
+
+func newServerStream(slot *slots.Slot, resp *upstream.Response, sentAt time.Time) *serverStream {
+	return &serverStream{slot: slot, resp: resp, reader: upstream.NewEventReader(resp.Body), sentAt: sentAt, began: time.Now()}
+}
+
+// relay relays complete events as they arrive. It returns true if the stream is
+// complete or the caller has disconnected.
+func (f *forwarding) relay(s *serverStream) bool {
+	slot, resp := s.slot, s.resp
 	controller := http.NewResponseController(f.w)
-	eventGapTimeout := f.eventGapTimeout()
-	resp.Body.SetReadTimeout(eventGapTimeout)
+	gap := f.eventGapTimeout()
+	resp.Body.SetReadTimeout(gap)
 	for {
-		event, err := reader.Next()
-		if err == io.EOF && resp.UntilClose && f.eventsSent == before {
+		if gap > 0 && !s.reader.Buffered() {
+			if s.pause = resp.Body.AwaitData(); s.pause != nil {
+				f.paused, s.answered = s, f.answered
+				return false
+			}
+		}
+		event, err := s.reader.Next()
+		if err == io.EOF && resp.UntilClose && s.events == 0 {
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
@@ -45,16 +68,36 @@
 			return f.stopStream(slot, resp)
 		}
 		if !event.IsComment {
+			s.events++
 			f.eventsSent++
-			if !f.answered && time.Since(began) >= survivalMargin {
+			if !f.answered && time.Since(s.began) >= survivalMargin {
 				f.answered = true
 				f.opts.Suspects.Answered(f.fps)
 			}
-			resp.Body.SetReadTimeout(eventGapTimeout)
+			resp.Body.SetReadTimeout(gap)
 		}
 	}
 }
 
+// continuePaused relays the rest of the paused stream, which no other server has
+// taken over. It returns true if the call is finished.
+func (f *forwarding) continuePaused() bool {
+	s := f.paused
+	f.paused = nil
+	f.server, f.sentAt, f.isolated, f.answered = s.slot.Server.ID, s.sentAt, false, s.answered
+	f.log.Info("stream goes on at its server", "event", "not_taken_over", "request", f.call.ID, "route", f.route.Name,
+		"server", f.server, "sends", f.sends, "events", f.eventsSent)
+	return f.relay(s)
+}
+
+// dropPaused ends the paused stream, if there is one.
+func (f *forwarding) dropPaused() {
+	if s := f.paused; s != nil {
+		f.paused = nil
+		_ = f.handleTruncated(s.slot, s.resp, s.pause) // the call goes on elsewhere, or fails
+	}
+}
+
 // eventGapTimeout bounds the wait for the next event if the stream may resume
 // at another server, 0 for no bound.
 func (f *forwarding) eventGapTimeout() time.Duration {
@@ -115,6 +158,7 @@
 // finishAbandoned finishes a call whose caller disconnected before the response
 // was complete.
 func (f *forwarding) finishAbandoned() {
+	f.dropPaused()
 	if !f.mayRun {
 		f.opts.Quotas.ReturnToken(f.workspace)
 	}
