--- a/internal/core/quota/large_fleet_test.go
+++ b/internal/core/quota/large_fleet_test.go
@@ -19,6 +19,7 @@
 	heard        []bool     // the delegate has a report of the present process
 	sums         [][]report // by receiving zone and sending zone
 	restartedAt  time.Time  // of all hosts
+	cutZone      int        // sends and receives no reports; -1 if there is none
 	// hostsKnownAfter is the time from the start of all hosts until they have the
 	// list of hosts.
 	hostsKnownAfter time.Duration
@@ -47,7 +48,7 @@
 	n := zones * hostsPerZone
 	f := &largeFleet{
 		hosts: make([]*Quotas, n), incarnations: make([]int64, n), zoneOf: make([]int, n), reported: make([]Report, n), heard: make([]bool, n),
-		sums: make([][]report, zones), now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 0)), limit: limit,
+		sums: make([][]report, zones), cutZone: -1, now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 0)), limit: limit,
 	}
 	for z := range f.sums {
 		f.sums[z] = make([]report, zones)
@@ -106,7 +107,7 @@
 			}
 		}
 		for zone := range f.sums {
-			if f.due(zone * 13) {
+			if f.due(zone*13) && zone != f.cutZone {
 				f.forward(zone)
 			}
 		}
@@ -290,3 +291,25 @@
 	third := (allowed(l) - l.Rate*window.Seconds() - l.Burst) / 3
 	return Limit{Rate: l.Rate, Burst: l.Burst + third, Slack: third}
 }
+
+// TestQuotaIsWholeAgainAfterAZoneWasSilent guards against refusals of requests
+// within their rate after the hosts of a zone heard nothing for a short while, for
+// example because its delegate and deputy were frozen: the hosts had lowered their
+// buckets to an even share of the burst.
+func TestQuotaIsWholeAgainAfterAZoneWasSilent(t *testing.T) {
+	t.Parallel()
+	for _, rate := range []float64{10, 40, 120} {
+		limit := Limit{Rate: rate, Burst: 2 * rate}
+		f := newLargeFleet(3, 19, withTolerance(limit), 1)
+		f.run(4*time.Second, 0)
+		f.run(4*time.Second, 0.8*rate)
+		f.cutZone = 0
+		f.run(1500*time.Millisecond, 0.8*rate)
+		f.cutZone = -1
+		f.run(reportInterval*3, 0.8*rate)
+		asked, admitted := f.run(10*time.Second, 0.8*rate)
+		if float64(asked-admitted) > 0.01*float64(asked) {
+			t.Errorf("rate %g: %d of %d refused", rate, asked-admitted, asked)
+		}
+	}
+}
