--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -362,8 +362,8 @@
 		"config_version", f.version, "config_age_ms", f.opts.Config.Age().Milliseconds())
 }
 
-// firstByteTimeout bounds the wait for the response header if the call may go
-// to another server or on at its paused one afterwards, 0 for no bound.
+// firstByteTimeout bounds the wait for the response header if the call may go to
+// another server afterwards or has a paused stream to go on with, 0 for no bound.
 func (f *forwarding) firstByteTimeout() time.Duration {
 	if f.paused == nil && (!f.route.Repeatable() || f.sends+1 >= f.route.MaxAttempts) {
 		return 0
