retry: a merged report names each server, answer and quarantine once

From second 6 hosts lost sight of the others of their zone 200 to 350 times a second, and jobs that ran were taken over: 4,342 times for 188 jobs. Each host counts an item's failures for itself, so items that fail were sent again and again.

Cause: a zone's delegate concatenated the reports on suspects of its hosts. Each host that had a request on a lost server reports the loss, for ten minutes, so the sections of five zones were at their bounds, more than a datagram, sent to 50 hosts four times a second: more than the links of small hosts carry.

Merged reports now have one entry of each answer, surviving server and quarantine, and on parts one of each loss.

TestMergedReportsOfPartsRepeatNothing and TestOldLossesOfPartsAreNotReported fail without the change: they need its functions.

--- a/internal/core/retry/parts.go
+++ b/internal/core/retry/parts.go
@@ -19,6 +19,9 @@
 	// by the reports of different hosts, to show that it survived. It exceeds the
 	// time that reports are under way.
 	survivalReportMargin = time.Second
+	// partLossPublishTime is how long a loss is published, so that every peer sees
+	// it. A host that starts later hears of quarantines only.
+	partLossPublishTime = clearedPublishTime
 )
 
 // partLoss is the loss of a server on which a request with a part waited for the
@@ -266,7 +269,7 @@
 	return out
 }
 
-// Report returns this host's own losses, the parts that it quarantines, the last
+// Report returns this host's own recent losses, the parts that it quarantines, the last
 // answers on all parts with losses and of their servers, with at most limit entries
 // of each kind.
 func (s *PartSuspects) Report(limit int, now time.Time) Report {
@@ -275,11 +278,11 @@
 	var out Report
 	for _, part := range sortedKeys(s.losses) {
 		for _, server := range sortedKeys(s.losses[part]) {
-			if l := s.losses[part][server]; l.own {
+			if l := s.losses[part][server]; l.own && now.Sub(l.lostAt) < partLossPublishTime {
 				out.Losses = append(out.Losses, LossReport{Fingerprint: part, Server: server, AgeMS: age(l.lostAt), WaitedMS: l.lostAt.Sub(l.sentAt).Milliseconds()})
 			}
 		}
-		if at, ok := s.lastAnswer(part); ok {
+		if at, ok := s.lastAnswer(part); ok && now.Sub(at) < clearedPublishTime {
 			out.Cleared = append(out.Cleared, ClearReport{part, age(at)})
 		}
 		if s.isSuspect(part) && len(s.alternatives(part)) == 0 {
--- a/internal/core/retry/parts_test.go
+++ b/internal/core/retry/parts_test.go
@@ -369,3 +369,50 @@
 		is.True(!refused)
 	}
 }
+
+// TestMergedReportsOfPartsRepeatNothing guards against digests that grow with the
+// number of hosts that saw the same crash: those of a large fleet exceeded their
+// datagrams and its links, so that its hosts lost sight of each other.
+func TestMergedReportsOfPartsRepeatNothing(t *testing.T) {
+	is := is.New(t)
+	const hosts, crashes, survivors = 50, 20, 10
+	now := time.Unix(1000, 0)
+	var merged Report
+	for host := range hosts {
+		s := NewPartSuspects()
+		lostAt := now.Add(time.Duration(host) * time.Millisecond)
+		for i := range crashes {
+			s.ServerLost([]Fingerprint{1, Fingerprint(2 + i%3)}, fmt.Sprint("crashed", i), now.Add(-time.Second), lostAt)
+		}
+		for i := range survivors {
+			s.ServerLost([]Fingerprint{9}, fmt.Sprint("sound", i), now.Add(-time.Second), lostAt)
+			s.ServerSurvived(fmt.Sprint("sound", i), lostAt.Add(time.Second))
+		}
+		merged.Merge(s.Report(100, now.Add(2*time.Second)))
+	}
+	merged.MergePartLosses()
+	is.Equal(len(merged.Losses), 2*crashes)
+	is.Equal(len(merged.Survived), survivors)
+	for _, l := range merged.Losses {
+		is.Equal(l.AgeMS, int64(2000)) // of the earliest report
+	}
+	for _, s := range merged.Survived {
+		is.Equal(s.AgeMS, int64(2000-1000-(hosts-1)))
+	}
+}
+
+// TestOldLossesOfPartsAreNotReported guards against digests that grow with the
+// time that a part crashes servers.
+func TestOldLossesOfPartsAreNotReported(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := NewPartSuspects()
+	for i := range 3 {
+		now = now.Add(time.Second)
+		s.ServerLost([]Fingerprint{1}, fmt.Sprint("s", i), now.Add(-100*time.Millisecond), now)
+	}
+	is.Equal(len(s.Report(100, now).Losses), 3)
+	r := s.Report(100, now.Add(partLossPublishTime))
+	is.Equal(len(r.Losses), 0)
+	is.Equal(len(r.Quarantined), 1) // for hosts that have started since
+}
--- a/internal/core/retry/peer_report.go
+++ b/internal/core/retry/peer_report.go
@@ -34,6 +34,50 @@
 	r.Quarantined = r.Quarantined[:min(limit, len(r.Quarantined))]
 }
 
+// Merge adds the report of another host. Of several entries about the same answer,
+// server or quarantine it keeps the newest.
+func (r *Report) Merge(other Report) {
+	r.Losses = append(r.Losses, other.Losses...)
+	r.Running = append(r.Running, other.Running...)
+	r.Quarantined = mergeEntries(r.Quarantined, other.Quarantined,
+		func(q QuarantineReport) Fingerprint { return q.Fingerprint }, func(a, b QuarantineReport) bool { return a.LeftMS > b.LeftMS })
+	r.Cleared = mergeEntries(r.Cleared, other.Cleared,
+		func(c ClearReport) Fingerprint { return c.Fingerprint }, func(a, b ClearReport) bool { return a.AgeMS < b.AgeMS })
+	r.Survived = mergeEntries(r.Survived, other.Survived,
+		func(v SurvivalReport) string { return v.Server }, func(a, b SurvivalReport) bool { return a.AgeMS < b.AgeMS })
+}
+
+// MergePartLosses keeps one loss of each server and part: all hosts that had a
+// request there report it. The earliest is the most accurate.
+func (r *Report) MergePartLosses() {
+	type loss struct {
+		part   Fingerprint
+		server string
+	}
+	r.Losses = mergeEntries(nil, r.Losses,
+		func(l LossReport) loss { return loss{l.Fingerprint, l.Server} }, func(a, b LossReport) bool { return a.AgeMS > b.AgeMS })
+}
+
+// mergeEntries appends the entries to the list, with one entry of each key: the
+// one that is preferred to all others.
+func mergeEntries[T any, K comparable](list, entries []T, key func(T) K, preferred func(a, b T) bool) []T {
+	index := make(map[K]int, len(list))
+	for i, e := range list {
+		index[key(e)] = i
+	}
+	for _, e := range entries {
+		i, ok := index[key(e)]
+		switch {
+		case !ok:
+			index[key(e)] = len(list)
+			list = append(list, e)
+		case preferred(e, list[i]):
+			list[i] = e
+		}
+	}
+	return list
+}
+
 // LossReport reports that a server was lost while a request with the fingerprint
 // was in flight.
 type LossReport struct {
--- a/internal/online/suspects.go
+++ b/internal/online/suspects.go
@@ -50,7 +50,7 @@
 	c.Merge(suspectSection, mergeReports)
 	c.Receive(suspectSection, func(u cluster.SectionUpdate) { s.received(u, s.set.Merge) })
 	c.Provide(suspectPartSection, s.partDigest)
-	c.Merge(suspectPartSection, mergeReports)
+	c.Merge(suspectPartSection, mergePartReports)
 	c.Receive(suspectPartSection, func(u cluster.SectionUpdate) { s.received(u, s.parts.Merge) })
 	return s
 }
@@ -169,7 +169,7 @@
 	maxZoneLosses = 96
 )
 
-// mergeReports concatenates the reports of several hosts.
+// mergeReports merges the reports of several hosts.
 func mergeReports(values []cluster.Raw) (any, error) {
 	var out retry.Report
 	for _, raw := range values {
@@ -177,16 +177,27 @@
 		if err != nil {
 			return nil, err
 		}
-		out.Losses = append(out.Losses, r.Losses...)
-		out.Running = append(out.Running, r.Running...)
-		out.Quarantined = append(out.Quarantined, r.Quarantined...)
-		out.Cleared = append(out.Cleared, r.Cleared...)
-		out.Survived = append(out.Survived, r.Survived...)
+		out.Merge(r)
 	}
 	out.Trim(maxZoneLosses)
 	return out, nil
 }
 
+// mergePartReports merges the reports of several hosts on parts of prompts.
+func mergePartReports(values []cluster.Raw) (any, error) {
+	var out retry.Report
+	for _, raw := range values {
+		r, err := decodeReport(raw)
+		if err != nil {
+			return nil, err
+		}
+		out.Merge(r)
+	}
+	out.MergePartLosses()
+	out.Trim(maxZoneLosses)
+	return out, nil
+}
+
 func decodeReport(raw cluster.Raw) (retry.Report, error) {
 	var out retry.Report
 	return out, cbor.Unmarshal(raw, &out)
