online: a silent server is kept until another one has answered

What callers saw: a sound server fell silent for a second and went on, but its caller got 502 or 504, or a resumable stream that was cut in the middle, with nothing after it.

Cause: a time-out took silence for a failure. After three times the objective without a response header the host closed the exchange, and only then looked for another server.

Evidence: TestSilentServerIsNotGivenUp plays 2,016 cases on a clock of its own: four kinds of route, three framings, six kinds of other server, silences of 0.5, 1 and 2 s before each piece of an answer, and a configuration without routes that arrives meanwhile.

An exchange is read by a goroutine of its own now, so the call waits for two of them: the other server is asked while the first one is kept, and takes over with its first event or its whole body. If the first one is heard before, the other is dropped. Two servers work on one stream for 0.3 s at most, then the other is dropped and asked again after a further pause. A server that was silent for 2.5 s is given up for one that has not answered yet.

--- a/internal/online/call.go
+++ b/internal/online/call.go
@@ -80,11 +80,8 @@
 const nonRepeatableMaxIdle = time.Second
 
 // request builds the request for one server.
-func (c *Call) request(codec Codec, out RequestMeta, firstByte time.Duration, repeatable bool) *upstream.Request {
-	r := &upstream.Request{
-		Method: c.Method, Target: c.Target, Host: c.Host, Body: c.Body,
-		Header: codec.ServerHeader(c, out), FirstByteTimeout: firstByte,
-	}
+func (c *Call) request(codec Codec, out RequestMeta, repeatable bool) *upstream.Request {
+	r := &upstream.Request{Method: c.Method, Target: c.Target, Host: c.Host, Body: c.Body, Header: codec.ServerHeader(c, out)}
 	if !repeatable {
 		r.MaxIdle = nonRepeatableMaxIdle
 	}
--- /dev/null
+++ b/internal/online/exchange.go
@@ -0,0 +1,141 @@
+package online
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/slots"
+	"ragwortstep/internal/upstream"
+)
+
+// exchange is a call sent to one server, and the server's answer. The answer is
+// read by a goroutine, so that the call can ask another server while this one is
+// silent and still use whichever answers.
+type exchange struct {
+	slot      *slots.Slot
+	sentAt    time.Time
+	isNew     bool // the call was not sent to this server before
+	isolated  bool // the call is a suspect and the only one at the server
+	heardAt   time.Time
+	inBody    bool // a response that is no stream has begun
+	streaming bool // the response is a sound stream
+	beganAt   time.Time
+	answered  bool // the server went on with its answer after the first bytes
+	arrivals  chan arrival
+	dropped   chan struct{} // closed when nobody waits for the answer any more
+	cancel    context.CancelFunc
+}
+
+// arrival is a part of an answer, or the failure that ends it.
+type arrival struct {
+	part  part
+	resp  *upstream.Response
+	body  []byte         // of a wholeBody
+	event upstream.Event // of an event
+	err   error          // io.EOF at the regular end of a stream
+}
+
+// part is the part of an answer that arrived.
+type part int
+
+const (
+	head      part = iota // the response header
+	wholeBody             // the complete body
+	event                 // one event of a stream, or its end
+)
+
+// start sends a request to the server of the slot.
+func start(ctx context.Context, client *upstream.Client, slot *slots.Slot, request *upstream.Request) *exchange {
+	ctx, cancel := context.WithCancel(ctx)
+	now := time.Now()
+	x := &exchange{
+		slot: slot, sentAt: now, heardAt: now, arrivals: make(chan arrival), dropped: make(chan struct{}), cancel: cancel,
+	}
+	go func() {
+		resp, err := client.Do(ctx, slot.Server.Address, request)
+		if !x.deliver(arrival{part: head, resp: resp, err: err}) && err == nil {
+			closeBroken(resp)
+		}
+	}()
+	return x
+}
+
+// deliver passes an arrival on. It reports false if the exchange was dropped.
+func (x *exchange) deliver(a arrival) bool {
+	select {
+	case x.arrivals <- a:
+		return true
+	case <-x.dropped:
+		return false
+	}
+}
+
+// drop ends the exchange. The server is told by the end of its connection.
+func (x *exchange) drop() {
+	close(x.dropped)
+	x.cancel()
+}
+
+// closeBroken closes a response whose connection must not be used again.
+func closeBroken(resp *upstream.Response) {
+	resp.Body.DisableReuse()
+	_ = resp.Body.Close()
+}
+
+// readBody reads the whole body of a response, which arrives as one part.
+func (x *exchange) readBody(resp *upstream.Response) {
+	x.inBody = true
+	go func() {
+		body, err := readAll(resp)
+		if err != nil {
+			resp.Body.DisableReuse()
+		}
+		_ = resp.Body.Close()
+		x.deliver(arrival{part: wholeBody, resp: resp, body: body, err: err})
+	}()
+}
+
+// readEvents reads the events of a stream, which arrive one by one.
+func (x *exchange) readEvents(resp *upstream.Response) {
+	go func() {
+		reader := upstream.NewEventReader(resp.Body)
+		begun := false
+		for {
+			next, err := reader.Next()
+			if err == io.EOF && resp.UntilClose && !begun {
+				err = io.ErrUnexpectedEOF // the connection may have ended before the stream began
+			}
+			begun = begun || err == nil && !next.IsComment
+			if err != nil {
+				if err != io.EOF {
+					resp.Body.DisableReuse()
+				}
+				_ = resp.Body.Close()
+				x.deliver(arrival{part: event, resp: resp, err: err})
+				return
+			}
+			next.Raw = bytes.Clone(next.Raw) // valid until the next call only
+			if !x.deliver(arrival{part: event, resp: resp, event: next}) {
+				closeBroken(resp)
+				return
+			}
+		}
+	}()
+}
+
+// maxBufferedBytes bounds a response that is held in memory until it is complete.
+const maxBufferedBytes = 4 << 20
+
+var errTooLarge = errors.New("response is too large to buffer")
+
+func readAll(resp *upstream.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if err == nil && len(body) > maxBufferedBytes {
+		err = errTooLarge
+	}
+	return body, err
+}
--- a/internal/online/fixture_test.go
+++ b/internal/online/fixture_test.go
@@ -223,3 +223,28 @@
 	got, took := f.serve(path, key)
 	return got.Code, took
 }
+
+// serveWhole serves a call and returns its status and body, 0 if the response was
+// aborted.
+func (f *fixture) serveWhole(path, key string) (status int, body string) {
+	recorder := httptest.NewRecorder()
+	defer func() {
+		if r := recover(); r != nil {
+			status, body = 0, recorder.Body.String()
+		}
+	}()
+	f.service.Serve(f.t.Context(), recorder, &online.Call{
+		ID: "id-1", Key: key, Host: "h.example", Method: http.MethodPost, Target: path, Path: path, Header: http.Header{}, Arrived: time.Now(),
+	})
+	return recorder.Code, recorder.Body.String()
+}
+
+// setTimeout sets the timeout of all routes.
+func (f *fixture) setTimeout(timeout time.Duration) {
+	list := routes()
+	for i := range list {
+		list[i].Timeout = timeout
+	}
+	current := f.snapshot.Load()
+	f.snapshot.Store(routing.New(current.Version, list, current.Workspaces, nil, map[string]string{"k": "w", "l": "limited"}))
+}
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -27,22 +26,21 @@
 	mayRun          bool     // a server may have executed the request
 	tried           []string // ids of the servers tried
 	full            []string // ids of the servers that rejected the call because they were full
+	silent          []string // ids of the servers that were asked in vain while another one was silent
 	returning       bool     // the next attempt goes to one of the full servers
 	headerSent      bool     // the response to the caller has started
 	lastEventID     int64    // of the last complete event relayed
 	eventsSent      int      // complete events relayed
 	timeToFirstByte time.Duration
 	slotWait        time.Duration // total wait for slots
-	server          string        // of the last attempt
-	isolated        bool          // the call is a suspect and the only one at the server
-	sentAt          time.Time     // begin of the last attempt
-	answered        bool          // the server of this attempt went on with its answer after the first bytes
+	server          string        // of the current exchange, or of the last one
 	// failureResponse is the last error response of a server, relayed if no
 	// later attempt succeeds.
 	failureResponse *bufferedResponse
-	// paused is a stream without an event for a while, which goes on at its own
-	// server unless another one takes it over.
-	paused *serverStream
+	// current is the exchange whose answer is relayed, and other the one with a
+	// second server that was asked because the current one is silent.
+	current, other *exchange
+	silence        *time.Timer // fires when the current exchange, or the other one, was silent for too long
 }
 
 // bufferedResponse is a complete response held in memory.
@@ -56,40 +54,35 @@
 func (f *forwarding) run() {
 	f.lastEventID = f.call.LastEventID
 	for {
-		slot, refusal := f.slot()
+		slot, refusal := f.slot(f.ctx, f.nextServers())
 		if f.callerLeft() {
 			f.finishAbandoned()
 			return
 		}
-		if refusal != nil && f.paused == nil {
+		if refusal != nil {
 			f.fail(refusal)
 			return
 		}
-		paused, finished := f.paused, false
-		if refusal == nil {
-			finished = f.attempt(slot)
-		}
-		if !finished && paused != nil && f.paused == paused {
-			finished = f.continuePaused()
-		}
-		if finished || !f.retryOrFinish() {
+		f.current = f.send(slot)
+		f.server = slot.Server.ID
+		if f.converse() || !f.retryOrFinish() {
 			return
 		}
 	}
 }
 
-// slot waits for a slot at a server and rechecks the call afterwards.
-func (f *forwarding) slot() (*slots.Slot, *Refusal) {
+// nextServers describes the servers that may be asked next when none is at work on
+// the call.
+func (f *forwarding) nextServers() slots.Request {
 	request := f.slotRequest()
 	if request.Tried = f.tried; f.returning {
 		request.Tried, request.Only = nil, f.full
 	}
-	ctx := f.ctx
-	if f.paused != nil {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeoutCause(ctx, takeOverWait, errDeadline)
-		defer cancel()
-	}
+	return request
+}
+
+// slot waits for a slot at a server and rechecks the call afterwards.
+func (f *forwarding) slot(ctx context.Context, request slots.Request) (*slots.Slot, *Refusal) {
 	slot, err := f.opts.Slots.Acquire(ctx, request)
 	if err == nil {
 		if refusal := f.recheck(f.admitted); refusal != nil {
@@ -148,7 +141,7 @@
 // so. If it may have executed, the caller gets the server's error response or
 // a 502 or 504, which make no statement about execution.
 func (f *forwarding) fail(r *Refusal) {
-	f.dropPaused()
+	f.releaseAll()
 	if !f.mayRun {
 		f.opts.Quotas.ReturnToken(f.workspace)
 	}
@@ -170,177 +163,214 @@
 	f.refuse(f.w, f.call, f.admitted, r, f.sends)
 }
 
-// attempt sends the call to one server. It returns true if the call is
-// finished.
-func (f *forwarding) attempt(slot *slots.Slot) bool {
-	first := !slices.Contains(f.tried, slot.Server.ID)
-	if first {
-		f.tried = append(f.tried, slot.Server.ID)
-	}
-	f.server = slot.Server.ID
-	f.slotWait += slot.Waited
-	f.sentAt, f.answered = time.Now(), false
-	if f.isolated = f.opts.Suspects.Start(f.fps, f.server); f.isolated {
-		defer f.opts.Suspects.End(f.fps)
+// send sends the call to one server.
+func (f *forwarding) send(slot *slots.Slot) *exchange {
+	id := slot.Server.ID
+	isNew := !slices.Contains(f.tried, id)
+	if isNew {
+		f.tried = append(f.tried, id)
+		f.sends++
 	}
+	f.slotWait += slot.Waited
 	out := RequestMeta{Workspace: f.workspace.Name, Instance: slot.Server.Instance, TimeLeft: time.Until(f.deadline)}
 	if f.eventsSent > 0 || f.call.LastEventID > 0 {
 		out.Resume, out.AfterEventID = true, f.lastEventID
 	}
-	resp, err := f.opts.Upstream.Do(f.ctx, slot.Server.Address, f.call.request(f.opts.Codec, out, f.firstByteTimeout(), f.route.Repeatable()))
-	if err != nil {
-		return f.handleNoResponse(slot, err)
+	isolated := f.opts.Suspects.Start(f.fps, id)
+	x := start(f.ctx, f.opts.Upstream, slot, f.call.request(f.opts.Codec, out, f.route.Repeatable()))
+	x.isNew, x.isolated = isNew, isolated
+	return x
+}
+
+// verdict is what an arrival means for its exchange.
+type verdict int
+
+const (
+	goesOn   verdict = iota // the server is at work on the call and was heard
+	awaited                 // more of an answer that may turn out to be useless is awaited
+	ended                   // the exchange has ended without an answer for the caller
+	finished                // the call is finished
+)
+
+// process handles a part of the answer of an exchange.
+func (f *forwarding) process(x *exchange, a arrival) verdict {
+	switch a.part {
+	case head:
+		return f.processHead(x, a)
+	case wholeBody:
+		return f.processBody(x, a)
+	default:
+		return f.relayEvent(x, a)
 	}
-	if first {
-		f.sends++
+}
+
+// processHead handles the response header.
+func (f *forwarding) processHead(x *exchange, a arrival) verdict {
+	if a.err != nil {
+		return f.handleNoResponse(x, a.err)
 	}
+	resp, slot := a.resp, x.slot
 	meta := f.opts.Codec.ResponseMeta(resp.Status, resp.Header)
 	if meta.Load != nil {
 		slot.UpdateServerLoad(meta.Load.Running, meta.Load.Waiting, meta.Load.Slots)
 	}
 	if meta.ID != f.call.ID {
 		f.mayRun = true
-		return f.dropInvalid(slot, resp, "the response belongs to another request")
+		return f.dropInvalid(x, resp, "the response belongs to another request")
 	}
 	if meta.NotRun {
-		if resp.Status == http.StatusServiceUnavailable && first {
-			f.full = append(f.full, f.server)
+		if resp.Status == http.StatusServiceUnavailable && x.isNew {
+			f.full = append(f.full, slot.Server.ID)
 		}
 		resp.Body.Discard()
-		slot.Done(placement.Rejected, 0)
+		f.release(x, placement.Rejected, 0)
 		f.log.Info("server rejected request", "event", "rejected", "request", f.call.ID, "server", slot.Server.ID, "status", resp.Status)
-		return false
+		return ended
 	}
 	f.mayRun = true
-	success := resp.Status < http.StatusMultipleChoices && meta.Sealed && !meta.Encoded
+	success := resp.Status < http.StatusMultipleChoices
 	switch {
+	case success && (!meta.Sealed || meta.Encoded):
+		return f.dropInvalid(x, resp, "success response without the server's signature")
 	case success && f.route.Kind == routing.Stream:
-		f.dropPaused()
-		return f.relay(newServerStream(slot, resp, f.sentAt))
+		x.streaming, x.beganAt = true, time.Now()
+		x.readEvents(resp)
+		return goesOn
 	case success:
-		return f.relayWhole(slot, resp)
-	case resp.Status < http.StatusMultipleChoices:
-		return f.dropInvalid(slot, resp, "success response without the server's signature")
+		x.readBody(resp)
+		return goesOn
 	default:
-		return f.handleServerError(slot, resp)
+		x.readBody(resp)
+		return awaited
 	}
 }
 
-// handleNoResponse handles an attempt that got no response header.
-func (f *forwarding) handleNoResponse(slot *slots.Slot, err error) bool {
-	var failure *upstream.Error
-	if !errors.As(err, &failure) {
-		failure = &upstream.Error{Stage: upstream.Sent, Step: "send to", Peer: slot.Server.Address, Err: err}
-	}
+// processBody handles a complete response, or one that broke off in its body. It is
+// relayed only as a whole, so that the request can be retried after a truncated
+// one, which the caller never sees.
+func (f *forwarding) processBody(x *exchange, a arrival) verdict {
+	if a.err != nil {
+		return f.handleTruncated(x, a.err)
+	}
+	response := &bufferedResponse{a.resp.Status, a.resp.Header, a.body}
+	if response.status >= http.StatusMultipleChoices {
+		return f.handleServerError(x, response)
+	}
+	f.release(x, placement.Success, 1)
+	f.opts.Suspects.Succeeded(f.fps, x.slot.Server.ID)
+	f.timeToFirstByte = time.Since(f.call.Arrived)
+	f.writeResponse(response)
+	return finished
+}
+
+// handleNoResponse handles an exchange that got no response header.
+func (f *forwarding) handleNoResponse(x *exchange, err error) verdict {
+	failure := f.asFailure(x, upstream.Sent, "send to", err)
 	if failure.Stage != upstream.NotSent {
-		f.sends++
 		f.mayRun = true
+	} else if x.isNew {
+		f.sends--
 	}
-	f.recordFailure(slot, failure)
-	return false
+	f.recordFailure(x, failure)
+	return ended
+}
+
+// handleTruncated handles a response that broke off after its header.
+func (f *forwarding) handleTruncated(x *exchange, err error) verdict {
+	f.recordFailure(x, f.asFailure(x, upstream.InResponse, "read response of", err))
+	return ended
 }
 
-// handleTruncated handles a response that broke off after its header. The
-// attempt has already been counted in sends.
-func (f *forwarding) handleTruncated(slot *slots.Slot, resp *upstream.Response, err error) bool {
-	resp.Body.DisableReuse()
-	_ = resp.Body.Close()
+func (f *forwarding) asFailure(x *exchange, stage upstream.Stage, step string, err error) *upstream.Error {
 	var failure *upstream.Error
 	if !errors.As(err, &failure) {
-		failure = &upstream.Error{Stage: upstream.InResponse, Step: "read response of", Peer: slot.Server.Address, Err: err}
+		failure = &upstream.Error{Stage: stage, Step: step, Peer: x.slot.Server.Address, Err: err}
+	}
+	return failure
+}
+
+// release drops an exchange and frees its slot.
+func (f *forwarding) release(x *exchange, outcome placement.Outcome, units float64) {
+	x.drop()
+	if x.isolated {
+		f.opts.Suspects.End(f.fps)
+	}
+	x.slot.Done(outcome, units)
+	if f.current == x {
+		f.current = nil
+	}
+	if f.other == x {
+		f.other = nil
+	}
+}
+
+// releaseAll drops the exchanges that the call no longer needs.
+func (f *forwarding) releaseAll() {
+	for _, x := range []*exchange{f.current, f.other} {
+		if x != nil {
+			f.release(x, placement.Neutral, 0)
+		}
 	}
-	f.recordFailure(slot, failure)
-	return false
 }
 
 // recordFailure releases the slot and records what a failed exchange says
 // about the server's health. An exchange that the caller ended is not counted as
 // a failure of the server.
-func (f *forwarding) recordFailure(slot *slots.Slot, failure *upstream.Error) {
+func (f *forwarding) recordFailure(x *exchange, failure *upstream.Error) {
 	if f.ctx.Err() != nil {
 		outcome := placement.Neutral
 		if errors.Is(context.Cause(f.ctx), errDeadline) {
 			outcome = placement.Failed
 		}
-		slot.Done(outcome, 0)
+		f.release(x, outcome, 0)
 		return
 	}
+	server := x.slot.Server
 	if failure.Silent {
-		f.opts.Upstream.CloseIdle(slot.Server.Address)
+		f.opts.Upstream.CloseIdle(server.Address)
 	}
 	if failure.Stage != upstream.NotSent && !failure.Silent {
-		f.opts.Suspects.ConnectionLost(f.fps, slot.Server.ID, f.sentAt, f.isolated, f.answered)
+		f.opts.Suspects.ConnectionLost(f.fps, server.ID, x.sentAt, x.isolated, x.answered)
 	}
-	slot.Done(placement.Failed, 0)
+	f.release(x, placement.Failed, 0)
 	f.opts.Metrics.ServerFailed(f.service)
-	f.log.Warn("server failed", "event", "server_failed", "request", f.call.ID, "server", slot.Server.ID, "address", slot.Server.Address,
+	f.log.Warn("server failed", "event", "server_failed", "request", f.call.ID, "server", server.ID, "address", server.Address,
 		"stage", int(failure.Stage), "silent", failure.Silent, "reused", failure.Reused, "events", f.eventsSent,
 		"prompt_parts", f.call.SharedParts, "error", failure)
 }
 
 // dropInvalid drops a response that cannot be a valid one of this server to
 // this call.
-func (f *forwarding) dropInvalid(slot *slots.Slot, resp *upstream.Response, detail string) bool {
-	resp.Body.DisableReuse()
-	_ = resp.Body.Close()
-	slot.Done(placement.Failed, 0)
+func (f *forwarding) dropInvalid(x *exchange, resp *upstream.Response, detail string) verdict {
+	closeBroken(resp)
+	f.release(x, placement.Failed, 0)
 	f.opts.Metrics.ServerFailed(f.service)
-	f.log.Warn("invalid response from server", "event", "odd_answer", "request", f.call.ID, "server", slot.Server.ID, "status", resp.Status, "detail", detail)
-	return false
+	f.log.Warn("invalid response from server", "event", "odd_answer", "request", f.call.ID, "server", x.slot.Server.ID, "status", resp.Status, "detail", detail)
+	return ended
 }
 
-// handleServerError handles an error response of a server that executed the
-// request.
-func (f *forwarding) handleServerError(slot *slots.Slot, resp *upstream.Response) bool {
-	body, err := readAll(resp)
-	if err != nil {
-		return f.handleTruncated(slot, resp, err)
-	}
-	_ = resp.Body.Close()
+// handleServerError handles a complete error response of a server that executed
+// the request.
+func (f *forwarding) handleServerError(x *exchange, response *bufferedResponse) verdict {
 	outcome := placement.Success
-	if resp.Status >= http.StatusInternalServerError {
+	serverFault := response.status >= http.StatusInternalServerError
+	if serverFault {
 		outcome = placement.Failed
 		f.opts.Metrics.ServerFailed(f.service)
 	}
-	slot.Done(outcome, f.call.Cost)
-	f.failureResponse = &bufferedResponse{resp.Status, resp.Header, body}
-	if resp.Status >= http.StatusInternalServerError && f.route.Repeatable() && f.sends < f.route.MaxAttempts || f.paused != nil {
-		return false
+	f.release(x, outcome, f.call.Cost)
+	f.failureResponse = response
+	mayRetry := serverFault && f.route.Repeatable() && f.sends < f.route.MaxAttempts
+	anotherAtWork := f.current != nil || f.other != nil
+	if mayRetry || anotherAtWork && (serverFault || f.headerSent) {
+		return ended
 	}
 	if f.headerSent {
 		f.fail(&Refusal{Code: codeFailed, Detail: "the server failed the rest of the stream"})
-		return true
-	}
-	f.writeResponse(f.failureResponse)
-	return true
-}
-
-// maxBufferedBytes bounds a response that is held in memory until it is complete.
-const maxBufferedBytes = 4 << 20
-
-var errTooLarge = errors.New("response is too large to buffer")
-
-func readAll(resp *upstream.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errTooLarge
+		return finished
 	}
-	return body, err
-}
-
-// relayWhole relays a response once its last byte has arrived, so that the
-// request can be retried after a truncated one, which the caller never sees.
-func (f *forwarding) relayWhole(slot *slots.Slot, resp *upstream.Response) bool {
-	body, err := readAll(resp)
-	if err != nil {
-		return f.handleTruncated(slot, resp, err)
-	}
-	_ = resp.Body.Close()
-	slot.Done(placement.Success, 1)
-	f.opts.Suspects.Succeeded(f.fps, f.server)
-	f.timeToFirstByte = time.Since(f.call.Arrived)
-	f.writeResponse(&bufferedResponse{resp.Status, resp.Header, body})
-	return true
+	f.writeResponse(response)
+	return finished
 }
 
 // writeResponse sends a complete response to the caller.
@@ -362,15 +392,6 @@
 		"config_version", f.version, "config_age_ms", f.opts.Config.Age().Milliseconds())
 }
 
-// firstByteTimeout bounds the wait for the response header if the call may go to
-// another server afterwards or has a paused stream to go on with, 0 for no bound.
-func (f *forwarding) firstByteTimeout() time.Duration {
-	if f.paused == nil && (!f.route.Repeatable() || f.sends+1 >= f.route.MaxAttempts) {
-		return 0
-	}
-	return max(firstByteFactor*f.route.Objective, minFirstByte)
-}
-
 // connectionHeaders are hop-by-hop headers, which are not forwarded.
 var connectionHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -26,18 +26,6 @@
 	// rejectedRetryAfter is the least Retry-After of an admitted call that
 	// certainly was not executed, for example because all servers rejected it.
 	rejectedRetryAfter = 200 * time.Millisecond
-	// A repeatable request goes to another server if no first byte arrives
-	// within firstByteFactor times the route's objective, and at least
-	// minFirstByte.
-	firstByteFactor = 3
-	minFirstByte    = 250 * time.Millisecond
-	// A resumable stream is offered to another server if no event arrives within
-	// eventGapFactor times the route's gap objective, and at least minEventGap.
-	eventGapFactor = 3
-	minEventGap    = 500 * time.Millisecond
-	// takeOverWait is how long a paused stream waits for a place at another server
-	// before it is read again.
-	takeOverWait = 100 * time.Millisecond
 	// fullRetryPart is the part of the route's objective for which a call returns
 	// to servers that were full. Later its caller is told to come back, and reaches
 	// another host.
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -8,115 +8,51 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/core/placement"
-	"ragwortstep/internal/slots"
 	"ragwortstep/internal/upstream"
 )
 
 var errEventOrder = errors.New("missing or duplicate event")
 
-// serverStream is a stream of one server.
-type serverStream struct {
-	slot   *slots.Slot
-	resp   *upstream.Response
-	reader *upstream.EventReader
-	sentAt time.Time
-	began  time.Time
-	events int // relayed
-	// pause is the time-out that paused the stream, and answered the forwarding's
-	// field at that time.
-	pause    *upstream.Error
-	answered bool
-}
-
-func newServerStream(slot *slots.Slot, resp *upstream.Response, sentAt time.Time) *serverStream {
-	return &serverStream{slot: slot, resp: resp, reader: upstream.NewEventReader(resp.Body), sentAt: sentAt, began: time.Now()}
-}
-
-// relay relays complete events as they arrive. It returns true if the stream is
-// complete or the caller has disconnected.
-func (f *forwarding) relay(s *serverStream) bool {
-	slot, resp := s.slot, s.resp
-	controller := http.NewResponseController(f.w)
-	gap := f.eventGapTimeout()
-	resp.Body.SetReadTimeout(gap)
-	for {
-		if gap > 0 && !s.reader.Buffered() {
-			if s.pause = resp.Body.AwaitData(); s.pause != nil {
-				f.paused, s.answered = s, f.answered
-				return false
-			}
-		}
-		event, err := s.reader.Next()
-		if err == io.EOF && resp.UntilClose && s.events == 0 {
-			err = io.ErrUnexpectedEOF
-		}
-		if err == io.EOF {
-			_ = resp.Body.Close()
-			return f.finishStream(slot, resp, controller)
-		}
-		if err == nil {
-			err = f.checkEventOrder(event)
-		}
-		if err != nil {
-			return f.handleTruncated(slot, resp, err)
-		}
-		f.sendHeader(resp)
-		if _, err = f.w.Write(event.Raw); err == nil {
-			err = controller.Flush()
-		}
-		if err != nil || f.ctx.Err() != nil {
-			return f.stopStream(slot, resp)
-		}
-		if !event.IsComment {
-			s.events++
-			f.eventsSent++
-			if !f.answered && time.Since(s.began) >= survivalMargin {
-				f.answered = true
-				f.opts.Suspects.Answered(f.fps)
-			}
-			resp.Body.SetReadTimeout(gap)
-		}
+// relayEvent relays a complete event as it arrives, and handles the end of the
+// stream.
+func (f *forwarding) relayEvent(x *exchange, a arrival) verdict {
+	if a.err == io.EOF {
+		return f.finishStream(x, a.resp)
 	}
-}
-
-// continuePaused relays the rest of the paused stream, which no other server has
-// taken over. It returns true if the call is finished.
-func (f *forwarding) continuePaused() bool {
-	s := f.paused
-	f.paused = nil
-	f.server, f.sentAt, f.isolated, f.answered = s.slot.Server.ID, s.sentAt, false, s.answered
-	f.log.Info("stream goes on at its server", "event", "not_taken_over", "request", f.call.ID, "route", f.route.Name,
-		"server", f.server, "sends", f.sends, "events", f.eventsSent)
-	return f.relay(s)
-}
-
-// dropPaused ends the paused stream, if there is one.
-func (f *forwarding) dropPaused() {
-	if s := f.paused; s != nil {
-		f.paused = nil
-		_ = f.handleTruncated(s.slot, s.resp, s.pause) // the call goes on elsewhere, or fails
+	if a.err != nil {
+		return f.handleTruncated(x, a.err)
 	}
-}
-
-// eventGapTimeout bounds the wait for the next event if the stream may resume
-// at another server, 0 for no bound.
-func (f *forwarding) eventGapTimeout() time.Duration {
-	if !f.route.Repeatable() || f.sends >= f.route.MaxAttempts {
-		return 0
+	if err := f.checkEventOrder(a.event); err != nil {
+		return f.handleTruncated(x, err)
+	}
+	if a.event.HasID {
+		f.lastEventID = a.event.ID
+	}
+	f.sendHeader(a.resp)
+	_, err := f.w.Write(a.event.Raw)
+	if err == nil {
+		err = http.NewResponseController(f.w).Flush()
 	}
-	return max(eventGapFactor*f.route.GapObjective, minEventGap)
+	if err != nil || f.ctx.Err() != nil {
+		return f.stopStream(x)
+	}
+	if a.event.IsComment {
+		return awaited
+	}
+	f.eventsSent++
+	if !x.answered && time.Since(x.beganAt) >= survivalMargin {
+		x.answered = true
+		f.opts.Suspects.Answered(f.fps)
+	}
+	return goesOn
 }
 
 // checkEventOrder checks that an event directly follows the last one. Event ids
 // increase by one.
-func (f *forwarding) checkEventOrder(event upstream.Event) error {
-	if !event.HasID {
-		return nil
-	}
-	if (f.eventsSent > 0 || f.call.LastEventID > 0) && event.ID != f.lastEventID+1 {
-		return errors.Wrapf(errEventOrder, "event %d after %d", event.ID, f.lastEventID)
+func (f *forwarding) checkEventOrder(e upstream.Event) error {
+	if e.HasID && (f.eventsSent > 0 || f.call.LastEventID > 0) && e.ID != f.lastEventID+1 {
+		return errors.Wrapf(errEventOrder, "event %d after %d", e.ID, f.lastEventID)
 	}
-	f.lastEventID = event.ID
 	return nil
 }
 
@@ -133,32 +69,30 @@
 }
 
 // finishStream finishes a call whose stream is complete.
-func (f *forwarding) finishStream(slot *slots.Slot, resp *upstream.Response, controller *http.ResponseController) bool {
-	slot.Done(placement.Success, f.call.Cost)
-	f.opts.Suspects.Succeeded(f.fps, f.server)
+func (f *forwarding) finishStream(x *exchange, resp *upstream.Response) verdict {
+	f.release(x, placement.Success, f.call.Cost)
+	f.opts.Suspects.Succeeded(f.fps, x.slot.Server.ID)
 	f.sendHeader(resp)
-	_ = controller.Flush() // the caller may have disconnected
+	_ = http.NewResponseController(f.w).Flush() // the caller may have disconnected
 	f.recordServed(resp.Status)
-	return true
+	return finished
 }
 
 // stopStream aborts a stream after a failed write to the caller or the end of
 // the call's context.
-func (f *forwarding) stopStream(slot *slots.Slot, resp *upstream.Response) bool {
-	resp.Body.DisableReuse()
-	_ = resp.Body.Close()
-	slot.Done(placement.Neutral, 0)
+func (f *forwarding) stopStream(x *exchange) verdict {
+	f.release(x, placement.Neutral, 0)
 	if !f.callerLeft() && f.ctx.Err() != nil {
 		f.fail(&Refusal{Code: codeTimeout, Detail: "the stream took longer than the call's time"})
 	}
 	f.finishAbandoned()
-	return true
+	return finished
 }
 
 // finishAbandoned finishes a call whose caller disconnected before the response
 // was complete.
 func (f *forwarding) finishAbandoned() {
-	f.dropPaused()
+	f.releaseAll()
 	if !f.mayRun {
 		f.opts.Quotas.ReturnToken(f.workspace)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -234,7 +234,7 @@
 	ex.setReadDeadline(0)
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, UntilClose: endsWithConnection(resp),
-		Body: &Body{ex: ex, body: resp.Body, length: resp.ContentLength, reusable: !resp.Close, idle: keepAliveTimeout(resp.Header)},
+		Body: &Body{ex: ex, body: resp.Body, reusable: !resp.Close, idle: keepAliveTimeout(resp.Header)},
 	}, nil
 }
 
@@ -252,7 +252,7 @@
 	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, UntilClose: endsWithConnection(resp),
-		Body: &Body{ex: ex, body: resp.Body, length: resp.ContentLength},
+		Body: &Body{ex: ex, body: resp.Body},
 	}, nil
 }
 
@@ -358,7 +358,6 @@
 type Body struct {
 	ex       *exchange
 	body     io.ReadCloser
-	length   int64 // -1 if it is unknown
 	reusable bool
 	idle     time.Duration
 	ended    bool
@@ -381,21 +380,6 @@
 // SetReadTimeout bounds the next reads; 0 removes the limit.
 func (b *Body) SetReadTimeout(d time.Duration) { b.ex.setReadDeadline(d) }
 
-// AwaitData waits for more data of a response without a length. It returns an error
-// if none arrives within the read timeout; the response may be read on then, unlike
-// after a Read that timed out.
-func (b *Body) AwaitData() *Error {
-	if b.ended || b.length >= 0 { // nothing may be left to read
-		return nil
-	}
-	_, err := b.ex.conn.reader.Peek(1)
-	var timeout net.Error
-	if !errors.As(err, &timeout) || !timeout.Timeout() {
-		return nil // Read returns other errors
-	}
-	return b.ex.newError(InResponse, "read answer of", err)
-}
-
 // DisableReuse makes Close close the connection. It is for unexpected responses.
 func (b *Body) DisableReuse() { b.reusable = false }
 
