test: silent servers beside changes, over real processes

Every request must get its whole answer.

The ledger counts answers that broke off after status 200, which it took for answered until now.

--- a/test/coop/client.go
+++ b/test/coop/client.go
@@ -18,6 +18,7 @@
 	Answers  map[string]int // status by id, of the last attempt; 0 without an answer
 	Routes   map[string]string
 	Served   int
+	Cut      int      // answers with status 200 that broke off
 	Failures []string // violated guarantees
 }
 
@@ -35,8 +36,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Answers[id], l.Routes[id] = status, route
-	if status == http.StatusOK && whole {
+	switch {
+	case status != http.StatusOK:
+	case whole:
 		l.Served++
+	default:
+		l.Cut++
 	}
 }
 
--- a/test/coop/server.go
+++ b/test/coop/server.go
@@ -22,7 +22,11 @@
 	Pause       time.Duration // between events
 	CrashPart   string        // a part of prompts; the server crashes when it begins to answer on it
 	OnCrash     func()        // called when it has received such a request
-	server      *httptest.Server
+	// Silence returns how long the server falls silent before a part of its answer to
+	// a request; nil if it never does. The parts are the head, each event and its
+	// second half, and the end, in order.
+	Silence func(id string, part int64) time.Duration
+	server  *httptest.Server
 
 	mu      sync.Mutex
 	runs    []Run
@@ -122,7 +126,7 @@
 	s.mu.Unlock()
 	w.Header().Set("Response-Seal", fmt.Sprintf("%x", idHash(id)))
 	if r.Header.Get("Token-Count") == "" {
-		_, _ = io.WriteString(w, PlainBody(id)) // the host may have disconnected
+		s.writePlain(w, id)
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -133,7 +137,13 @@
 		return
 	}
 	for n := after + 1; n <= EventCount(id); n++ {
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(id, n))
+		s.fallSilent(id, 2*(n-after)-1)
+		fmt.Fprintf(w, "id: %d\nda", n)
+		if pause := s.silence(id, 2*(n-after)); pause > 0 {
+			_ = http.NewResponseController(w).Flush() // the next one fails too if the host has disconnected
+			time.Sleep(pause)
+		}
+		fmt.Fprintf(w, "ta: %s\n\n", EventData(id, n))
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
@@ -143,4 +153,27 @@
 			return
 		}
 	}
+	s.fallSilent(id, 2*(EventCount(id)-after)+1)
+}
+
+// writePlain writes the answer to a request without a Token-Count.
+func (s *Server) writePlain(w http.ResponseWriter, id string) {
+	body := PlainBody(id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	s.fallSilent(id, 0)
+	_, _ = io.WriteString(w, body[:3]) // the host may have disconnected
+	if pause := s.silence(id, 1); pause > 0 {
+		_ = http.NewResponseController(w).Flush() // the host may have disconnected
+		time.Sleep(pause)
+	}
+	_, _ = io.WriteString(w, body[3:]) // the host may have disconnected
 }
+
+func (s *Server) silence(id string, part int64) time.Duration {
+	if s.Silence == nil {
+		return 0
+	}
+	return s.Silence(id, part)
+}
+
+func (s *Server) fallSilent(id string, part int64) { time.Sleep(s.silence(id, part)) }
