online: a server that was asked in vain beside a silent one is asked again

What callers saw: 502, 504 or a cut stream though a sound server was there. A server that was asked while the first one was silent, and dropped because that one was heard again or both were silent, counted as tried for good: when the first server then failed, or stayed silent, nobody was asked any more. On routes that allow more servers than there are, it was not even asked again during the silence. And a stream at a dead server was held for 2.75 to 3.4 s when the next one needed more than 0.3 s; its callers leave after 2 s.

Such servers, and those that rejected the call meanwhile, may be asked once more now, which reaches no more servers than the route allows. A silent server is given up for one that has not answered yet after three quarters of the time for which callers of the route wait. The body of a whole answer is watched too: after that time without a byte another server is asked.

--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,11 +19,13 @@
 type exchange struct {
 	slot      *slots.Slot
 	sentAt    time.Time
-	isNew     bool // the call was not sent to this server before
-	isolated  bool // the call is a suspect and the only one at the server
-	heardAt   time.Time
-	inBody    bool // a response that is no stream has begun
-	streaming bool // the response is a sound stream
+	isNew     bool         // the call was not sent to this server before
+	isolated  bool         // the call is a suspect and the only one at the server
+	rejected  bool         // the server states that it has not run the request
+	heardAt   time.Time    // when a part of the answer arrived last
+	readAt    atomic.Int64 // when bytes of a whole body were read last, as Unix nanoseconds
+	inBody    bool         // a response that is no stream has begun
+	streaming bool         // the response is a sound stream
 	beganAt   time.Time
 	answered  bool // the server went on with its answer after the first bytes
 	arrivals  chan arrival
@@ -90,7 +93,7 @@
 func (x *exchange) readBody(resp *upstream.Response) {
 	x.inBody = true
 	go func() {
-		body, err := readAll(resp)
+		body, err := readAll(&notingReader{resp.Body, &x.readAt})
 		if err != nil {
 			resp.Body.DisableReuse()
 		}
@@ -132,10 +135,34 @@
 
 var errTooLarge = errors.New("response is too large to buffer")
 
-func readAll(resp *upstream.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+func readAll(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxBufferedBytes+1))
 	if err == nil && len(body) > maxBufferedBytes {
 		err = errTooLarge
 	}
 	return body, err
 }
+
+// notingReader notes when it has read bytes.
+type notingReader struct {
+	r  io.Reader
+	at *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (n *notingReader) Read(p []byte) (int, error) {
+	count, err := n.r.Read(p)
+	if count > 0 {
+		n.at.Store(time.Now().UnixNano())
+	}
+	return count, err
+}
+
+// silentFor returns how long nothing of the answer has arrived.
+func (x *exchange) silentFor() time.Duration {
+	silent := time.Since(x.heardAt)
+	if at := x.readAt.Load(); at > 0 {
+		silent = min(silent, time.Since(time.Unix(0, at)))
+	}
+	return silent
+}
--- a/internal/online/fixture_test.go
+++ b/internal/online/fixture_test.go
@@ -239,11 +239,17 @@
 	return recorder.Code, recorder.Body.String()
 }
 
-// setTimeout sets the timeout of all routes.
-func (f *fixture) setTimeout(timeout time.Duration) {
+// setPatience sets the timeout of all routes, and a gap objective with which callers
+// leave a stream after a gap of 3.2 s.
+func (f *fixture) setPatience(timeout time.Duration) {
+	f.setRoutes(func(r *routing.Route) { r.Timeout, r.GapObjective = timeout, 400*time.Millisecond })
+}
+
+// setRoutes changes all routes.
+func (f *fixture) setRoutes(change func(*routing.Route)) {
 	list := routes()
 	for i := range list {
-		list[i].Timeout = timeout
+		change(&list[i])
 	}
 	current := f.snapshot.Load()
 	f.snapshot.Store(routing.New(current.Version, list, current.Workspaces, nil, map[string]string{"k": "w", "l": "limited"}))
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -26,7 +26,7 @@
 	mayRun          bool     // a server may have executed the request
 	tried           []string // ids of the servers tried
 	full            []string // ids of the servers that rejected the call because they were full
-	silent          []string // ids of the servers that were asked in vain while another one was silent
+	askAgain        []string // ids of the servers that were tried and may be asked once more
 	returning       bool     // the next attempt goes to one of the full servers
 	headerSent      bool     // the response to the caller has started
 	lastEventID     int64    // of the last complete event relayed
@@ -71,12 +71,16 @@
 	}
 }
 
-// nextServers describes the servers that may be asked next when none is at work on
-// the call.
+// nextServers describes the servers that may be asked next.
 func (f *forwarding) nextServers() slots.Request {
 	request := f.slotRequest()
-	if request.Tried = f.tried; f.returning {
-		request.Tried, request.Only = nil, f.full
+	switch {
+	case f.returning:
+		request.Only = f.full
+	case f.sends >= f.route.MaxAttempts && len(f.askAgain) > 0:
+		request.Only = f.askAgain
+	default:
+		request.Tried = slices.DeleteFunc(slices.Clone(f.tried), func(id string) bool { return slices.Contains(f.askAgain, id) })
 	}
 	return request
 }
@@ -117,7 +121,7 @@
 	case f.sends >= f.route.MaxAttempts && f.mayReturn():
 		f.returning = true
 		return true
-	case f.sends >= f.route.MaxAttempts, f.mayRun && !f.route.Repeatable(), time.Until(f.deadline) < minTimeLeft:
+	case f.sends >= f.route.MaxAttempts && len(f.askAgain) == 0, f.mayRun && !f.route.Repeatable(), time.Until(f.deadline) < minTimeLeft:
 		f.fail(&Refusal{Status: http.StatusBadGateway, Code: codeFailed, Detail: "the server did not answer soundly"})
 	default:
 		f.opts.Metrics.Retried(f.route.Name)
@@ -171,6 +175,7 @@
 		f.tried = append(f.tried, id)
 		f.sends++
 	}
+	f.askAgain = slices.DeleteFunc(f.askAgain, func(tried string) bool { return tried == id })
 	f.slotWait += slot.Waited
 	out := RequestMeta{Workspace: f.workspace.Name, Instance: slot.Server.Instance, TimeLeft: time.Until(f.deadline)}
 	if f.eventsSent > 0 || f.call.LastEventID > 0 {
@@ -223,6 +228,7 @@
 			f.full = append(f.full, slot.Server.ID)
 		}
 		resp.Body.Discard()
+		x.rejected = true
 		f.release(x, placement.Rejected, 0)
 		f.log.Info("server rejected request", "event", "rejected", "request", f.call.ID, "server", slot.Server.ID, "status", resp.Status)
 		return ended
--- a/internal/online/silence_test.go
+++ b/internal/online/silence_test.go
@@ -108,7 +108,7 @@
 		}
 		return framing != "until close"
 	}, ids...)
-	f.setTimeout(8 * time.Second)
+	f.setPatience(8 * time.Second)
 	time.AfterFunc(silence/2, func() {
 		f.snapshot.Store(routing.New(2, nil, f.snapshot.Load().Workspaces, nil, map[string]string{"k": "w"}))
 	})
@@ -149,7 +149,7 @@
 					c.EndStream()
 					return true
 				}, "a", "b")
-				f.setTimeout(8 * time.Second)
+				f.setRoutes(func(r *routing.Route) { r.Timeout, r.Objective = 8*time.Second, 800*time.Millisecond })
 				status, body := f.serveWhole("/resumable/1", "k")
 				is.Equal(status, http.StatusOK)
 				is.Equal(body, events(1, 4))
@@ -199,7 +199,7 @@
 		<-c.PeerClosed()
 		return false
 	}, "a", "b")
-	f.setTimeout(8 * time.Second)
+	f.setPatience(8 * time.Second)
 	asked := time.Now()
 	status, body := f.serveWhole(path, "k")
 	is.Equal(status, http.StatusOK)
--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"ragwortstep/internal/core/placement"
@@ -28,16 +27,22 @@
 	// maxStreamOverlap is how long two servers may work on one stream. Servers must
 	// not go on with a stream at the same time for longer than 400 ms.
 	maxStreamOverlap = 300 * time.Millisecond
-	// maxSoundSilence is how long a sound server may be silent. One that is silent
-	// for longer is given up for a server that has not answered yet.
-	maxSoundSilence = 2500 * time.Millisecond
+	// Callers leave a stream after a gap of minPatience, objectivesOfPatience times
+	// the route's objective, or gapsOfPatience times its gap objective, whichever is
+	// longest.
+	minPatience          = 2 * time.Second
+	objectivesOfPatience = 4
+	gapsOfPatience       = 8
+	// giveUpPart is the part of the callers' patience after which a silent server is
+	// given up for one that has not answered yet.
+	giveUpPart = 0.75
 )
 
 // converse relays the answer of the current exchange. While its server is silent,
 // it asks another one, which takes over once its answer has begun. It returns true
 // if the call is finished, and false if there is no exchange left.
 func (f *forwarding) converse() bool {
-	f.silence = time.NewTimer(maxSoundSilence) // set below
+	f.silence = time.NewTimer(minPatience) // set below
 	defer f.silence.Stop()
 	f.awaitCurrent()
 	for f.current != nil {
@@ -74,7 +79,7 @@
 	case goesOn:
 		f.current.heardAt = time.Now()
 		if f.other != nil {
-			f.releaseOther()
+			f.releaseOther("its server was heard")
 		}
 		f.awaitCurrent()
 	}
@@ -89,31 +94,47 @@
 		return false
 	}
 	if f.takesOver(x, a) {
-		silentFor := time.Since(f.current.heardAt)
-		f.recordFailure(f.current, f.silenceOf(f.current))
-		f.log.Info("another server takes over", "event", "taken_over", "request", f.call.ID, "route", f.route.Name,
-			"from", f.server, "server", x.slot.Server.ID, "silent_ms", silentFor.Milliseconds(), "events", f.eventsSent)
-		f.otherBecomesCurrent()
+		f.giveUpCurrent("the other server answers")
 		return f.currentHeard(a)
 	}
 	switch f.process(x, a) {
 	case finished:
 		return true
 	case ended:
+		if x.rejected {
+			f.askAgain = append(f.askAgain, x.slot.Server.ID)
+		}
 		f.logGoesOn(x, "the other server has no answer")
 		f.awaitCurrent()
 	}
 	return false
 }
 
+// giveUpCurrent goes on with the other exchange instead of the current one, whose
+// server is silent.
+func (f *forwarding) giveUpCurrent(reason string) {
+	x := f.current
+	f.log.Info("another server takes over", "event", "taken_over", "request", f.call.ID, "route", f.route.Name,
+		"from", f.server, "server", f.other.slot.Server.ID, "reason", reason,
+		"silent_ms", x.silentFor().Milliseconds(), "events", f.eventsSent)
+	f.mayRun = true
+	stage := upstream.Sent
+	if x.streaming {
+		stage = upstream.InResponse
+	}
+	f.recordFailure(x, &upstream.Error{
+		Stage: stage, Silent: true, Step: "await answer of", Peer: x.slot.Server.Address, Err: context.DeadlineExceeded,
+	})
+	f.askAgain = append(f.askAgain, x.slot.Server.ID)
+	f.otherBecomesCurrent()
+}
+
 // otherBecomesCurrent goes on with the other exchange, if there is one, after the
 // end of the current one.
 func (f *forwarding) otherBecomesCurrent() {
-	if f.current, f.other = f.other, nil; f.current == nil {
-		return
+	if f.current, f.other = f.other, nil; f.current != nil {
+		f.server = f.current.slot.Server.ID
 	}
-	f.server = f.current.slot.Server.ID
-	f.silent = slices.DeleteFunc(f.silent, func(id string) bool { return id == f.server })
 }
 
 // takesOver reports whether the other exchange's answer has begun soundly.
@@ -131,18 +152,15 @@
 // for too long.
 func (f *forwarding) handleSilence() {
 	switch {
-	case f.current == nil:
+	case f.other == nil && f.current.silentFor() < f.silenceTimeout():
+		f.setSilenceTimeout(f.silenceTimeout() - f.current.silentFor())
 	case f.other == nil:
 		f.askAnother()
-	case time.Since(f.current.heardAt) >= maxSoundSilence && f.ctx.Err() == nil:
-		f.recordFailure(f.current, f.silenceOf(f.current))
-		f.otherBecomesCurrent()
+	case f.current.silentFor() >= f.giveUpAfter():
+		f.giveUpCurrent("the other server was sent the request later")
 		f.awaitCurrent()
 	case f.route.Kind == routing.Stream:
-		if id := f.other.slot.Server.ID; !slices.Contains(f.silent, id) {
-			f.silent = append(f.silent, id)
-		}
-		f.releaseOther()
+		f.releaseOther("the other server is silent too")
 		f.awaitCurrent()
 	default:
 		f.awaitOther()
@@ -151,30 +169,28 @@
 
 // askAnother sends the call to another server because the current one is silent.
 func (f *forwarding) askAnother() {
-	request := f.slotRequest()
-	if request.Tried = f.tried; f.sends >= f.route.MaxAttempts {
-		request.Tried, request.Only = nil, f.silent
-	}
 	ctx, cancel := context.WithTimeoutCause(f.ctx, takeOverWait, errDeadline)
 	defer cancel()
-	slot, refusal := f.slot(ctx, request)
+	slot, refusal := f.slot(ctx, f.nextServers())
 	if refusal != nil {
 		f.awaitCurrent()
 		return
 	}
 	f.opts.Metrics.Retried(f.route.Name)
 	f.log.Info("asking another server", "event", "retry", "request", f.call.ID, "route", f.route.Name,
-		"server", f.server, "sends", f.sends, "events", f.eventsSent, "silent_ms", time.Since(f.current.heardAt).Milliseconds(),
+		"server", f.server, "sends", f.sends, "events", f.eventsSent, "silent_ms", f.current.silentFor().Milliseconds(),
 		"left_ms", time.Until(f.deadline).Milliseconds())
 	f.other = f.send(slot)
 	f.awaitOther()
 }
 
-// releaseOther drops the other exchange because the current one goes on.
-func (f *forwarding) releaseOther() {
-	f.logGoesOn(f.other, "its server was heard again or the other one was silent")
+// releaseOther drops the other exchange, whose server may be asked again.
+func (f *forwarding) releaseOther(reason string) {
+	x := f.other
+	f.logGoesOn(x, reason)
 	f.mayRun = true // the other server may have begun
-	f.release(f.other, placement.Neutral, 0)
+	f.release(x, placement.Neutral, 0)
+	f.askAgain = append(f.askAgain, x.slot.Server.ID)
 }
 
 func (f *forwarding) logGoesOn(other *exchange, reason string) {
@@ -182,17 +198,6 @@
 		"server", f.server, "other", other.slot.Server.ID, "reason", reason, "sends", f.sends, "events", f.eventsSent)
 }
 
-// silenceOf is the failure of an exchange that was given up because its server was
-// silent.
-func (f *forwarding) silenceOf(x *exchange) *upstream.Error {
-	f.mayRun = true
-	stage := upstream.Sent
-	if x.streaming {
-		stage = upstream.InResponse
-	}
-	return &upstream.Error{Stage: stage, Silent: true, Step: "await answer of", Peer: x.slot.Server.Address, Err: context.DeadlineExceeded}
-}
-
 // awaitCurrent sets the silence of the current exchange after which another server
 // is asked.
 func (f *forwarding) awaitCurrent() { f.setSilenceTimeout(f.silenceTimeout()) }
@@ -220,12 +225,20 @@
 // silenceTimeout returns the silence of the current exchange after which another
 // server is asked, 0 if none may be asked.
 func (f *forwarding) silenceTimeout() time.Duration {
-	x := f.current
-	if x == nil || x.inBody || !f.route.Repeatable() || f.sends >= f.route.MaxAttempts && len(f.silent) == 0 {
+	switch {
+	case f.current == nil || !f.route.Repeatable() || f.sends >= f.route.MaxAttempts && len(f.askAgain) == 0:
 		return 0
-	}
-	if x.streaming {
+	case f.current.inBody:
+		return f.giveUpAfter()
+	case f.current.streaming:
 		return max(eventGapFactor*f.route.GapObjective, minEventGap)
 	}
 	return max(firstByteFactor*f.route.Objective, minFirstByte)
 }
+
+// giveUpAfter returns the silence after which the current exchange is given up for
+// one whose server has not answered yet, while the caller still waits.
+func (f *forwarding) giveUpAfter() time.Duration {
+	patience := max(minPatience, objectivesOfPatience*f.route.Objective, gapsOfPatience*f.route.GapObjective)
+	return time.Duration(giveUpPart * float64(patience))
+}
