placement: requests that fail together eject a server once

Found by a review: a sound server that fell silent for a second while four requests were at it was unusable for 1.35 s afterwards, and with more requests for up to 4 s, though it was sound; at a small service that is a part of its capacity.

Cause: each failure after the second one doubled the ejection, also failures of requests that were sent before the ejection and say nothing about the time after it. Only requests sent since count now.

TestFailuresOfOneSilenceEjectOnce fails before: full instead of chosen half a second after the silence of eight requests.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -112,6 +112,7 @@
 	failureRate         float64 // moving average
 	consecutiveFailures int
 	ejections           int
+	ejectedAt           time.Time // start of the last ejection
 	ejectedUntil        time.Time
 	probeInFlight       bool // no other request is sent until the probe ends
 	rejectedUntil       time.Time
@@ -485,7 +486,7 @@
 			s.rejectedUntil = now.Add(rejectionBackoff)
 		}
 	case Failed:
-		s.failed(now)
+		s.failed(now.Add(-took), now)
 	case Neutral:
 		s.probeInFlight = false
 	}
@@ -501,11 +502,14 @@
 	s.timePerUnit = unitTimeDecay*s.timePerUnit + (1-unitTimeDecay)*unit
 }
 
-func (s *server) failed(now time.Time) {
+// failed counts the failure of a request that was sent at the given time. A request
+// that was sent before the server was ejected tells nothing about the time after.
+func (s *server) failed(sent, now time.Time) {
 	s.consecutiveFailures++
 	s.probeInFlight = false
 	s.failureRate = failureRateDecay*s.failureRate + (1 - failureRateDecay)
-	if s.consecutiveFailures >= failuresToEject {
+	if s.consecutiveFailures >= failuresToEject && !sent.Before(s.ejectedAt) {
+		s.ejectedAt = now
 		s.ejectedUntil = now.Add(min(baseEjectionTime<<min(s.ejections, 8), maxEjectionTime))
 		s.ejections++
 	}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -120,6 +120,31 @@
 	is.Equal(verdict, Chosen)
 }
 
+// TestFailuresOfOneSilenceEjectOnce guards against ejecting a sound server for
+// longer the more requests it had when it fell silent: they all fail at once.
+func TestFailuresOfOneSilenceEjectOnce(t *testing.T) {
+	is := is.New(t)
+	p := newTestPlacement(testServer("a", 8))
+	for range 8 {
+		p.Start("a", Online, start)
+	}
+	silence := time.Second
+	for range 8 {
+		p.Finish("a", Online, Failed, silence, 0, start.Add(silence))
+	}
+	back := start.Add(silence + baseEjectionTime)
+	_, verdict := p.Pick(Query{Service: "s"}, back.Add(-1))
+	is.Equal(verdict, Full)
+	_, verdict = p.Pick(Query{Service: "s"}, back)
+	is.Equal(verdict, Chosen)
+	p.Start("a", Online, back)
+	p.Finish("a", Online, Failed, silence, 0, back.Add(silence)) // the probe
+	_, verdict = p.Pick(Query{Service: "s"}, back.Add(silence+2*baseEjectionTime-1))
+	is.Equal(verdict, Full)
+	_, verdict = p.Pick(Query{Service: "s"}, back.Add(silence+2*baseEjectionTime))
+	is.Equal(verdict, Chosen)
+}
+
 // TestPartlyFailingServerGetsFewerRequests guards against a full share of
 // requests to a server that passes its health check but fails a part of its
 // requests, too seldom in a row to stay ejected.
