bulk: a write that may have taken effect is not refused as not done

What callers saw: 503, which promises that nothing was done, for a submission or an end of a job that had taken effect: its items would run, or stop.

Cause: the store lost the answer to the write, and the read that settles what had happened failed too. Its error, "the store does not answer", replaced the unknown outcome. Now the outcome stays unknown, and the caller gets 502, which promises nothing.

TestLostAnswerOfWritePromisesNothing, submit and end: 503 before, 502 now.

--- a/internal/bulk/records.go
+++ b/internal/bulk/records.go
@@ -85,7 +85,7 @@
 	if obj.Key == "" {
 		var err error
 		if obj, err = r.get(ctx, key); err != nil {
-			return false, store.Object{}, err
+			return false, store.Object{}, errors.Mark(errors.Newf("compare with stored object: %v", err), ErrUnknownOutcome)
 		}
 	}
 	return sameJSON(obj.Value, raw), obj, nil
@@ -156,6 +156,9 @@
 		current := *known
 		if try > 0 || known.version == 0 {
 			head, version, err := r.head(ctx, id)
+			if errors.Is(mark, ErrUnknownOutcome) && errors.Is(err, ErrStoreUnavailable) {
+				return errors.Mark(errors.Newf("change head of job %s: %v, then %v", id, last, err), mark)
+			}
 			if err != nil {
 				return err
 			}
