online: no other server is asked when the silent one is heard meanwhile

While a call waits for a place at another server, up to 100 ms, the silent one may go on; the request was sent to the other one all the same. And it was sent with milliseconds left before the deadline, which a retry never was. By reading, in a review; no test shows either.

--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -57,7 +57,7 @@
 		case a := <-others:
 			done = f.otherHeard(a)
 		case <-f.silence.C:
-			f.handleSilence()
+			done = f.handleSilence()
 		}
 		if done {
 			f.releaseAll()
@@ -149,13 +149,13 @@
 }
 
 // handleSilence is called when the current exchange, or the other one, was silent
-// for too long.
-func (f *forwarding) handleSilence() {
+// for too long. It returns true if the call is finished.
+func (f *forwarding) handleSilence() bool {
 	switch {
 	case f.other == nil && f.current.silentFor() < f.silenceTimeout():
 		f.setSilenceTimeout(f.silenceTimeout() - f.current.silentFor())
 	case f.other == nil:
-		f.askAnother()
+		return f.askAnother()
 	case f.current.silentFor() >= f.giveUpAfter():
 		f.giveUpCurrent("the other server was sent the request later")
 		f.awaitCurrent()
@@ -165,16 +165,28 @@
 	default:
 		f.awaitOther()
 	}
+	return false
 }
 
-// askAnother sends the call to another server because the current one is silent.
-func (f *forwarding) askAnother() {
+// askAnother sends the call to another server because the current one is silent,
+// unless that one is heard before there is a place. It returns true if the call is
+// finished.
+func (f *forwarding) askAnother() bool {
+	if time.Until(f.deadline) < minTimeLeft {
+		return false
+	}
 	ctx, cancel := context.WithTimeoutCause(f.ctx, takeOverWait, errDeadline)
 	defer cancel()
 	slot, refusal := f.slot(ctx, f.nextServers())
 	if refusal != nil {
 		f.awaitCurrent()
-		return
+		return false
+	}
+	select {
+	case a := <-f.current.arrivals:
+		slot.Done(placement.Neutral, 0)
+		return f.currentHeard(a)
+	default:
 	}
 	f.opts.Metrics.Retried(f.route.Name)
 	f.log.Info("asking another server", "event", "retry", "request", f.call.ID, "route", f.route.Name,
@@ -182,6 +194,7 @@
 		"left_ms", time.Until(f.deadline).Milliseconds())
 	f.other = f.send(slot)
 	f.awaitOther()
+	return false
 }
 
 // releaseOther drops the other exchange, whose server may be asked again.
--- a/internal/online/takeover_test.go
+++ b/internal/online/takeover_test.go
@@ -15,9 +15,11 @@
 
 	"github.com/matryer/is"
 
+	"ragwortstep/internal/core/placement"
 	"ragwortstep/internal/core/routing"
 	"ragwortstep/internal/online"
 	"ragwortstep/internal/servertest"
+	"ragwortstep/internal/slots"
 )
 
 // gapRecorder records the longest time without a write of the response body.
@@ -385,3 +387,147 @@
 		}
 	}
 }
+
+// pausingStream writes four events with a pause before each but the first.
+func pausingStream(c *servertest.Conn, pause time.Duration) bool {
+	c.StartStream()
+	for id := int64(1); id <= 4; id++ {
+		if id > 1 {
+			time.Sleep(pause)
+		}
+		c.WriteEvent(id)
+	}
+	c.EndStream()
+	return true
+}
+
+// The other server must be told at once that the first one was heard, or both work on
+// the stream.
+func TestOtherServerEndsWhenTheFirstIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		var first firstAsked
+		ended := make(chan time.Duration, 1)
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			if first.is(c) {
+				return pausingStream(c, 600*time.Millisecond)
+			}
+			<-c.PeerClosed()
+			select {
+			case ended <- time.Since(c.At):
+			default:
+			}
+			return false
+		}, "a", "b")
+		status, body := f.serveWhole("/resumable/1", "k")
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, events(1, 4))
+		is.Equal(<-ended, 100*time.Millisecond) // asked after 500 ms of 600
+	})
+}
+
+// Several pauses of a sound stream must not add up to one for which its server is
+// given up, and comments or events out of order of another server must not take over.
+func TestOnlySoundEventsTakeOver(t *testing.T) {
+	for name, other := range map[string]func(*servertest.Conn){
+		"silent":       func(*servertest.Conn) {},
+		"comments":     func(c *servertest.Conn) { c.StartStream(); _, _ = fmt.Fprint(c, "4\r\n:x\n\n\r\n") },
+		"out of order": func(c *servertest.Conn) { c.StartStream(); c.WriteEvent(9); c.EndStream() },
+		"not started":  func(c *servertest.Conn) { c.WriteHead(http.StatusOK) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				var first firstAsked
+				f := newPipedFixture(t, func(c *servertest.Conn) bool {
+					if first.is(c) {
+						return pausingStream(c, 1400*time.Millisecond) // callers of the route leave after 2 s
+					}
+					other(c)
+					<-c.PeerClosed()
+					return false
+				}, "a", "b")
+				f.setRoutes(func(r *routing.Route) { r.Timeout = 8 * time.Second })
+				status, body := f.serveWhole("/resumable/1", "k")
+				is.Equal(status, http.StatusOK)
+				is.Equal(body, events(1, 4))
+			})
+		})
+	}
+}
+
+// A server that begins an error response late must not end the exchange with another
+// one, which may answer.
+func TestLateErrorLeavesTheOtherServer(t *testing.T) {
+	for _, path := range []string{"/get/1", "/resumable/1"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				var first firstAsked
+				f := newPipedFixture(t, func(c *servertest.Conn) bool {
+					if first.is(c) {
+						time.Sleep(350 * time.Millisecond)
+						c.WriteHead(http.StatusInternalServerError, "Content-Length: 5")
+						<-c.PeerClosed()
+						return false
+					}
+					time.Sleep(200 * time.Millisecond)
+					if path == "/get/1" {
+						return ok(c)
+					}
+					return stream(c)
+				}, "a", "b")
+				status, _ := f.serveWhole(path, "k")
+				is.Equal(status, http.StatusOK)
+			})
+		})
+	}
+}
+
+// A call that a silent server may have run must not be refused as not run when all
+// servers reject it afterwards.
+func TestRejectionsAfterSilencePromiseNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		var first firstAsked
+		var asked atomic.Int64
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			switch {
+			case first.is(c) && asked.Add(1) == 1:
+				<-c.PeerClosed()
+				return false
+			case !first.is(c):
+				time.Sleep(2500 * time.Millisecond)
+			}
+			c.RespondNotRun(http.StatusServiceUnavailable)
+			return true
+		}, "a", "b", "c")
+		f.setRoutes(func(r *routing.Route) { r.Timeout, r.MaxAttempts = 8*time.Second, 3 })
+		status, _ := f.serveWhole("/get/1", "k")
+		is.Equal(status, http.StatusBadGateway)
+	})
+}
+
+// A server that was given up for its silence twice must get no more calls for a while.
+func TestServerThatWasGivenUpIsEjected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		var atA atomic.Int64
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			if c.Header.Get("X-Instance") == "a" {
+				atA.Add(1)
+				<-c.PeerClosed()
+				return false
+			}
+			return ok(c)
+		}, "a", "b")
+		for atA.Load() < 2 {
+			status, _ := f.serveWhole("/get/1", "k")
+			is.Equal(status, http.StatusOK)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		_, err := f.slots.Acquire(ctx, slots.Request{Service: "s", Class: placement.Online, Workspace: "w", Cost: 1, Only: []string{"a"}})
+		is.True(err != nil)
+	})
+}
