placement: a server that said it is leaving stays out of use

The users' platform has a new rule: a server that leaves says so in its answers, and a host that has passed such an answer on may send it no later request. The entry in the store may still say ready, lapse and come back meanwhile, so readiness from the list is not enough: Placement now remembers the ids of servers that said it and treats them as not ready in every later list. Ids contain the start of a server, so that a restart under the same name is a new server.

For this SetServers gets the time.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -132,6 +132,7 @@
 	zone       string
 	servers    map[string]*server
 	byService  map[string][]*server
+	leaving    leavingServers
 	peers      map[string]peerLoad
 	rng        *rand.Rand
 	own        map[string]int // this host's slots by server, from OwnSlots
@@ -166,17 +167,19 @@
 
 // New returns a placement without servers for a host in the zone.
 func New(zone string, rng *rand.Rand) *Placement {
-	return &Placement{zone: zone, servers: map[string]*server{}, byService: map[string][]*server{}, peers: map[string]peerLoad{}, margins: map[string]borrowMargin{}, rng: rng}
+	return &Placement{zone: zone, servers: map[string]*server{}, byService: map[string][]*server{}, leaving: leavingServers{}, peers: map[string]peerLoad{}, margins: map[string]borrowMargin{}, rng: rng}
 }
 
 // SetServers replaces the set of servers and keeps the state of those that
-// remain.
-func (p *Placement) SetServers(list []Server) {
+// remain. Servers that were marked by MarkLeaving are not ready, whatever the list
+// says.
+func (p *Placement) SetServers(list []Server, now time.Time) {
 	old := p.servers
 	p.servers = make(map[string]*server, len(list))
 	p.byService = map[string][]*server{}
 	for _, cfg := range list {
 		cfg.Slots = max(cfg.Slots, 1)
+		cfg.Ready = cfg.Ready && !p.leaving.contains(cfg.ID)
 		s, ok := old[cfg.ID]
 		if !ok {
 			s = &server{}
@@ -185,6 +188,7 @@
 		p.servers[cfg.ID] = s
 		p.byService[cfg.Service] = append(p.byService[cfg.Service], s)
 	}
+	p.leaving.update(p.servers, now)
 	for id, s := range old {
 		// A removed server is kept while it has requests in flight, so that their
 		// ends are counted.
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -14,7 +14,7 @@
 
 func newTestPlacement(servers ...Server) *Placement {
 	p := New("z1", rand.New(rand.NewPCG(1, 2)))
-	p.SetServers(servers)
+	p.SetServers(servers, start)
 	return p
 }
 
@@ -89,7 +89,7 @@
 	const rounds = 400
 	for seed := range uint64(rounds) {
 		p := New("z1", rand.New(rand.NewPCG(seed, 1)))
-		p.SetServers([]Server{testServer("a", 8)})
+		p.SetServers([]Server{testServer("a", 8)}, start)
 		p.Start("a", Batch, start)
 		p.UpdatePeerLoad("x", map[string]InFlight{"a": {Online: 6, Batch: 3}}, start)
 		total += p.BatchToPreempt(start)["a"]
@@ -180,7 +180,7 @@
 	for h := range uint64(hosts) {
 		p := New("z1", rand.New(rand.NewPCG(h, 9)))
 		list := testServers(30, 8)
-		p.SetServers(list)
+		p.SetServers(list, start)
 		for i, s := range list { // every host measured the servers' different speeds
 			p.Start(s.ID, Online, start)
 			p.Finish(s.ID, Online, Success, time.Duration(6+i%3*4)*time.Millisecond, 1, start)
@@ -215,7 +215,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		p := New("z1", rand.New(rand.NewPCG(3, 4)))
 		all := testServers(4, 3)
-		p.SetServers(all)
+		p.SetServers(all, start)
 		type request struct {
 			id    string
 			class Class
@@ -245,10 +245,10 @@
 				}
 			case "servers":
 				n := rapid.IntRange(0, 4).Draw(t, "n")
-				p.SetServers(all[:n])
+				p.SetServers(all[:n], now)
 			}
 		}
-		p.SetServers(all)
+		p.SetServers(all, now)
 		for _, f := range requests {
 			p.Finish(f.id, f.class, Neutral, 0, 0, now)
 		}
@@ -308,7 +308,7 @@
 	count := map[string]int{}
 	for h := range uint64(hosts) {
 		p := New("z1", rand.New(rand.NewPCG(h, 5)))
-		p.SetServers(list)
+		p.SetServers(list, start)
 		p.SetOwnSlots(OwnSlots(names[h], names, list, "z1"))
 		for range each {
 			s, verdict := p.Pick(Query{Service: "s"}, start)
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -196,14 +196,14 @@
 func (s *Scheduler) SetServers(servers []placement.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.placer.SetServers(servers)
+	now := time.Now()
+	s.placer.SetServers(servers, now)
 	s.servers = servers
 	s.updateOwnSlots()
 	s.idsByShortID = make(map[uint32]string, len(servers))
 	for _, server := range servers {
 		s.idsByShortID[shortID(server.ID)] = server.ID
 	}
-	now := time.Now()
 	for name := range s.queues {
 		s.dispatch(name, now)
 	}
