slots: MarkLeaving takes a server out of use at once

Slot.MarkLeaving passes what a server said in its answer to the placement. It logs the first answer of each server as server_leaving, with the request that brought it and the age of the list of servers, and dispatches the queue: without a server left, waiting requests are refused then, as after a change of the list, and not up to 25 ms later.

The division of the slots among the hosts (OwnSlots) stays as the list has it. Hosts learn from answers at different times, and hosts with different divisions would count on the same slots; a host leaves its own slots at such a server unused until the entry changes.

Tests: with a MarkLeaving that does nothing all four of leaving_test.go fail; TestWaitingRequestIsRefusedWhenAllServersLeave fails without the dispatch (25 ms), TestLeavingServerIsLoggedOnce with a line for each answer (3).

--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -105,6 +105,22 @@
 	slot.s.placer.UpdateServerLoad(slot.Server.ID, running, waiting, slots, time.Now())
 }
 
+// MarkLeaving takes the server out of use on this host for its lifetime, because it
+// said in its answer to the request that it is leaving. Requests in flight go on.
+func (slot *Slot) MarkLeaving(request string) {
+	s, now := slot.s, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.placer.MarkLeaving(slot.Server.ID) {
+		return
+	}
+	counters.Add("servers_leaving", 1)
+	load, slots := s.placer.ServiceLoad(slot.Server.Service, now)
+	s.opts.Logger.Info("server is leaving", "event", "server_leaving", "server", slot.Server.ID, "service", slot.Server.Service, "request", request,
+		"took_ms", now.Sub(slot.startedAt).Milliseconds(), "list_age_ms", now.Sub(s.serversSetAt).Milliseconds(), "load_left", load, "slots_left", slots)
+	s.dispatch(slot.Server.Service, now) // refuses waiting requests if no server is left
+}
+
 // waiter is a request that waits for a slot.
 type waiter struct {
 	request    Request
@@ -138,6 +154,7 @@
 	batchSlots   map[*Slot]struct{} // held by batch items
 	idsByShortID map[uint32]string  // server ids
 	servers      []placement.Server
+	serversSetAt time.Time
 	nextID       uint64
 	waiterAdded  chan struct{}
 }
@@ -198,7 +215,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.placer.SetServers(servers, now)
-	s.servers = servers
+	s.servers, s.serversSetAt = servers, now
 	s.updateOwnSlots()
 	s.idsByShortID = make(map[uint32]string, len(servers))
 	for _, server := range servers {
@@ -209,8 +226,9 @@
 	}
 }
 
-// updateOwnSlots computes this host's share of the servers' slots. The caller
-// holds mu.
+// updateOwnSlots computes this host's share of the servers' slots. Servers that
+// are known to be leaving by their answers only remain in the division, which must
+// be the same on all hosts; their slots are not used here. The caller holds mu.
 func (s *Scheduler) updateOwnSlots() {
 	var hosts []string
 	for _, p := range s.opts.Cluster.Alive() {
