online: a server that says it is leaving gets no more requests

It does so as soon as the head is there, before anything of the answer is passed on, whatever its status, and whether or not the body is whole.

Before, a host went on sending requests until the server's entry in the store said draining: without the mark, all five kinds of answer in TestLeavingServerGetsNoRequest fail (success, head of a stream, error, rejection, broken off). TestAnswerOfAnotherMarksNoServer fails when 421, or an answer to another request, marks the server that was asked. TestDecodeLeaving fails without the header. TestRequestsGoOnAtLeavingServer passed before and guards the requests in flight.

--- a/internal/online/call.go
+++ b/internal/online/call.go
@@ -42,11 +42,19 @@
 
 // ResponseMeta is the metadata in the header of a server's response.
 type ResponseMeta struct {
-	ID      string // of the request that the response belongs to
-	Sealed  bool   // the response carries the server's signature
-	NotRun  bool   // the server states that it did not execute the request
-	Encoded bool   // the body has a content encoding, so it is not the server's own bytes
-	Load    *Load  // nil if the server reported none
+	ID          string // of the request that the response belongs to
+	Sealed      bool   // the response carries the server's signature
+	NotRun      bool   // the server states that it did not execute the request
+	Misdirected bool   // another server than the intended one responded
+	Leaving     bool   // the server states that it is leaving
+	Encoded     bool   // the body has a content encoding, so it is not the server's own bytes
+	Load        *Load  // nil if the server reported none
+}
+
+// ServerLeaves reports whether the server to which the request was sent states in
+// its response that it is leaving.
+func (m ResponseMeta) ServerLeaves(request string) bool {
+	return m.Leaving && !m.Misdirected && m.ID == request
 }
 
 // Load is the load that a server reports with a response.
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -219,6 +219,9 @@
 	if meta.Load != nil {
 		slot.UpdateServerLoad(meta.Load.Running, meta.Load.Waiting, meta.Load.Slots)
 	}
+	if meta.ServerLeaves(f.call.ID) {
+		slot.MarkLeaving(f.call.ID)
+	}
 	if meta.ID != f.call.ID {
 		f.mayRun = true
 		return f.dropInvalid(x, resp, "the response belongs to another request")
--- a/internal/servertest/servertest.go
+++ b/internal/servertest/servertest.go
@@ -24,11 +24,12 @@
 
 // Headers of the codec.
 const (
-	HeaderID     = "X-Call"
-	HeaderSeal   = "X-Seal"
-	HeaderNotRun = "X-Not-Run"
-	HeaderResume = "X-After"
-	HeaderOwner  = "X-Workspace"
+	HeaderID      = "X-Call"
+	HeaderSeal    = "X-Seal"
+	HeaderNotRun  = "X-Not-Run"
+	HeaderLeaving = "X-Leaving"
+	HeaderResume  = "X-After"
+	HeaderOwner   = "X-Workspace"
 )
 
 // Codec implements online.Codec and bulk.ItemCodec.
@@ -53,8 +54,11 @@
 }
 
 // ResponseMeta implements online.Codec.
-func (Codec) ResponseMeta(_ int, h http.Header) online.ResponseMeta {
-	return online.ResponseMeta{ID: h.Get(HeaderID), Sealed: h.Get(HeaderSeal) != "", NotRun: h.Get(HeaderNotRun) != ""}
+func (Codec) ResponseMeta(status int, h http.Header) online.ResponseMeta {
+	return online.ResponseMeta{
+		ID: h.Get(HeaderID), Sealed: h.Get(HeaderSeal) != "", NotRun: h.Get(HeaderNotRun) != "",
+		Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get(HeaderLeaving) != "",
+	}
 }
 
 // ReceivedRequest is a request that a server received.
@@ -82,11 +86,15 @@
 	fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\n%s: s\r\n%s\r\n", status, HeaderID, c.ID, HeaderSeal, headerLines(extra))
 }
 
-// RespondNotRun writes a response that states that the request was not run.
-func (c *Conn) RespondNotRun(status int) {
-	fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", status, HeaderID, c.ID, HeaderNotRun)
+// RespondNotRun writes a response that states that the request was not run, with
+// the extra header lines.
+func (c *Conn) RespondNotRun(status int, extra ...string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n%s\r\n", status, HeaderID, c.ID, HeaderNotRun, headerLines(extra))
 }
 
+// LeavingLine is a header line by which a server states that it is leaving.
+const LeavingLine = HeaderLeaving + ": 1"
+
 // Respond writes a sealed response with a body of known length.
 func (c *Conn) Respond(status int, body string) {
 	c.WriteHead(status, "Content-Length: "+strconv.Itoa(len(body)))
