bulk: a server that says it is leaving gets no more items

Batch items mark the server as online requests do. Without it TestLeavingServerGetsNoItem fails: more items reach the server than can be on their way when its first answer comes (2 of 2 runs; 15 of 15 pass with it, with the race detector).

--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -449,3 +449,43 @@
 		is.Equal(r.Output, wholeOutput)
 	}
 }
+
+// Items must not reach a server after it said in an answer to one that it is
+// leaving, although its entry stays ready; those that run there go on to their end.
+func TestLeavingServerGetsNoItem(t *testing.T) {
+	is := is.New(t)
+	var leaving atomic.Bool
+	var said atomic.Int64 // answers in which the server said that it is leaving
+	sound := generate(20 * time.Millisecond)
+	leaver := servertest.New(t, func(c *servertest.Conn) bool {
+		if !leaving.Load() {
+			return sound(c)
+		}
+		said.Add(1)
+		c.WriteHead(200, "Content-Type: text/event-stream", "Transfer-Encoding: chunked", servertest.LeavingLine)
+		time.Sleep(50 * time.Millisecond)
+		c.WriteEvents(c.After+1, lastEvent)
+		c.EndStream()
+		return true
+	})
+	other := servertest.New(t, sound)
+	f := newFleet(t, leaver, other)
+	a := f.start("a")
+	f.eventually("accepted", func() bool { return a.bulk.Submit(context.Background(), submission("running", 6)) == nil })
+	f.eventually("an item runs at the server", func() bool { return len(leaver.ReceivedRequests()) > 0 })
+	leaving.Store(true)
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 40)))
+	for _, job := range []struct {
+		id    string
+		items int
+	}{{"running", 6}, {"job", 40}} {
+		for _, r := range f.complete(a, job.id, job.items) {
+			is.Equal(r.State, itemlist.Completed)
+		}
+	}
+	for _, r := range append(leaver.ReceivedRequests(), other.ReceivedRequests()...) {
+		is.Equal(r.After, int64(0)) // no run was broken off
+	}
+	is.True(said.Load() >= 1)
+	is.True(said.Load() <= 8) // those that were on their way when the first answer came
+}
--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -239,6 +239,9 @@
 	if meta.Load != nil {
 		slot.UpdateServerLoad(meta.Load.Running, meta.Load.Waiting, meta.Load.Slots)
 	}
+	if meta.ServerLeaves(r.item.ID) {
+		slot.MarkLeaving(r.item.ID)
+	}
 	switch {
 	case meta.ID != r.item.ID:
 		return nil, r.recordFailure(slot, errors.New("the response belongs to another request")), 0
