test: a server that says it is leaving, over real processes

Three hosts, eight callers on open connections, jobs. One server of each service says in its answers that it is leaving while its entry stays ready, lapses and comes back, with and without an outage of the store. Later than 200 ms after a host has passed such an answer on, no request that a caller then sends to that host may reach the server, and no item; while the other servers are draining every host refuses; a restart under the same name is used again.

--- a/test/coop/client.go
+++ b/test/coop/client.go
@@ -17,13 +17,30 @@
 	mu       sync.Mutex
 	Answers  map[string]int // status by id, of the last attempt; 0 without an answer
 	Routes   map[string]string
+	Sent     map[string]SentRequest // by id
+	Leaving  []LeavingAnswer
 	Served   int
 	Cut      int      // answers with status 200 that broke off
 	Failures []string // violated guarantees
 }
 
+// SentRequest says where and when a caller sent a request.
+type SentRequest struct {
+	Host, Route string
+	At          time.Time
+}
+
+// LeavingAnswer is an answer, passed on by a host, of a server that says it is
+// leaving.
+type LeavingAnswer struct {
+	Host, Route string
+	At          time.Time // when the caller had its head
+}
+
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{Answers: map[string]int{}, Routes: map[string]string{}} }
+func NewLedger() *Ledger {
+	return &Ledger{Answers: map[string]int{}, Routes: map[string]string{}, Sent: map[string]SentRequest{}}
+}
 
 // AddFailure records a violated guarantee.
 func (l *Ledger) AddFailure(format string, args ...any) {
@@ -32,6 +49,18 @@
 	l.Failures = append(l.Failures, fmt.Sprintf(format, args...))
 }
 
+func (l *Ledger) recordSent(host, route, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Sent[id] = SentRequest{host, route, time.Now()}
+}
+
+func (l *Ledger) recordLeaving(host, route string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Leaving = append(l.Leaving, LeavingAnswer{host, route, time.Now()})
+}
+
 func (l *Ledger) recordAnswer(route, id string, status int, whole bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -93,12 +122,16 @@
 		}
 		r.Header.Set("Prompt-Prefix", prompt)
 	}
+	c.Ledger.recordSent(host, route, id)
 	resp, err := c.http.Do(r)
 	if err != nil {
 		c.Ledger.recordAnswer(route, id, 0, false)
 		return 0
 	}
 	defer resp.Body.Close()
+	if resp.Header.Get("Server-Leaving") != "" {
+		c.Ledger.recordLeaving(host, route)
+	}
 	body, err := io.ReadAll(resp.Body)
 	c.Ledger.recordAnswer(route, id, resp.StatusCode, err == nil)
 	if resp.StatusCode != http.StatusOK || err != nil {
--- a/test/coop/server.go
+++ b/test/coop/server.go
@@ -31,6 +31,7 @@
 	mu      sync.Mutex
 	runs    []Run
 	crashed bool
+	leaving bool
 }
 
 // Run is one request that a server began to run.
@@ -75,6 +76,20 @@
 	s.server.Close()
 }
 
+// SetLeaving makes the server say in all its answers that it is leaving, or no
+// longer. It goes on serving, and its entry stays as it is.
+func (s *Server) SetLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // Runs returns the requests that the server began to run.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -111,6 +126,10 @@
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Server-Load", fmt.Sprintf("1,0,%d", slots))
+	if s.isLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set("Connection", "close")
+	}
 	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != s.Name {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
