slots: items at servers that take no more requests are not preempted

A waiting online request preempted any batch item of its service. One at a server that is draining, or that said it is leaving, was ended for nothing: its slot goes to no request, and it was counted as if it did, so that fewer items elsewhere made room. TestItemsAtLeavingServerAreNotPreempted: without the change two items at each of such servers are preempted beside the three at the one in use.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -261,6 +261,13 @@
 	}
 }
 
+// Ready reports whether a server takes new requests: it is in the list as ready
+// and has not said that it is leaving.
+func (p *Placement) Ready(id string) bool {
+	s, ok := p.servers[id]
+	return ok && s.cfg.Ready
+}
+
 // Overloaded reports whether a server has more requests in flight than slots.
 func (p *Placement) Overloaded(id string, now time.Time) bool {
 	s, ok := p.servers[id]
--- a/internal/slots/leaving_test.go
+++ b/internal/slots/leaving_test.go
@@ -140,3 +140,37 @@
 	is.True(strings.Contains(lines.String(), `"server":"a"`))
 	is.True(strings.Contains(lines.String(), `"request":"request-1"`))
 }
+
+// A batch item at a server that takes no more requests must run on when an online
+// request waits: its slot would not go to that request, which needs the slot of an
+// item elsewhere.
+func TestItemsAtLeavingServerAreNotPreempted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := scheduler(t, 0, 0)
+		s.SetServers(readyServers("a", "b", "c"))
+		held := map[string][]*slots.Slot{}
+		for range 9 { // as many as batch work may occupy
+			slot := acquire(t, s, request(placement.Batch, "b"))
+			held[slot.Server.ID] = append(held[slot.Server.ID], slot)
+		}
+		held["a"][0].MarkLeaving("r")
+		draining := readyServers("a", "b", "c")
+		draining[1].Ready = false
+		s.SetServers(draining)
+		for range 12 {
+			_, _ = queueRequest(t, s, request(placement.Online, "o"))
+		}
+		preempted := map[string]int{}
+		for id, list := range held {
+			for _, slot := range list {
+				select {
+				case <-slot.Preempted:
+					preempted[id]++
+				default:
+				}
+			}
+		}
+		is.Equal(preempted, map[string]int{"c": 3})
+	})
+}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -445,11 +445,13 @@
 }
 
 // preemptForOnline preempts one batch item for each waiting online request and
-// pauses batch work. The caller holds mu.
+// pauses batch work. Items at servers that take no more requests run on: online
+// requests could not use their slots. The caller holds mu.
 func (s *Scheduler) preemptForOnline(service string, q *queue, waiting int, now time.Time) {
+	freesSlot := func(slot *Slot) bool { return slot.request.Service == service && s.placer.Ready(slot.Server.ID) }
 	preempting := 0
 	for slot := range s.batchSlots {
-		if slot.preemptSignaled && slot.request.Service == service {
+		if slot.preemptSignaled && freesSlot(slot) {
 			preempting++
 		}
 	}
@@ -457,7 +459,7 @@
 		if preempting >= waiting {
 			break
 		}
-		if slot.request.Service == service && slot.preempt() {
+		if freesSlot(slot) && slot.preempt() {
 			preempting++
 		}
 	}
