--- a/test/coop/leaving_test.go
+++ b/test/coop/leaving_test.go
@@ -80,7 +80,7 @@
 // may reach the server from that host. After a restart under its name it is used
 // again.
 func TestLeavingServerGetsNoRequests(t *testing.T) {
-	run := newSoakRun(t, 13)
+	run := newSoakRun(t, 14)
 	leaving := map[string]*Server{}
 	var others []*Server
 	for _, s := range run.servers {
