test: the test of ejected servers ends

It looped until one server had been asked twice, which placement may never do on a clock that stands still; a run hung for its ten minutes. It sends as many calls at once as there are slots now.

--- a/internal/online/takeover_test.go
+++ b/internal/online/takeover_test.go
@@ -521,10 +521,15 @@
 			}
 			return ok(c)
 		}, "a", "b")
-		for atA.Load() < 2 {
-			status, _ := f.serveWhole("/get/1", "k")
-			is.Equal(status, http.StatusOK)
+		var group sync.WaitGroup
+		for range 8 { // as many as there are slots
+			group.Go(func() {
+				status, _ := f.serveWhole("/get/1", "k")
+				is.Equal(status, http.StatusOK)
+			})
 		}
+		group.Wait()
+		is.True(atA.Load() >= 2)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 		defer cancel()
 		_, err := f.slots.Acquire(ctx, slots.Request{Service: "s", Class: placement.Online, Workspace: "w", Cost: 1, Only: []string{"a"}})
