online: a call that gets no place is refused while its caller still waits

Cause: a call that full servers rejected may return to them for half of its objective. That bound was checked when a server rejected it, not while it waited for a place there, so the wait ended with the call's time. And every wait for a place ended at that moment, too late for the refusal to reach the caller.

The wait ends with the bound now, and for other calls 20 ms before their time, from where on no attempt starts either. A call whose servers may only be asked again waits 0.1 s for a place.

--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -54,7 +54,7 @@
 func (f *forwarding) run() {
 	f.lastEventID = f.call.LastEventID
 	for {
-		slot, refusal := f.slot(f.ctx, f.nextServers())
+		slot, refusal := f.slot(f.latestStart(), f.nextServers())
 		if f.callerLeft() {
 			f.finishAbandoned()
 			return
@@ -85,8 +85,31 @@
 	return request
 }
 
+// latestStart returns until when the call waits for a place at a server while none is
+// at work on it. Its caller is told before its own time is over, and earlier if the
+// servers that may be asked were asked before.
+func (f *forwarding) latestStart() time.Time {
+	until := f.deadline.Add(-minTimeLeft)
+	switch {
+	case f.returning:
+		return earlier(until, f.returnUntil())
+	case f.sends >= f.route.MaxAttempts:
+		return earlier(until, time.Now().Add(takeOverWait))
+	}
+	return until
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // slot waits for a slot at a server and rechecks the call afterwards.
-func (f *forwarding) slot(ctx context.Context, request slots.Request) (*slots.Slot, *Refusal) {
+func (f *forwarding) slot(until time.Time, request slots.Request) (*slots.Slot, *Refusal) {
+	ctx, cancel := context.WithDeadlineCause(f.ctx, until, errDeadline)
+	defer cancel()
 	slot, err := f.opts.Slots.Acquire(ctx, request)
 	if err == nil {
 		if refusal := f.recheck(f.admitted); refusal != nil {
@@ -135,8 +158,11 @@
 // mayReturn reports whether the call may be sent again to servers that were full.
 // They have not run it, so it reaches no more servers than the route allows.
 func (f *forwarding) mayReturn() bool {
-	until := f.call.Arrived.Add(time.Duration(fullRetryPart * float64(f.route.Objective)))
-	return !f.mayRun && len(f.full) > 0 && time.Now().Before(until)
+	return !f.mayRun && len(f.full) > 0 && time.Now().Before(f.returnUntil())
+}
+
+func (f *forwarding) returnUntil() time.Time {
+	return f.call.Arrived.Add(time.Duration(fullRetryPart * float64(f.route.Objective)))
 }
 
 // fail finishes a call without a valid response. A response that has already
--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -175,9 +175,7 @@
 	if time.Until(f.deadline) < minTimeLeft {
 		return false
 	}
-	ctx, cancel := context.WithTimeoutCause(f.ctx, takeOverWait, errDeadline)
-	defer cancel()
-	slot, refusal := f.slot(ctx, f.nextServers())
+	slot, refusal := f.slot(time.Now().Add(takeOverWait), f.nextServers())
 	if refusal != nil {
 		f.awaitCurrent()
 		return false
