orders: an order that was not sent because the lease ended is reported as such

Cause: the lease check refuses a write by an error of the connection. The transport reads the connection at the same time, and reports whichever of the two errors it takes first. An order that was certainly not sent was then taken for one that may have arrived. The check now notes itself that it has refused the write.

The hang was the test's: its cleanup waited for a host whose store calls it had blocked. The cleanup unblocks them.

--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -117,8 +117,10 @@
 func (g *gate) reopen() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	close(g.open)
-	g.open = nil
+	if g.open != nil {
+		close(g.open)
+		g.open = nil
+	}
 }
 
 // fixture is a platform with one engine that checks fencing numbers and one
@@ -163,7 +165,10 @@
 	done := make(chan struct{})
 	go func() { h.Run(ctx); close(done) }()
 	h.stop = sync.OnceFunc(func() { cancel(); <-done })
-	f.t.Cleanup(h.stop)
+	f.t.Cleanup(func() {
+		h.gate.reopen() // a failed test may leave it closed
+		h.stop()
+	})
 	return h
 }
 
@@ -262,6 +267,23 @@
 	is.Equal(epoch, uint64(2))
 }
 
+// Guards against an order that was not sent, because the lease had ended, and is
+// reported as one that may have arrived: the transport may notice first that the
+// connection was closed.
+func TestOrderAfterLeaseEndedIsReportedAsNotSent(t *testing.T) {
+	is := is.New(t)
+	engine := newFakeEngine(t, false)
+	s := newSender(time.Second, nil)
+	err := s.send(context.Background(), strings.TrimPrefix(engine.URL, "http://"), Order{Server: "e"}, 1, func() bool {
+		engine.CloseClientConnections()
+		time.Sleep(50 * time.Millisecond) // the transport reads the end of the connection
+		return false
+	})
+	is.Equal(err, errLeaseEnded)
+	_, got := engine.state()
+	is.Equal(len(got), 0)
+}
+
 // Guards against a holder that sends orders when it resumes from a pause during
 // which its lease ended, to servers with or without fencing.
 func TestPausedHolderSendsNothing(t *testing.T) {
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,9 +39,15 @@
 	Fencing uint64      `json:"fencing"`
 }
 
-// leaseKey is the context key of the function that checks the lease.
+// leaseKey is the context key of an order's leaseCheck.
 type leaseKey struct{}
 
+// leaseCheck checks the lease for one order.
+type leaseCheck struct {
+	held  func() bool
+	ended atomic.Bool // a write was refused because the lease had ended
+}
+
 // sender posts orders to engines.
 type sender struct {
 	client  *resty.Client
@@ -59,8 +66,12 @@
 			if err != nil {
 				return nil, err
 			}
-			held, _ := ctx.Value(leaseKey{}).(func() bool)
-			return &leaseCheckedConn{Conn: conn, held: held, afterCheck: afterCheck}, nil
+			check, ok := ctx.Value(leaseKey{}).(*leaseCheck)
+			if !ok {
+				_ = conn.Close() // nothing was sent on it
+				return nil, errors.Newf("no lease check for the connection to %s", address)
+			}
+			return &leaseCheckedConn{Conn: conn, check: check, afterCheck: afterCheck}, nil
 		},
 	}
 	client := resty.New().SetTransport(transport).SetRedirectPolicy(resty.NoRedirectPolicy())
@@ -71,13 +82,14 @@
 // was paused after it decided to send an order does not send it.
 type leaseCheckedConn struct {
 	net.Conn
-	held       func() bool
+	check      *leaseCheck
 	afterCheck func()
 }
 
 // Write implements net.Conn.
 func (c *leaseCheckedConn) Write(p []byte) (int, error) {
-	if c.held == nil || !c.held() {
+	if !c.check.held() {
+		c.check.ended.Store(true)
 		return 0, errLeaseEnded
 	}
 	if c.afterCheck != nil {
@@ -93,10 +105,11 @@
 func (s *sender) send(ctx context.Context, address string, order Order, epoch uint64, held func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	ctx = context.WithValue(ctx, leaseKey{}, held)
+	check := &leaseCheck{held: held}
+	ctx = context.WithValue(ctx, leaseKey{}, check)
 	body := orderBody{Kind: order.Kind, Model: order.Model, Adapter: order.Adapter, Version: order.Version, Role: order.Role, Fencing: epoch}
 	resp, err := s.client.R().SetContext(ctx).SetBody(body).Post("http://" + address + ordersPath)
-	if errors.Is(err, errLeaseEnded) {
+	if check.ended.Load() { // the transport may report its reader's error instead of this write's
 		return errLeaseEnded
 	}
 	if err != nil {
