online: a stream does not wander between silent servers

Its log: another server took over five times, each after 0.5 s of silence and 2 or 3 events, until 4 s had passed.

Cause: a server that falls silent at one point of its answer does so in each run when it is asked again. A stream that was offered to another server after the same short silence every time made the progress of a run's beginning only, where its server would have finished it after one silence.

The silence after which another server is asked now doubles with each takeover, up to the time after which a silent server is given up.

--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -31,6 +31,7 @@
 	headerSent      bool     // the response to the caller has started
 	lastEventID     int64    // of the last complete event relayed
 	eventsSent      int      // complete events relayed
+	takeOvers       int      // exchanges that another server took over from a silent one
 	timeToFirstByte time.Duration
 	slotWait        time.Duration // total wait for slots
 	server          string        // of the current exchange, or of the last one
--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -33,6 +33,9 @@
 	minPatience          = 2 * time.Second
 	objectivesOfPatience = 4
 	gapsOfPatience       = 8
+	// maxGapDoublings bounds how often the event gap after which another server is
+	// asked doubles, once for each server that took over.
+	maxGapDoublings = 4
 	// giveUpPart is the part of the callers' patience after which a silent server is
 	// given up for one that has not answered yet.
 	giveUpPart = 0.75
@@ -114,6 +117,7 @@
 // server is silent.
 func (f *forwarding) giveUpCurrent(reason string) {
 	x := f.current
+	f.takeOvers++
 	f.log.Info("another server takes over", "event", "taken_over", "request", f.call.ID, "route", f.route.Name,
 		"from", f.server, "server", f.other.slot.Server.ID, "reason", reason,
 		"silent_ms", x.silentFor().Milliseconds(), "events", f.eventsSent)
@@ -242,7 +246,10 @@
 	case f.current.inBody:
 		return f.giveUpAfter()
 	case f.current.streaming:
-		return max(eventGapFactor*f.route.GapObjective, minEventGap)
+		// Each run makes some progress, so a stream whose servers are silent in turn is
+		// left later each time.
+		gap := max(eventGapFactor*f.route.GapObjective, minEventGap)
+		return min(gap<<min(f.takeOvers, maxGapDoublings), max(gap, f.giveUpAfter()))
 	}
 	return max(firstByteFactor*f.route.Objective, minFirstByte)
 }
--- a/internal/online/takeover_test.go
+++ b/internal/online/takeover_test.go
@@ -401,6 +401,40 @@
 	return true
 }
 
+// A stream whose servers fall silent in each of its runs must not wander between them
+// until its time is over: each run makes little progress before it is left, and the
+// server would go on if it were not.
+func TestStreamDoesNotWanderBetweenSilentServers(t *testing.T) {
+	for _, silence := range []time.Duration{600 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				const last = 40
+				runs := 0
+				f := newPipedFixture(t, func(c *servertest.Conn) bool {
+					runs++
+					c.StartStream()
+					for id := c.After + 1; id <= last; id++ {
+						if id == c.After+3 {
+							time.Sleep(silence)
+						}
+						c.WriteEvent(id)
+					}
+					c.EndStream()
+					return true
+				}, "a", "b")
+				f.setRoutes(func(r *routing.Route) { r.Timeout, r.GapObjective = 4*time.Second, 200*time.Millisecond })
+				asked := time.Now()
+				status, body := f.serveWhole("/resumable/1", "k")
+				t.Logf("status %d after %v and %d runs", status, time.Since(asked), runs)
+				is.Equal(status, http.StatusOK)
+				is.Equal(strings.Count(body, "data: "), last)
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
 // The other server must be told at once that the first one was heard, or both work on
 // the stream.
 func TestOtherServerEndsWhenTheFirstIsHeard(t *testing.T) {
