upstream: no connection carries the same request twice

What callers saw, with servers that write an earlier refusal once more: a request that may run only once was refused with 503 while a server ran it, or ran at two servers, or twice at one. An item of a job became a dead letter after one failed run of two.

Cause: a response has to name its request, but a call returns to servers that were full, a server that refused during a take-over is asked again, and an item is sent again after a refusal, a failure or a preemption. The second copy of the earlier answer names the same request, so on the same connection nothing tells it from the answer. The connection was kept too, with the real answer still to come.

A call and an item now remember the connections to which they were sent (Sends), and the pool gives them none of these again. Other requests still use them: there a copy names a foreign request and is dropped. So a copy cannot arrive where it would be believed, whatever its form and however late it is.

Ruled out: remembering the ids at the connection. It bars the same connections, but has to close one that carried many refusals, and new ones are dear. Ignoring only answers to refusals: a second copy of a failure counts against an item as well.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -82,7 +82,8 @@
 	lastEventID int64 // of the last complete event
 	failures    int   // responses with status 422 or 500
 	retryDelay  time.Duration
-	tried       []string // servers that failed since the last progress
+	tried       []string       // servers that failed since the last progress
+	connections upstream.Sends // those that the item was sent on
 }
 
 // runItem runs an item until it has ended or ctx ends.
@@ -227,6 +228,7 @@
 	header := s.opts.Items.ItemHeader(r.item, r.j.head.Workspace, slot.Server.Instance, itemTimeout, resume, r.lastEventID)
 	resp, err := s.opts.Upstream.Do(ctx, slot.Server.Address, &upstream.Request{
 		Method: http.MethodPost, Target: r.item.Path, Host: r.j.head.Host, Header: header, Body: r.item.Body, FirstByteTimeout: firstByteTimeout,
+		Sends: &r.connections,
 	})
 	if err != nil && ctx.Err() != nil {
 		return nil, placement.Neutral, 0
--- a/internal/online/call.go
+++ b/internal/online/call.go
@@ -87,9 +87,9 @@
 // without notice were idle for longer.
 const nonRepeatableMaxIdle = time.Second
 
-// request builds the request for one server.
-func (c *Call) request(codec Codec, out RequestMeta, repeatable bool) *upstream.Request {
-	r := &upstream.Request{Method: c.Method, Target: c.Target, Host: c.Host, Body: c.Body, Header: codec.ServerHeader(c, out)}
+// request builds the request for one server. sends is that of all its requests.
+func (c *Call) request(codec Codec, out RequestMeta, repeatable bool, sends *upstream.Sends) *upstream.Request {
+	r := &upstream.Request{Method: c.Method, Target: c.Target, Host: c.Host, Body: c.Body, Header: codec.ServerHeader(c, out), Sends: sends}
 	if !repeatable {
 		r.MaxIdle = nonRepeatableMaxIdle
 	}
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -42,6 +42,8 @@
 	// second server that was asked because the current one is silent.
 	current, other *exchange
 	silence        *time.Timer // fires when the current exchange, or the other one, was silent for too long
+
+	connections upstream.Sends // those that the call was sent on
 }
 
 // bufferedResponse is a complete response held in memory.
@@ -209,7 +211,7 @@
 		out.Resume, out.AfterEventID = true, f.lastEventID
 	}
 	isolated := f.opts.Suspects.Start(f.fps, id)
-	x := start(f.ctx, f.opts.Upstream, slot, f.call.request(f.opts.Codec, out, f.route.Repeatable()))
+	x := start(f.ctx, f.opts.Upstream, slot, f.call.request(f.opts.Codec, out, f.route.Repeatable(), &f.connections))
 	x.isNew, x.isolated = isNew, isolated
 	return x
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,6 +25,7 @@
 	bounded   *boundedReader // of Conn
 	reader    *bufio.Reader  // of bounded
 	pool      *pool
+	number    uint64        // unique, ascending
 	idle      time.Duration // idle timeout when the server states none
 	used      bool
 	idleSince time.Time // end of the last request
@@ -36,17 +38,21 @@
 	idle []*conn
 }
 
-// get returns the most recently used connection that is still usable, or nil if
-// there is none that was idle for at most maxIdle; 0 means no limit.
-func (p *pool) get(now time.Time, maxIdle time.Duration) *conn {
+// get returns the most recently used connection that is still usable and did not
+// carry the request before, or nil if there is none that was idle for at most
+// maxIdle; 0 means no limit.
+func (p *pool) get(now time.Time, maxIdle time.Duration, sends *Sends) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
 		if maxIdle > 0 && now.Sub(c.idleSince) > maxIdle {
 			return nil // the others were idle for longer
 		}
-		p.idle = p.idle[:len(p.idle)-1]
+		if sends.has(c) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if now.Before(c.expiresAt) && c.usable() {
 			_ = c.SetDeadline(time.Time{})
 			return c
--- /dev/null
+++ b/internal/upstream/sends_test.go
@@ -0,0 +1,61 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/servertest"
+	"ragwortstep/internal/upstream"
+)
+
+// send sends a request of the sends and reads the whole response.
+func send(t *testing.T, c *upstream.Client, address string, sends *upstream.Sends) {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	req := request()
+	req.Sends = sends
+	resp, err := c.Do(ctx, address, req)
+	is.NoErr(err)
+	_, err = io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+}
+
+// TestRequestReturnsOnOtherConnection guards against taking a second copy of an
+// earlier answer for the answer to a request that is sent again, and against a new
+// connection where a kept one is free of the request.
+func TestRequestReturnsOnOtherConnection(t *testing.T) {
+	is := is.New(t)
+	s := servertest.New(t, whole)
+	c := upstream.New(upstream.Options{})
+	var first, second upstream.Sends
+	send(t, c, s.Address(), &first)
+	send(t, c, s.Address(), &first)
+	is.Equal(s.AcceptedConnections(), 2)
+	send(t, c, s.Address(), &second)
+	send(t, c, s.Address(), &second)
+	send(t, c, s.Address(), nil)
+	is.Equal(s.AcceptedConnections(), 2) // both carry other requests
+	send(t, c, s.Address(), &first)
+	is.Equal(s.AcceptedConnections(), 3)
+}
+
+// TestConnectionStaysBarredAfterManySends guards against forgetting a connection that
+// carried a request which was sent very often.
+func TestConnectionStaysBarredAfterManySends(t *testing.T) {
+	is := is.New(t)
+	s := servertest.New(t, whole)
+	c := upstream.New(upstream.Options{})
+	var sends upstream.Sends
+	for n := range 200 {
+		send(t, c, s.Address(), &sends)
+		is.Equal(s.AcceptedConnections(), n+1)
+		send(t, c, s.Address(), nil) // keeps a connection in use
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -93,6 +94,9 @@
 	// request; 0 means no limit. Servers may drop idle connections without
 	// notice, and a request that must not be retried fails on such a connection.
 	MaxIdle time.Duration
+	// Sends is shared by all sends of a request that carry the same id; nil if it is
+	// sent only once.
+	Sends *Sends
 }
 
 // Response is a server's response. Body must be closed. Closing it before its
@@ -112,9 +116,10 @@
 // Client pools connections to backend servers by address. It is safe for
 // concurrent use.
 type Client struct {
-	opts  Options
-	mu    sync.Mutex
-	pools map[string]*pool
+	opts   Options
+	mu     sync.Mutex
+	pools  map[string]*pool
+	opened atomic.Uint64 // connections opened
 }
 
 // New returns a client without connections.
@@ -162,10 +167,11 @@
 // header has been received. ctx bounds the whole exchange, including reading the
 // body. Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Response, error) {
-	conn, err := c.connect(ctx, address, req.MaxIdle)
+	conn, err := c.connect(ctx, address, req)
 	if err != nil {
 		return nil, err
 	}
+	req.Sends.add(conn)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	ex := &exchange{conn: conn, ctx: ctx, stop: stop, address: address}
 	resp, failure := ex.roundTrip(req)
@@ -177,9 +183,9 @@
 }
 
 // connect returns a pooled connection or dials a new one.
-func (c *Client) connect(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+func (c *Client) connect(ctx context.Context, address string, req *Request) (*conn, error) {
 	p := c.pool(address)
-	if kept := p.get(time.Now(), maxIdle); kept != nil {
+	if kept := p.get(time.Now(), req.MaxIdle, req.Sends); kept != nil {
 		counters.Add("reused", 1)
 		return kept, nil
 	}
@@ -191,7 +197,10 @@
 		return nil, &Error{Stage: NotSent, Silent: silent, Step: "dial", Peer: address, Err: err}
 	}
 	bounded := &boundedReader{r: opened}
-	return &conn{Conn: opened, pool: p, idle: c.opts.Idle, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}, nil
+	return &conn{
+		Conn: opened, pool: p, number: c.opened.Add(1), idle: c.opts.Idle,
+		bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes),
+	}, nil
 }
 
 // connectTCP is the default of Options.Connect.
