upstream: a read timeout ends with its response

What it cost: a request that reached a server more than 50 ms after a refusal on the same connection was sent on a new one, so that a full server got more connections. By reading, the same holds for an item's connection that was idle for 2 s.

Cause: the read deadline of a response stayed set on its connection in the pool. Once it has passed, the check for unread bytes fails, and the pool closes the connection as unusable: 50 ms after a response that was discarded, 2 s after an item's last event.

The deadline is removed when the connection returns to the pool instead of when it leaves it.

TestConnectionIsReusedAfterReadTimeout, three requests 100 ms apart: 3 connections before, both with a discarded response and with a read timeout; 1 now.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -54,7 +54,6 @@
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
 		if now.Before(c.expiresAt) && c.usable() {
-			_ = c.SetDeadline(time.Time{})
 			return c
 		}
 		_ = c.Close()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -304,6 +304,7 @@
 		_ = ex.conn.Close()
 		return
 	}
+	_ = ex.conn.SetDeadline(time.Time{}) // that of the response would make the idle connection unusable
 	ex.conn.pool.put(ex.conn, idle, time.Now())
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -51,6 +51,34 @@
 	is.Equal(s.ReceivedRequests()[0].Body, "body")
 }
 
+// TestConnectionIsReusedAfterReadTimeout guards against closing an idle connection
+// once the time has passed that bounded the reading of its last response.
+func TestConnectionIsReusedAfterReadTimeout(t *testing.T) {
+	t.Parallel()
+	const timeout = 50 * time.Millisecond
+	for name, read := range map[string]func(*upstream.Body){
+		"unused response": func(b *upstream.Body) { b.Discard() },
+		"whole body": func(b *upstream.Body) {
+			b.SetReadTimeout(timeout)
+			_, _ = io.ReadAll(b) // the number of connections shows a failure
+			_ = b.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := servertest.New(t, whole)
+			c := upstream.New(upstream.Options{})
+			for range 3 {
+				resp, err := c.Do(t.Context(), s.Address(), request())
+				is.NoErr(err)
+				read(resp.Body)
+				time.Sleep(2 * timeout)
+			}
+			is.Equal(s.AcceptedConnections(), 1)
+		})
+	}
+}
+
 // TestConnectionWithExtraBytesIsNotReused guards against returning a late
 // second response to the next request on the connection.
 func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
