dispatch: each attempt has an id of its own

What callers saw, with a server that writes an earlier answer once more on a kept connection: a request got the answer to an earlier one with the same id. By reading: callers may use an id again; each attempt of an idempotent item of a job has the item's id, so a second copy of a failure counts as one more failed attempt.

Cause: a server that echoes Ragwortstep-Attempt, or X-Request-Id where the caller sent none, shows by it to which attempt its answer belongs, and another id is rejected. The id was that of the request with the number of the attempt within one call of the dispatcher: the same for two requests with one id, and for two attempts of an item, which are two such calls.

The id holds the dispatcher's own number of the request too. A host opens its connections itself, so ids that are unique in its process suffice.

TestSecondCopyIsNoAnswerToRequestWithSameID, both headers, idempotent or not: before, all four cases got the first request's failure as the second one's answer.

Not covered: a server that echoes neither header, or only X-Request-Id when callers use an id again. net/http closes an idle connection on which bytes arrive; after the next request was written, nothing tells a copy from the answer there. No caller is told by it that a request has not run: only requests that were never sent are marked so, and a server's 5xx is marked as unknown.

X-Request-Id is unchanged where the caller sent one or the gateway made one. That of a job's items changes from attempt to attempt, as it did within one call.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -196,8 +196,7 @@
 		r.cancel(&PreemptedError{Server: r.server})
 	}
 	resp, err := d.client.Do(r.ctx, r.server, &backend.Request{
-		ID:     j.req.ID + "-" + strconv.Itoa(j.attempts),
-		Method: j.req.Method, Path: j.req.Path, Header: j.req.Header, Body: j.req.Body,
+		ID: j.attemptID(), Method: j.req.Method, Path: j.req.Path, Header: j.req.Header, Body: j.req.Body,
 		Stream: j.req.Stream, Idempotent: j.req.Idempotent,
 	})
 	if err == nil {
@@ -217,6 +216,13 @@
 	return nil, failure
 }
 
+// attemptID returns an id that no other attempt of this host has, because callers may
+// use an id again and an item keeps its own. A server that echoes it can't pass off an
+// earlier answer as that of the attempt.
+func (j *job) attemptID() string {
+	return j.req.ID + "-" + strconv.FormatUint(j.id, 10) + "-" + strconv.Itoa(j.attempts)
+}
+
 // attemptFailed frees the slot of a failed attempt. It returns nil if the job
 // may be retried, and otherwise the error for the caller.
 func (d *Dispatcher) attemptFailed(ctx context.Context, r *run, failure *backend.Error) error {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, dispatchError(ctx, err)
 	}
-	// The dispatcher appends the attempt number to the request id.
+	// The dispatcher appends numbers to the request id.
 	if echoed := resp.Header.Get(headerRequestID); !strings.HasPrefix(echoed, req.ID) && echoed != "" {
 		resp.Body.Close()
 		counters.Add("answers_crossed", 1)
