--- a/internal/online/second_copy_test.go
+++ b/internal/online/second_copy_test.go
@@ -154,3 +154,30 @@
 		})
 	}
 }
+
+// A refusal that names another request, or none, belongs to an earlier request on the
+// connection. It must not count as a promise for this one, which its server may run.
+func TestRefusalOfOtherRequestPromisesNothing(t *testing.T) {
+	for id, name := range map[string]string{"X-Other: id-1": "no id", servertest.HeaderID + ":": "empty id", servertest.HeaderID + ": id-0": "another id"} {
+		for formName, form := range refusalForms {
+			for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest} {
+				t.Run(fmt.Sprint(name, formName, status), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						is := is.New(t)
+						received := 0
+						f := newPipedFixture(t, func(c *servertest.Conn) bool {
+							received++
+							fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s\r\n%s: 1\r\n%s", status, id, servertest.HeaderNotRun, form)
+							<-c.PeerClosed() // runs until the host drops it
+							return false
+						}, "a", "b")
+						got, _ := f.serve("/once/1", "k")
+						is.Equal(got.Code, http.StatusBadGateway)
+						synctest.Wait()
+						is.Equal(received, 1)
+					})
+				})
+			}
+		}
+	}
+}
