online: only a server's next event joins a stream that another one began

After a server had begun a stream and broken off, or only paused, callers got what the next server sent in a sealed 200 that did not go on with the stream: text, the head of an error, comments, or an event without an id stood in the middle of their stream, and an answer without any event (length 0, chunked, 204) ended it like a complete one. Answers with another status, unsealed ones, refusals and cut heads reached no caller before either.

Cause: blocks without an id were relayed without a check of their order, and the end of any sealed answer counted as the end of the stream, also that of a second server while the first one was still at work.

Nothing of a server that is to go on with a response is relayed now before its next event, which must have the id after the last one. Its end without an event ends nothing: another server is asked, the paused one goes on, or the response is aborted. A caller that had all events but not the end can resume the stream by itself and then gets the server's own answer.

--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -26,6 +26,7 @@
 	readAt    atomic.Int64 // when bytes of a whole body were read last, as Unix nanoseconds
 	inBody    bool         // a response that is no stream has begun
 	streaming bool         // the response is a sound stream
+	relayed   bool         // a part of the stream has reached the caller
 	beganAt   time.Time
 	answered  bool // the server went on with its answer after the first bytes
 	arrivals  chan arrival
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -16,19 +16,24 @@
 // relayEvent relays a complete event as it arrives, and handles the end of the
 // stream.
 func (f *forwarding) relayEvent(x *exchange, a arrival) verdict {
-	if a.err == io.EOF {
+	switch {
+	case a.err == io.EOF && f.joins(x):
+		return f.dropEmptyRest(x)
+	case a.err == io.EOF:
 		return f.finishStream(x, a.resp)
-	}
-	if a.err != nil {
+	case a.err != nil:
 		return f.handleTruncated(x, a.err)
+	case a.event.IsComment && f.joins(x):
+		return awaited
 	}
-	if err := f.checkEventOrder(a.event); err != nil {
+	if err := f.checkEventOrder(x, a.event); err != nil {
 		return f.handleTruncated(x, err)
 	}
 	if a.event.HasID {
 		f.lastEventID = a.event.ID
 	}
 	f.sendHeader(a.resp)
+	x.relayed = true
 	_, err := f.w.Write(a.event.Raw)
 	if err == nil {
 		err = http.NewResponseController(f.w).Flush()
@@ -47,15 +52,35 @@
 	return goesOn
 }
 
+// joins reports whether an exchange would go on with a response that another server
+// began. Until its server has sent the next event, nothing tells its answer from one
+// that is no part of the stream, so none of it is relayed.
+func (f *forwarding) joins(x *exchange) bool { return f.headerSent && !x.relayed }
+
 // checkEventOrder checks that an event directly follows the last one. Event ids
-// increase by one.
-func (f *forwarding) checkEventOrder(e upstream.Event) error {
-	if e.HasID && (f.eventsSent > 0 || f.call.LastEventID > 0) && e.ID != f.lastEventID+1 {
+// increase by one. The first event of a server that goes on with the stream of
+// another one must have an id.
+func (f *forwarding) checkEventOrder(x *exchange, e upstream.Event) error {
+	switch {
+	case f.eventsSent == 0 && f.call.LastEventID == 0:
+		return nil
+	case !e.HasID && f.joins(x):
+		return errors.Wrapf(errEventOrder, "event without id after %d", f.lastEventID)
+	case e.HasID && e.ID != f.lastEventID+1:
 		return errors.Wrapf(errEventOrder, "event %d after %d", e.ID, f.lastEventID)
 	}
 	return nil
 }
 
+// dropEmptyRest drops the answer of a server that was to go on with a stream and
+// sent no event. It need not mean that the stream was complete.
+func (f *forwarding) dropEmptyRest(x *exchange) verdict {
+	f.release(x, placement.Neutral, 0)
+	f.log.Info("no event from the server that was to go on with a stream", "event", "empty_rest", "request", f.call.ID,
+		"route", f.route.Name, "server", x.slot.Server.ID, "events", f.eventsSent)
+	return ended
+}
+
 // sendHeader sends the response header before the first event. The headers of
 // servers that continue the stream are not sent.
 func (f *forwarding) sendHeader(resp *upstream.Response) {
--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -147,7 +147,7 @@
 	case wholeBody:
 		return a.err == nil && a.resp.Status < http.StatusMultipleChoices
 	case event:
-		return a.err == io.EOF || a.err == nil && f.checkEventOrder(a.event) == nil
+		return a.err == io.EOF && !f.joins(x) || a.err == nil && f.checkEventOrder(x, a.event) == nil
 	}
 	return false
 }
