bulk: an answer without the next event of an item's output does not end it

Items were listed as completed without output, or with the part of it that a server had sent before it broke off, when the next sealed 200 held text, comments or nothing at all; and the text of an event without an id stood at the end of the part that had been received.

Cause: the regular end of any sealed 200 ended the item, and only events with an id were checked against the last one. Error responses, refusals, unsealed answers and cut heads were dropped before too.

An answer without an event is no output now, whatever its framing. An answer to a request for the rest has to begin with the event after the last one, and is retried otherwise. After two such answers in a row the item is run from the start, since the rest may not exist: the end alone may have been lost.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -38,6 +38,9 @@
 	// maxPendingBytes bounds a job's outputs that are not listed yet. Above it no
 	// item of the job starts.
 	maxPendingBytes = 16 << 20
+	// maxLostRests is how many servers may fail to go on with an output before the
+	// item is run from the start.
+	maxLostRests = 2
 )
 
 // start runs the items of a job that have not ended yet.
@@ -80,6 +83,7 @@
 	output      bytes.Buffer
 	eventCount  int
 	lastEventID int64 // of the last complete event
+	lostRests   int   // answers in a row that did not go on with the output
 	failures    int   // responses with status 422 or 500
 	retryDelay  time.Duration
 	tried       []string       // servers that failed since the last progress
@@ -288,7 +292,38 @@
 	return placement.Failed
 }
 
-// collect reads complete events until the regular end of the stream.
+var (
+	errNoEvent    = errors.New("the response has no event")
+	errEventOrder = errors.New("missing or duplicate event")
+)
+
+// checkEvent checks that an event directly follows the last one. The first event of
+// an answer that is to go on with the output must have an id, because nothing else
+// tells it from an answer that is no part of the output.
+func (r *itemRun) checkEvent(event upstream.Event, got int) error {
+	switch {
+	case r.eventCount == 0 || event.HasID && event.ID == r.lastEventID+1 || !event.HasID && got > 0:
+		return nil
+	case !event.HasID:
+		return errors.Wrapf(errEventOrder, "event without id after %d", r.lastEventID)
+	}
+	return errors.Wrapf(errEventOrder, "event %d after %d", event.ID, r.lastEventID)
+}
+
+// noteLostRest counts an answer that did not go on with the output. After some of
+// them the item is run from the start.
+func (r *itemRun) noteLostRest(err error) {
+	if r.eventCount == 0 || !errors.IsAny(err, errNoEvent, errEventOrder) {
+		return
+	}
+	if r.lostRests++; r.lostRests >= maxLostRests {
+		r.output.Reset()
+		r.eventCount, r.lastEventID, r.lostRests = 0, 0, 0
+	}
+}
+
+// collect reads complete events until the regular end of the stream. A stream that
+// ends without an event is no output, whatever its framing.
 func (r *itemRun) collect(ctx context.Context, slot *slots.Slot, resp *upstream.Response) (*itemlist.Result, placement.Outcome, float64) {
 	reader := upstream.NewEventReader(resp.Body)
 	got := 0
@@ -300,25 +335,27 @@
 			r.s.awaitReadTick(ctx)
 		}
 		event, err := reader.Next()
-		if err == io.EOF && resp.UntilClose && got == 0 {
-			err = io.ErrUnexpectedEOF
+		if err == io.EOF && got == 0 {
+			err = errNoEvent
 		}
 		if err == io.EOF {
 			r.s.pace.recordItem(r.eventCount)
 			return &itemlist.Result{ID: r.item.ID, State: itemlist.Completed, Output: r.output.String()}, placement.Success, float64(max(got, 1))
 		}
-		if err == nil && event.HasID && r.eventCount > 0 && event.ID != r.lastEventID+1 {
-			err = errors.Newf("event %d after %d", event.ID, r.lastEventID)
+		if err == nil && event.IsComment {
+			continue
+		}
+		if err == nil {
+			err = r.checkEvent(event, got)
 		}
 		if err != nil {
 			resp.Body.DisableReuse()
 			if ctx.Err() != nil {
 				return nil, placement.Neutral, 0
 			}
-			return nil, r.recordFailure(slot, err), 0
-		}
-		if event.IsComment {
-			continue
+			outcome := r.recordFailure(slot, err)
+			r.noteLostRest(err)
+			return nil, outcome, 0
 		}
 		r.appendEvent(event)
 		got++
@@ -335,5 +372,5 @@
 	if event.HasID {
 		r.lastEventID = event.ID
 	}
-	r.retryDelay, r.tried = 0, nil
+	r.retryDelay, r.tried, r.lostRests = 0, nil, 0
 }
