abort: an aborted response is reset for callers that speak HTTP/1.0

A caller that speaks HTTP/1.0 gets a stream without chunks or length, which ends with its connection. When the host aborted such a response, the connection was closed like after a complete one, so the caller took the part that it had for the whole. Callers over HTTP/1.1 get chunks, also with Connection: close, and miss the last one.

The host now resets the connection of such a caller when the handler of its request panics, which is how responses are aborted: its read fails, as it does when a server breaks off. Data that the caller has not received by then is lost, as with any reset.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"ragwortstep/internal/abort"
 	"ragwortstep/internal/bulk"
 	"ragwortstep/internal/cluster"
 	"ragwortstep/internal/informer"
@@ -204,7 +205,7 @@
 
 // listen binds all addresses before any component starts.
 func (h *host) listen() ([]httpServer, error) {
-	callers := h.platform.Callers(Services{Config: h.config, Online: h.online, Jobs: h.jobs})
+	callers := abort.Handler(h.platform.Callers(Services{Config: h.config, Online: h.online, Jobs: h.jobs}))
 	list := []struct {
 		name, address string
 		handler       http.Handler
--- a/internal/online/fixture_test.go
+++ b/internal/online/fixture_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"ragwortstep/internal/abort"
 	"ragwortstep/internal/cluster"
 	"ragwortstep/internal/core/placement"
 	"ragwortstep/internal/core/routing"
@@ -116,13 +117,13 @@
 	t.Cleanup(func() { _ = udp.Close() })
 	f.build(upstream.Options{}, udp)
 	f.setServers(servers...)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(abort.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body) // test requests have complete bodies
 		f.service.Serve(r.Context(), w, &online.Call{
 			ID: r.Header.Get(servertest.HeaderID), Key: r.Header.Get("X-Key"), Host: "h.example", Method: r.Method,
 			Target: r.RequestURI, Path: r.URL.Path, Header: http.Header{}, Body: body, Arrived: time.Now(),
 		})
-	}))
+	})))
 	t.Cleanup(server.Close)
 	f.url = server.URL
 	return f
--- a/internal/online/joined_test.go
+++ b/internal/online/joined_test.go
@@ -65,8 +65,10 @@
 
 // callerKinds are the forms of a caller's request line and header.
 var callerKinds = map[string]string{
-	"":         "HTTP/1.1\r\nHost: h.example\r\n",
-	", closes": "HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n",
+	"":                        "HTTP/1.1\r\nHost: h.example\r\n",
+	", closes":                "HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n",
+	", HTTP/1.0":              "HTTP/1.0\r\n",
+	", HTTP/1.0 that is kept": "HTTP/1.0\r\nConnection: keep-alive\r\n",
 }
 
 // rawResponse is what a caller read from its connection.
