online: a caller that closed its side of the connection gets no end of an answer

A caller that shuts down its side of the connection after its request, and still reads, got "200 OK" with an empty body, or the end of its stream after some events: while it waited for a slot, for a server's head, or in the middle of an answer.

Cause: net/http ends the request's context when it reads the end of the connection. The call then ended at the server, and the handler returned without an answer, which net/http completes by itself.

A half-close still counts as a disconnect: it cannot be told from a full one, and servers must not go on working for callers that are gone. The handler now aborts the response, so that the connection is closed without a head, or without the last chunk (reset for HTTP/1.0).

--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -115,7 +115,8 @@
 }
 
 // finishAbandoned finishes a call whose caller disconnected before the response
-// was complete.
+// was complete. A caller that closed only its side of the connection may still read,
+// and would take a normal end for that of a complete response, so it is aborted.
 func (f *forwarding) finishAbandoned() {
 	f.releaseAll()
 	if !f.mayRun {
@@ -124,4 +125,5 @@
 	f.opts.Metrics.CallerDisconnected(f.route.Name)
 	f.log.Info("caller disconnected", "event", "caller_left", "request", f.call.ID, "route", f.route.Name, "server", f.server,
 		"events", f.eventsSent, "held_ms", time.Since(f.call.Arrived).Milliseconds())
+	panic(http.ErrAbortHandler)
 }
