online: a slot that comes when the caller has left is given back

A call whose caller had left by the moment at which it got its slot kept the slot for good: the server took one request less from this host until its entry changed, and none after a few such calls.

Cause: the call ends before its request is sent when its context is over, and only exchanges release their slots. Acquire may return a slot with a context that has ended, since it chooses at random if both are ready.

Before, TestSlotOfCallerThatLeftIsFreed counted 5 requests in flight after 50 calls whose callers had left before them.

--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -59,6 +59,9 @@
 	for {
 		slot, refusal := f.slot(f.latestStart(), f.nextServers())
 		if f.callerLeft() {
+			if slot != nil {
+				slot.Done(placement.Neutral, 0)
+			}
 			f.finishAbandoned()
 			return
 		}
--- a/internal/online/halfclose_test.go
+++ b/internal/online/halfclose_test.go
@@ -1,13 +1,18 @@
 package online_test
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/core/placement"
+	"ragwortstep/internal/online"
 	"ragwortstep/internal/servertest"
 )
 
@@ -88,3 +93,26 @@
 		}
 	}
 }
+
+// A call whose caller leaves just when it gets a slot must give the slot back, or the
+// server has one less from then on.
+func TestSlotOfCallerThatLeftIsFreed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newPipedFixture(t, ok)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		for range 50 {
+			func() {
+				defer func() { _ = recover() }() // the response is aborted
+				f.service.Serve(ctx, httptest.NewRecorder(), &online.Call{
+					ID: "id-1", Key: "k", Host: "h.example", Method: http.MethodPost, Target: "/get/1", Path: "/get/1", Header: http.Header{}, Arrived: time.Now(),
+				})
+			}()
+		}
+		load, _ := f.slots.ServiceLoad("s")
+		is.Equal(load, 0)
+		got, _ := f.serve("/get/1", "k")
+		is.Equal(got.Code, http.StatusOK)
+	})
+}
