online: a server at work at a call's deadline is not counted as failed

What callers saw: after two calls in a row whose time ended while their server was at work, because they last longer than the route's timeout or came with little time left, the server got no requests for 0.5 s, and for up to 4 s if that went on. Other calls of a service with few servers waited or were refused with no_place_in_time. A shortened timeout of one route takes servers from all routes of their service in this way.

Cause: the end of a call's time counted as a failure of its server, also when the last event or piece of the body had just arrived, or when the call had less time than any server needs.

It counts only if the server was silent for as long as makes the host ask another one, or for half of the route's timeout where that is shorter. The silence of the other of two servers is measured from the header of its answer, too.

TestServerAtWorkAtTheDeadlineStaysInUse: in each of its three cases the next call was answered after 500 ms before, at once now. TestSilentServerAtTheDeadlineIsEjected passes before and after.

--- a/internal/online/fixture_test.go
+++ b/internal/online/fixture_test.go
@@ -255,3 +255,8 @@
 	current := f.snapshot.Load()
 	f.snapshot.Store(routing.New(current.Version, list, current.Workspaces, nil, map[string]string{"k": "w", "l": "limited"}))
 }
+
+// onlineRequest asks for a place at any server.
+func (f *fixture) onlineRequest() slots.Request {
+	return slots.Request{Service: "s", Class: placement.Online, Workspace: "w", Cost: 1}
+}
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -356,11 +356,11 @@
 
 // recordFailure releases the slot and records what a failed exchange says
 // about the server's health. An exchange that the caller ended is not counted as
-// a failure of the server.
+// a failure of the server, nor is one whose server was at work at the deadline.
 func (f *forwarding) recordFailure(x *exchange, failure *upstream.Error) {
 	if f.ctx.Err() != nil {
 		outcome := placement.Neutral
-		if errors.Is(context.Cause(f.ctx), errDeadline) {
+		if errors.Is(context.Cause(f.ctx), errDeadline) && f.isSilent(x) {
 			outcome = placement.Failed
 		}
 		f.release(x, outcome, 0)
--- /dev/null
+++ b/internal/online/inuse_test.go
@@ -0,0 +1,110 @@
+package online_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/online"
+	"ragwortstep/internal/servertest"
+)
+
+// endsAtTheDeadline are calls whose time ends while their server is at work.
+var endsAtTheDeadline = map[string]struct {
+	path   string
+	time   time.Duration
+	server func(*servertest.Conn) bool
+}{
+	"stream with events": {"/stream/1", 700 * time.Millisecond, func(c *servertest.Conn) bool {
+		c.StartStream()
+		for id := int64(1); ; id++ {
+			c.WriteEvent(id)
+			select {
+			case <-c.PeerClosed():
+				return false
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}},
+	"body in pieces": {"/once/1", 700 * time.Millisecond, func(c *servertest.Conn) bool {
+		c.WriteHead(200, "Content-Length: 1000")
+		for {
+			_, _ = fmt.Fprint(c, "x")
+			select {
+			case <-c.PeerClosed():
+				return false
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}},
+	"less time than the server needs": {"/once/1", 50 * time.Millisecond, func(c *servertest.Conn) bool {
+		select {
+		case <-c.PeerClosed():
+			return false
+		case <-time.After(100 * time.Millisecond):
+			return ok(c)
+		}
+	}},
+}
+
+// Calls whose time ends while their server is at work, because they last long or had
+// little time, must not take the server out of use: others were refused or held
+// although it was sound.
+func TestServerAtWorkAtTheDeadlineStaysInUse(t *testing.T) {
+	for name, c := range endsAtTheDeadline {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				f := newPipedFixture(t, func(s *servertest.Conn) bool {
+					if s.ID == "id-1" {
+						return ok(s)
+					}
+					return c.server(s)
+				})
+				var group sync.WaitGroup
+				for i := range 3 {
+					group.Go(func() {
+						defer func() { _ = recover() }() // a stream that has begun is cut
+						f.service.Serve(t.Context(), httptest.NewRecorder(), &online.Call{
+							ID: fmt.Sprint("long-", i), Key: "k", Host: "h.example", Method: http.MethodPost, Target: c.path, Path: c.path, Header: http.Header{},
+							Arrived: time.Now(), CallerTimeout: c.time,
+						})
+					})
+				}
+				group.Wait()
+				got, took := f.serve("/get/1", "k")
+				is.Equal(got.Code, http.StatusOK)
+				is.Equal(took, time.Duration(0))
+			})
+		})
+	}
+}
+
+// A server that was silent for the whole time of several calls is taken out of use.
+func TestSilentServerAtTheDeadlineIsEjected(t *testing.T) {
+	for _, path := range []string{"/once/1", "/stream/1"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				f := newPipedFixture(t, hold)
+				var group sync.WaitGroup
+				for range 2 {
+					group.Go(func() { f.serveAborting(path, "k") })
+				}
+				group.Wait()
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+				defer cancel()
+				_, err := f.slots.Acquire(ctx, f.onlineRequest())
+				is.True(err != nil)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -159,16 +159,20 @@
 
 // callDeadline applies the shorter of the caller's and the route's timeouts.
 func callDeadline(call *Call, route *routing.Route) time.Time {
-	timeout := route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
+	timeout := routeTimeout(route)
 	if call.CallerTimeout > 0 {
 		timeout = min(timeout, call.CallerTimeout)
 	}
 	return call.Arrived.Add(timeout)
 }
 
+func routeTimeout(route *routing.Route) time.Duration {
+	if route.Timeout <= 0 {
+		return defaultTimeout
+	}
+	return route.Timeout
+}
+
 // recheck repeats checks of admission after the wait for a slot, during which the
 // call may have been quarantined, its key revoked or the process suspended.
 func (s *Service) recheck(a *admitted) *Refusal {
--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -39,6 +39,9 @@
 	// giveUpPart is the part of the callers' patience after which a silent server is
 	// given up for one that has not answered yet.
 	giveUpPart = 0.75
+	// deadlineSilencePart is the part of the route's timeout after which a server that
+	// is silent until the deadline counts as failed, on routes whose timeout is short.
+	deadlineSilencePart = 0.5
 )
 
 // converse relays the answer of the current exchange. While its server is silent,
@@ -109,6 +112,8 @@
 		}
 		f.logGoesOn(x, "the other server has no answer")
 		f.awaitCurrent()
+	case goesOn:
+		x.heardAt = time.Now()
 	}
 	return false
 }
@@ -240,12 +245,18 @@
 // silenceTimeout returns the silence of the current exchange after which another
 // server is asked, 0 if none may be asked.
 func (f *forwarding) silenceTimeout() time.Duration {
-	switch {
-	case f.current == nil || !f.route.Repeatable() || f.sends >= f.route.MaxAttempts && len(f.askAgain) == 0:
+	if f.current == nil || !f.route.Repeatable() || f.sends >= f.route.MaxAttempts && len(f.askAgain) == 0 {
 		return 0
-	case f.current.inBody:
+	}
+	return f.maxSilence(f.current)
+}
+
+// maxSilence returns the silence of an exchange that is expected of servers at work.
+func (f *forwarding) maxSilence(x *exchange) time.Duration {
+	switch {
+	case x.inBody:
 		return f.giveUpAfter()
-	case f.current.streaming:
+	case x.streaming:
 		// Each run makes some progress, so a stream whose servers are silent in turn is
 		// left later each time.
 		gap := max(eventGapFactor*f.route.GapObjective, minEventGap)
@@ -254,6 +265,13 @@
 	return max(firstByteFactor*f.route.Objective, minFirstByte)
 }
 
+// isSilent reports whether the server of an exchange that ends at the deadline was
+// silent for longer than servers at work are.
+func (f *forwarding) isSilent(x *exchange) bool {
+	limit := time.Duration(deadlineSilencePart * float64(routeTimeout(f.route)))
+	return x.silentFor() >= min(f.maxSilence(x), limit)
+}
+
 // giveUpAfter returns the silence after which the current exchange is given up for
 // one whose server has not answered yet, while the caller still waits.
 func (f *forwarding) giveUpAfter() time.Duration {
