placement: a server is in use again once it answers its probe

What callers saw: after a server of a small service had failed twice, other calls waited or were refused with no_place_in_time for as long as one stream or batch item ran there, up to 60 s for an item, although the server was sound again and had free places.

Cause: the first request after an ejection is a probe, beside which the server gets no other one. The probe ended with the request, not with the server's answer to it.

The first complete event of a stream answers the probe. Comments and a header do not: servers that fail send those too.

TestServerThatAnswersAgainIsInUse: a call 0.1 s after the probe waited for 1.4 s, the rest of the stream, before, and is answered at once now. TestItemsRunBesideTheFirstAfterAnEjection fails without the change of internal/bulk. TestServerIsProbedByOneRequest, a probe without an event, passes with the change; it was not run without.

--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -489,3 +489,24 @@
 	is.True(said.Load() >= 1)
 	is.True(said.Load() <= 8) // those that were on their way when the first answer came
 }
+
+// The first item at a server after its ejection runs for long. The others must not
+// wait for its end once the server answers.
+func TestItemsRunBesideTheFirstAfterAnEjection(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var asked atomic.Int64
+	s := servertest.New(t, func(c *servertest.Conn) bool {
+		if asked.Add(1) <= 4 { // all items fail once
+			return false
+		}
+		return generate(400 * time.Millisecond)(c)
+	})
+	f := newFleet(t, s)
+	a := f.start("a")
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 4)))
+	f.eventually("two items run again", func() bool { return len(s.ReceivedRequests()) >= 6 })
+	again := s.ReceivedRequests()[4:]
+	is.True(again[1].At.Sub(again[0].At) < time.Second) // a run takes two
+	f.complete(a, "job", 4)
+}
--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -358,7 +358,9 @@
 			return nil, outcome, 0
 		}
 		r.appendEvent(event)
-		got++
+		if got++; got == 1 {
+			slot.Answers()
+		}
 		resp.Body.SetReadTimeout(eventGapTimeout)
 	}
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -114,7 +114,7 @@
 	ejections           int
 	ejectedAt           time.Time // start of the last ejection
 	ejectedUntil        time.Time
-	probeInFlight       bool // no other request is sent until the probe ends
+	probeInFlight       bool // no other request is sent until the probe is answered or ends
 	rejectedUntil       time.Time
 	batchRejectedUntil  time.Time
 	preemptedUntil      time.Time // until then peers may not know of the last preemption
@@ -503,6 +503,17 @@
 	}
 }
 
+// Answers records that a server has begun a sound answer. A probe is answered by that,
+// long before its stream ends. It reports whether the server takes requests again.
+func (p *Placement) Answers(id string) bool {
+	s, ok := p.servers[id]
+	if !ok || !s.probeInFlight {
+		return false
+	}
+	s.probeInFlight, s.consecutiveFailures = false, 0
+	return true
+}
+
 func (s *server) succeeded(took time.Duration, units float64) {
 	s.consecutiveFailures, s.ejections, s.probeInFlight = 0, 0, false
 	s.failureRate *= failureRateDecay
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -29,6 +29,7 @@
 	streaming bool         // the response is a sound stream
 	relayed   bool         // a part of the stream has reached the caller
 	beganAt   time.Time
+	begun     bool // a complete event of the stream has arrived
 	answered  bool // the server went on with its answer after the first bytes
 	arrivals  chan arrival
 	dropped   chan struct{} // closed when nobody waits for the answer any more
--- a/internal/online/inuse_test.go
+++ b/internal/online/inuse_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,3 +109,69 @@
 		})
 	}
 }
+
+// The first request to a server after its ejection may be a long stream. Others must
+// not wait for its end once the server answers: they were refused although it was
+// sound and had free places.
+func TestServerThatAnswersAgainIsInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		sound := false
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			if !sound {
+				return false
+			}
+			if c.ID == "id-1" {
+				return ok(c)
+			}
+			return pausingStream(c, 500*time.Millisecond)
+		})
+		for range 2 {
+			f.serveAborting("/once/1", "k")
+		}
+		sound = true
+		time.Sleep(time.Second)
+		var group sync.WaitGroup
+		group.Go(func() {
+			got, _ := f.serveAs("probe", "/stream/1", "k")
+			is.Equal(got.Code, http.StatusOK)
+		})
+		time.Sleep(100 * time.Millisecond)
+		got, took := f.serve("/get/1", "k")
+		is.Equal(got.Code, http.StatusOK)
+		is.Equal(took, time.Duration(0))
+		group.Wait()
+	})
+}
+
+// A server whose first request after its ejection stays without an answer gets no
+// other meanwhile.
+func TestServerIsProbedByOneRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		var asked atomic.Int64
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			asked.Add(1)
+			if c.ID == "probe" {
+				c.StartStream()
+				_, _ = fmt.Fprint(c, "4\r\n:x\n\n\r\n")
+				return hold(c)
+			}
+			return false
+		})
+		for range 2 {
+			f.serveAborting("/once/1", "k")
+		}
+		time.Sleep(time.Second)
+		var group sync.WaitGroup
+		group.Go(func() {
+			defer func() { _ = recover() }() // the stream is cut at its deadline
+			f.serveAs("probe", "/stream/1", "k")
+		})
+		time.Sleep(100 * time.Millisecond)
+		got, _ := f.serve("/get/1", "k")
+		is.Equal(got.Code, http.StatusServiceUnavailable)
+		is.Equal(asked.Load(), int64(3))
+		group.Wait()
+	})
+}
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -45,6 +45,10 @@
 		return awaited
 	}
 	f.eventsSent++
+	if !x.begun {
+		x.begun = true
+		x.slot.Answers()
+	}
 	if !x.answered && time.Since(x.beganAt) >= survivalMargin {
 		x.answered = true
 		f.opts.Suspects.Answered(f.fps)
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -105,6 +105,17 @@
 	slot.s.placer.UpdateServerLoad(slot.Server.ID, running, waiting, slots, time.Now())
 }
 
+// Answers records that the server has begun a sound answer, so that one that was
+// taken out of use for its failures gets requests again.
+func (slot *Slot) Answers() {
+	s, now := slot.s, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.placer.Answers(slot.Server.ID) {
+		s.dispatch(slot.request.Service, now)
+	}
+}
+
 // MarkLeaving takes the server out of use on this host for its lifetime, because it
 // said in its answer to the request that it is leaving. Requests in flight go on.
 func (slot *Slot) MarkLeaving(request string) {
