backend: a server that refuses its load report is not hung

What callers saw, on the product's own interface: at a server that answers 503 to GET /load, as one does that leaves or is full, a stream that paused for a second or two was cut, and an idempotent request that waited as long for its answer was ended, although the server was at work on them.

Cause: a refused poll counted as one without an answer. After two in a row the server was taken for hung: its connections were replaced, and what had got no byte for a second by then was cancelled.

A refusal is an answer: it keeps the connections, and the poll is not repeated on a new one. The server is taken out of use for new requests as before.

TestServerThatRefusesPollsKeepsItsExchanges, pauses of 2.5 s: before, the stream ended after its first part, and the other request with "no byte within the deadline".

--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -41,8 +41,8 @@
 	// over a connection opened at openedAt. hasLoad is false for a server that
 	// responds but offers no load report.
 	LoadReported(server string, load Load, hasLoad bool, openedAt, sentAt time.Time)
-	// PollFailed is called when the server did not respond on a new connection
-	// either.
+	// PollFailed is called when the server refused the poll, or did not respond on
+	// a new connection either.
 	PollFailed(server string, err error)
 }
 
@@ -122,6 +122,7 @@
 	hasLoad  bool
 	openedAt time.Time // when the connection was opened
 	sentAt   time.Time
+	answered bool // the server answered, also if it refused
 	err      error
 }
 
@@ -140,7 +141,7 @@
 	case <-time.After(c.opts.PollTimeout):
 		result.err = errSilent
 	}
-	if result.err != nil && ctx.Err() == nil {
+	if !result.answered && ctx.Err() == nil {
 		result = c.pollNewConnection(ctx, s, gen, pooled)
 	}
 	c.report(ctx, s, observer, result)
@@ -154,12 +155,12 @@
 	ctx, cancel := context.WithTimeout(ctx, c.opts.PollTimeout)
 	defer cancel()
 	result := <-s.pollAsync(ctx, fresh)
-	if result.err != nil {
+	if !result.answered {
 		return result
 	}
 	select {
 	case late := <-pooled:
-		if late.err == nil {
+		if late.answered {
 			return late
 		}
 	case <-time.After(monitorInterval):
@@ -169,18 +170,20 @@
 }
 
 func (c *Client) report(ctx context.Context, s *server, observer Observer, r pollResult) {
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-	case r.err != nil:
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	if r.answered {
+		s.pollFailures = 0
+	} else if s.pollFailures++; s.pollFailures >= maxFailedPolls {
 		// A server that responds on no connection is hung or down. Replacing the
 		// generation cancels the exchanges that may be aborted, after the grace
 		// period.
-		if s.pollFailures++; s.pollFailures >= maxFailedPolls {
-			s.replaceGeneration(s.currentGeneration(), time.Now().UnixNano())
-		}
+		s.replaceGeneration(s.currentGeneration(), time.Now().UnixNano())
+	}
+	if r.err != nil {
 		observer.PollFailed(s.name, r.err)
-	default:
-		s.pollFailures = 0
+	} else {
 		observer.LoadReported(s.name, r.load, r.hasLoad, r.openedAt, r.sentAt)
 	}
 }
@@ -211,6 +214,7 @@
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes))
+	result.answered = err == nil
 	switch {
 	case err != nil:
 		result.err = errors.Wrapf(err, "poll server %s: read", s.name)
