bulk: a job that is given up while it is loaded is not run

What callers saw: after the host that runs a job had been silent for a second, two hosts ran the job's items, and one that did so returned lists from its memory that lacked what the other had listed meanwhile, until it gave the job up for the second time.

Cause: a host that takes a job over loads it from the store first, which may be silent too. If it gave the job up meanwhile, because the owner was heard again, the loading went on and ended by owning and running the job. If it claimed the job again before that, both loads ran all of its items, each once more.

Each claim has a context now, which ends when the job is given up. Loading ends with it, and items start only under it.

TestJobGivenUpWhileLoadingIsNotRun: before, the host owned the job and started its two items. TestJobClaimedTwiceWhileLoadingRunsOnce: four runs of two items before. The test of pending results claims its job before it starts it, as the code does.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -43,14 +43,15 @@
 	maxLostRests = 2
 )
 
-// start runs the items of a job that have not ended yet.
-func (s *Service) start(j *job) {
+// start runs the items of a loaded job that have not ended yet. ctx is that of the
+// claim.
+func (s *Service) start(ctx context.Context, j *job) {
 	j.mu.Lock()
-	j.owned = true
-	if j.ctx == nil || j.ctx.Err() != nil {
-		j.ctx, j.stop = context.WithCancel(s.runCtx)
+	if ctx.Err() != nil {
+		j.mu.Unlock()
+		return
 	}
-	ctx := j.ctx
+	j.loaded = true
 	if j.ended || j.list.Complete() {
 		j.mu.Unlock()
 		s.markComplete(j)
--- a/internal/bulk/ownership.go
+++ b/internal/bulk/ownership.go
@@ -232,42 +232,51 @@
 		s.jobs[id] = j
 	}
 	s.mu.Unlock()
-	if !ok || !j.claim() {
+	if !ok {
+		return
+	}
+	ctx, claimed := s.claim(j)
+	if !claimed {
 		return
 	}
 	s.opts.Cluster.SendNow()
 	s.log.Info("job taken over", "event", "job_adopted", "job", id, "accepted_by", h.Owner)
-	go s.resume(j)
+	go s.resume(ctx, j)
 }
 
-// claim marks the job as owned by this host. It reports false if it already was or
-// if the job has ended.
-func (j *job) claim() bool {
+// claim marks the job as owned by this host and returns the context of the claim,
+// which ends when the host gives the job up. It reports false if the host already
+// owns the job or if the job has ended.
+func (s *Service) claim(j *job) (context.Context, bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.owned || j.ended {
-		return false
+		return nil, false
+	}
+	if j.stop != nil {
+		j.stop()
 	}
-	j.owned = true
-	return true
+	ctx, stop := context.WithCancel(s.runCtx)
+	j.owned, j.stop = true, stop
+	return ctx, true
 }
 
-// resume loads the job and runs its remaining items.
-func (s *Service) resume(j *job) {
+// resume loads the job and runs its remaining items, unless the claim ends before.
+func (s *Service) resume(ctx context.Context, j *job) {
 	for {
-		err := s.load(s.runCtx, j)
+		err := s.load(ctx, j)
 		if err == nil {
-			j.mu.Lock()
-			j.loaded = true
-			j.mu.Unlock()
 			break
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		s.log.Warn("cannot load job", "step", "load job", "job", j.id, "error", err)
-		if pause(s.runCtx, 300*time.Millisecond) != nil || !j.isOwned() {
+		if pause(ctx, 300*time.Millisecond) != nil {
 			return
 		}
 	}
-	s.start(j)
+	s.start(ctx, j)
 }
 
 // load reads a job's segments and, if it is not complete, its payload.
--- a/internal/bulk/pending_test.go
+++ b/internal/bulk/pending_test.go
@@ -21,7 +21,9 @@
 	j := newJob("job", Head{Items: []string{"x"}})
 	j.setItems([]Item{{ID: "x"}})
 	is.True(j.list.Add(itemlist.Result{ID: "x", State: itemlist.Completed}))
-	s.start(j)
+	ctx, claimed := s.claim(j)
+	is.True(claimed)
+	s.start(ctx, j)
 	for deadline := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		if _, err := objects.Get(context.Background(), segmentKey("job", 0)); err == nil {
 			break
--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -95,10 +95,9 @@
 	// from other hosts.
 	loaded         bool
 	ended          bool
-	ctx            context.Context // ends when this host stops running the job
-	stop           context.CancelFunc
-	resultsChanged chan struct{} // closed and replaced when results are listed or the job ends
-	committing     bool          // a commitLoop is running
+	stop           context.CancelFunc // ends the context of the last claim
+	resultsChanged chan struct{}      // closed and replaced when results are listed or the job ends
+	committing     bool               // a commitLoop is running
 	lastUsed       time.Time
 	lastSynced     time.Time     // start of the last syncSegments that read up to the end
 	segmentLock    chan struct{} // capacity 1; held while segments are read or written
@@ -339,18 +338,19 @@
 func (s *Service) startAccepted(sub *Submission, head Head, version int64) {
 	j := newJob(sub.ID, head)
 	j.setItems(sub.Items)
-	j.loaded, j.lastSynced = true, time.Now()
+	j.lastSynced = time.Now()
 	s.mu.Lock()
 	if _, ok := s.jobs[sub.ID]; ok || s.leaving {
 		s.mu.Unlock()
 		return
 	}
+	ctx, _ := s.claim(j) // it is new and was not ended
 	s.jobs[sub.ID] = j
 	if _, ok := s.heads[sub.ID]; !ok {
 		s.heads[sub.ID] = headCopy{head, version}
 	}
 	s.mu.Unlock()
-	s.start(j)
+	s.start(ctx, j)
 }
 
 func (j *job) setItems(items []Item) {
