online: a stream that has begun waits longer for a place

What callers saw: a resumable stream whose server failed after a silence was cut, although the other server, which had been asked in vain beside the silent one, had a place half a second later.

Cause: a call whose servers may only be asked again waits 0.1 s for a place. That is right for a call that can be refused, whose caller comes back elsewhere. A stream that has begun cannot be refused.

It waits for three quarters of what callers bear.

TestBegunStreamWaitsForAPlace, where the places of the other server are taken for 0.5 s more: before, the stream was cut after its second event.

--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -99,6 +99,8 @@
 	switch {
 	case f.returning:
 		return earlier(until, f.returnUntil())
+	case f.sends >= f.route.MaxAttempts && f.headerSent:
+		return earlier(until, time.Now().Add(f.giveUpAfter()))
 	case f.sends >= f.route.MaxAttempts:
 		return earlier(until, time.Now().Add(takeOverWait))
 	}
