bulk: an item completes at servers that are silent for longer

What callers saw: an accepted item whose servers were silent for more than 2 s between the header and the first event, or before each event, was never done. It went from one server to the next until its retention was over, and was listed as given up.

Cause: a run ends after 2 s without an event, or 5 s without a header. If all servers of the service need longer, for example because they send the header before they read a long prompt, no run makes an event, and the next one waits no longer.

The waits of an item double when a run ends by them without an event, up to eight times. Nothing changes for an item whose runs make progress. A failed dial does not count.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -23,9 +23,12 @@
 	// an idle server and longer at a loaded one.
 	itemTimeout = 60 * time.Second
 	// firstByteTimeout and eventGapTimeout bound the waits for a server's first
-	// byte and next event, after which the item continues at another server.
+	// byte and next event, after which the item continues at another server. They
+	// double, up to maxPatience times, when a run ends by them without any event, so
+	// that an item completes also if all servers are silent for longer.
 	firstByteTimeout = 5 * time.Second
 	eventGapTimeout  = 2 * time.Second
+	maxPatience      = 8
 	// minRetryDelay and maxRetryDelay bound the delay after a failed run.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = time.Second
@@ -89,11 +92,13 @@
 	retryDelay  time.Duration
 	tried       []string       // servers that failed since the last progress
 	connections upstream.Sends // those that the item was sent on
+	patience    time.Duration  // factor of the waits for a server
+	progressed  bool           // the current run has made an event
 }
 
 // runItem runs an item until it has ended or ctx ends.
 func (s *Service) runItem(ctx context.Context, j *job, item *Item) {
-	r := &itemRun{s: s, j: j, item: item}
+	r := &itemRun{s: s, j: j, item: item, patience: 1}
 	for ctx.Err() == nil {
 		route := s.route(j)
 		if state, reason := r.deadLetterReason(route); state != "" {
@@ -229,10 +234,11 @@
 // exchange sends the item to a server and collects its events.
 func (r *itemRun) exchange(ctx context.Context, slot *slots.Slot) (*itemlist.Result, placement.Outcome, float64) {
 	s := r.s
+	r.progressed = false
 	resume := r.eventCount > 0
 	header := s.opts.Items.ItemHeader(r.item, r.j.head.Workspace, slot.Server.Instance, itemTimeout, resume, r.lastEventID)
 	resp, err := s.opts.Upstream.Do(ctx, slot.Server.Address, &upstream.Request{
-		Method: http.MethodPost, Target: r.item.Path, Host: r.j.head.Host, Header: header, Body: r.item.Body, FirstByteTimeout: firstByteTimeout,
+		Method: http.MethodPost, Target: r.item.Path, Host: r.j.head.Host, Header: header, Body: r.item.Body, FirstByteTimeout: r.patience * firstByteTimeout,
 		Sends: &r.connections,
 	})
 	if err != nil && ctx.Err() != nil {
@@ -287,6 +293,9 @@
 	var failure *upstream.Error
 	if errors.As(err, &failure) && failure.Silent {
 		r.s.opts.Upstream.CloseIdle(slot.Server.Address)
+		if !r.progressed && failure.Stage != upstream.NotSent {
+			r.patience = min(2*r.patience, maxPatience)
+		}
 	}
 	r.tried = []string{slot.Server.ID}
 	r.s.log.Info("item run failed", "event", "item_broken", "job", r.j.id, "item", r.item.ID, "server", slot.Server.ID, "events", r.eventCount, "error", err)
@@ -330,7 +339,7 @@
 	got := 0
 	began := time.Now()
 	defer func() { r.s.pace.recordRun(got, time.Since(began)) }()
-	resp.Body.SetReadTimeout(eventGapTimeout)
+	resp.Body.SetReadTimeout(r.patience * eventGapTimeout)
 	for {
 		if !reader.Buffered() && time.Since(began) >= readTickAfter {
 			r.s.awaitReadTick(ctx)
@@ -362,7 +371,7 @@
 		if got++; got == 1 {
 			slot.Answers()
 		}
-		resp.Body.SetReadTimeout(eventGapTimeout)
+		resp.Body.SetReadTimeout(r.patience * eventGapTimeout)
 	}
 }
 
@@ -375,5 +384,5 @@
 	if event.HasID {
 		r.lastEventID = event.ID
 	}
-	r.retryDelay, r.tried, r.lostRests = 0, nil, 0
+	r.retryDelay, r.tried, r.lostRests, r.progressed = 0, nil, 0, true
 }
--- /dev/null
+++ b/internal/bulk/silence_test.go
@@ -0,0 +1,135 @@
+package bulk_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/bulk"
+	"ragwortstep/internal/cluster"
+	"ragwortstep/internal/core/itemlist"
+	"ragwortstep/internal/core/placement"
+	"ragwortstep/internal/informer"
+	"ragwortstep/internal/metrics"
+	"ragwortstep/internal/peer/peertest"
+	"ragwortstep/internal/servertest"
+	"ragwortstep/internal/slots"
+	"ragwortstep/internal/upstream"
+)
+
+// newPipedHost returns a host without a network that is alone, for a test in a
+// synctest bubble. The servers with the ids have the script.
+func newPipedHost(t *testing.T, script func(*servertest.Conn) bool, ids ...string) *bulk.Service {
+	f := newFleet(t)
+	r := *f.snapshot.Load().ByName("r")
+	r.Retention = 5 * time.Minute
+	f.setRoutes(r)
+	server := servertest.NewPiped(t, script)
+	logger := slog.New(slog.DiscardHandler)
+	c := cluster.New(cluster.Options{Self: cluster.Member{Name: "a", Incarnation: 1}, Logger: logger})
+	c.SetMembers(nil)
+	node := peertest.New().Node("a")
+	inf := informer.New(informer.Options{
+		Store: f.store, Cluster: c, Peers: node, Members: bulk.Collection, Logger: logger,
+		Collections: []informer.Collection{{Prefix: bulk.Collection, Wait: 100 * time.Millisecond, TakeOver: 500 * time.Millisecond}},
+	})
+	scheduler := slots.New(slots.Options{Zone: "z", Cluster: c, Logger: logger})
+	var list []placement.Server
+	for _, id := range ids {
+		list = append(list, placement.Server{ID: id, Instance: id, Service: "s", Address: id, Zone: "z", Slots: 8, Ready: true})
+	}
+	scheduler.SetServers(list)
+	service := bulk.New(bulk.Options{
+		Store: f.store, Cluster: c, Informer: inf, Peers: node, Config: f, Codec: servertest.Codec{}, Items: servertest.Codec{},
+		Slots: scheduler, Upstream: upstream.New(upstream.Options{Connect: server.Connect}), Metrics: metrics.New(), Logger: logger,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(func() {
+		ended, cancelEnded := context.WithCancel(context.Background())
+		cancelEnded()
+		service.Close(ended)
+		cancel()
+	})
+	go inf.Run(ctx)
+	go scheduler.Run(ctx)
+	go service.Run(ctx)
+	time.Sleep(time.Second) // the copy of the heads is loaded
+	return service
+}
+
+// Items at sound servers that fall silent before any event, all at once or in turn,
+// must complete with each event once. None is given up, and no run starts before an
+// event that the item has.
+func TestItemsAtSilentServersComplete(t *testing.T) {
+	for _, silence := range []time.Duration{500 * time.Millisecond, time.Second, 1900 * time.Millisecond, 3 * time.Second} {
+		for _, ids := range [][]string{{"a"}, {"a", "b"}} {
+			for _, every := range []int{1, 3} {
+				t.Run(fmt.Sprint(silence, " ", len(ids), " servers, one in ", every), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { testSilentItems(t, silence, every, ids) })
+				})
+			}
+		}
+	}
+}
+
+func testSilentItems(t *testing.T, silence time.Duration, every int, ids []string) {
+	is := is.NewRelaxed(t)
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(1, uint64(silence)))
+	progress := map[string]int64{} // last event written, by item
+	runs := 0
+	service := newPipedHost(t, func(c *servertest.Conn) bool {
+		pause := func() {
+			mu.Lock()
+			silent := rng.IntN(every) == 0
+			mu.Unlock()
+			if silent {
+				time.Sleep(silence)
+			}
+		}
+		mu.Lock()
+		runs++
+		if c.After < progress[c.ID]-1 { // the last one may have been lost on its way
+			t.Errorf("%s goes back from event %d to %d", c.ID, progress[c.ID], c.After)
+		}
+		mu.Unlock()
+		pause()
+		c.StartStream()
+		for id := c.After + 1; id <= lastEvent; id++ {
+			pause()
+			event := fmt.Sprintf("id: %d\ndata: token%d\n\n", id, id)
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return false
+			}
+			mu.Lock()
+			progress[c.ID] = id
+			mu.Unlock()
+		}
+		pause()
+		c.EndStream()
+		return true
+	}, ids...)
+	started := time.Now()
+	is.NoErr(service.Submit(t.Context(), submission("job", 10)))
+	page := &bulk.Page{}
+	for len(page.Results) < 10 && time.Since(started) < 2*time.Minute {
+		time.Sleep(100 * time.Millisecond)
+		var err error
+		page, err = service.Results(t.Context(), "w", "job", 0, 0)
+		is.NoErr(err)
+	}
+	t.Logf("%d items after %v and %d runs", len(page.Results), time.Since(started), runs)
+	is.Equal(len(page.Results), 10)
+	for _, r := range page.Results {
+		is.Equal(r.State, itemlist.Completed)
+		is.Equal(r.Output, wholeOutput)
+	}
+	time.Sleep(time.Minute) // servers that are silent find their connections closed
+}
