entry: the log tells who ended a connection without an answer

Callers saw connections that ended without an answer, and a panic of a handler closed the connection without a byte.

The connections of callers now note whether the caller ended them. A handler around all others logs answer_cut and counts answers_cut_total with who ended the connection, before or after the host began to drain, requests that are open at the end of the grace period included. A panic is logged with the request's id and answered by 500, which does not say that nothing ran, unless the answer had begun.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,6 +62,8 @@
 	// CompleteRetirement reports to the platform that a machine holds no data and
 	// can be removed.
 	CompleteRetirement(context.Context, store.Object) error
+	// RequestID returns the id of a caller's request.
+	RequestID(http.Header) string
 	// Callers returns the handler of callers' requests.
 	Callers(Services) http.Handler
 	// Readiness returns the handler of the load balancer's health checks.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -28,11 +28,13 @@
 	servertest.Codec
 	retired atomic.Int64
 	fault   atomic.Bool
+	store   Store
+	callers http.Handler
 }
 
 var _ Platform = (*fakePlatform)(nil)
 
-func (*fakePlatform) Store() Store { return nil }
+func (p *fakePlatform) Store() Store { return p.store }
 func (*fakePlatform) Collections() Collections {
 	return Collections{"config/", "servers/", "retirements/"}
 }
@@ -59,7 +61,8 @@
 	return nil
 }
 
-func (*fakePlatform) Callers(Services) http.Handler      { return nil }
+func (*fakePlatform) RequestID(h http.Header) string     { return h.Get(servertest.HeaderID) }
+func (p *fakePlatform) Callers(Services) http.Handler    { return p.callers }
 func (*fakePlatform) Readiness(func() bool) http.Handler { return nil }
 
 var discardLogger = slog.New(slog.DiscardHandler)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -19,7 +19,6 @@
 	"ragwortstep/internal/online"
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/quotas"
-	"ragwortstep/internal/rawconn"
 	"ragwortstep/internal/slots"
 	"ragwortstep/internal/storerelay"
 	"ragwortstep/internal/upstream"
@@ -66,6 +65,7 @@
 	jobs     *bulk.Service
 	members  *members
 	retire   *retirements
+	calls    *calls
 	leaving  atomic.Bool
 }
 
@@ -205,12 +205,15 @@
 
 // listen binds all addresses before any component starts.
 func (h *host) listen() ([]httpServer, error) {
-	callers := abort.Handler(h.platform.Callers(Services{Config: h.config, Online: h.online, Jobs: h.jobs}))
+	h.calls = &calls{
+		next:      h.platform.Callers(Services{Config: h.config, Online: h.online, Jobs: h.jobs}),
+		requestID: h.platform.RequestID, isLeaving: h.leaving.Load, metrics: h.metrics, log: h.log,
+	}
 	list := []struct {
 		name, address string
 		handler       http.Handler
 	}{
-		{"callers", h.settings.Callers, callers},
+		{"callers", h.settings.Callers, abort.Handler(h.calls)},
 		{"readiness", h.settings.Readiness, h.platform.Readiness(h.ready)},
 		{"metrics", h.settings.Metrics, h.metrics},
 	}
@@ -225,9 +228,9 @@
 		}
 		server := &http.Server{
 			Handler: item.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelWarn),
+			ErrorLog: slog.NewLogLogger(h.log.With("event", "http_server", "server", item.name).Handler(), slog.LevelWarn), ConnContext: withConnection,
 		}
-		out = append(out, httpServer{item.name, server, rawconn.Listener{Listener: l}})
+		out = append(out, httpServer{item.name, server, listener{l, newConnections()}})
 	}
 	return out, nil
 }
@@ -254,6 +257,7 @@
 		}
 		group.Go(func() {
 			if err := s.server.Shutdown(ctx); err != nil {
+				h.calls.cutOpen()
 				h.log.Warn("requests aborted at the end of the grace period", "event", "drain_incomplete", "server", s.name, "error", err)
 			}
 		})
--- /dev/null
+++ b/internal/entry/shutdown_test.go
@@ -0,0 +1,235 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/metrics"
+	"ragwortstep/internal/servertest"
+	"ragwortstep/internal/store/storetest"
+)
+
+// testGrace leaves 1 s to drain, half of it before the host accepts no more
+// connections.
+const testGrace = time.Second + shutdownMargin
+
+// testHost is a host over real connections with a handler of its own.
+type testHost struct {
+	t       *testing.T
+	address string
+	metrics *metrics.Registry
+	logs    logBuffer
+	stop    context.CancelFunc // as by SIGTERM
+	stopped chan struct{}
+}
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.String()
+}
+
+func startTestHost(t *testing.T, handler http.HandlerFunc) *testHost {
+	t.Helper()
+	h := &testHost{t: t, address: freeAddress(t), metrics: metrics.New(), stopped: make(chan struct{})}
+	ctx, stop := context.WithCancel(t.Context())
+	h.stop = stop
+	settings := &Settings{Host: "a", Zone: "z", Size: 1000, Callers: h.address, Peers: freeAddress(t), Grace: testGrace}
+	go func() {
+		defer close(h.stopped)
+		logger := slog.New(slog.NewTextHandler(&h.logs, nil))
+		if err := Serve(ctx, settings, &fakePlatform{store: storetest.New(), callers: handler}, h.metrics, logger); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { stop(); <-h.stopped })
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if c, err := net.Dial("tcp", h.address); err == nil {
+			_ = c.Close()
+			return h
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the host does not start")
+		}
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// awaitLog waits until a log line contains all parts.
+func (h *testHost) awaitLog(parts ...string) {
+	h.t.Helper()
+	for deadline := time.Now().Add(3 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		for line := range strings.Lines(h.logs.String()) {
+			missing := false
+			for _, part := range parts {
+				missing = missing || !strings.Contains(line, part)
+			}
+			if !missing {
+				return
+			}
+		}
+		if time.Now().After(deadline) {
+			h.t.Fatalf("no log line with %q in\n%s", parts, h.logs.String())
+		}
+	}
+}
+
+// hasMetric reports whether a metric has the value.
+func (h *testHost) hasMetric(line string) bool {
+	var out bytes.Buffer
+	_ = h.metrics.Write(&out) // a buffer does not fail
+	return strings.Contains(out.String(), line+"\n")
+}
+
+// caller is a connection to a host.
+type caller struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dialCaller(address string) (*caller, error) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &caller{c, bufio.NewReader(c)}, c.SetDeadline(time.Now().Add(5 * time.Second))
+}
+
+func (h *testHost) dial() *caller {
+	h.t.Helper()
+	c, err := dialCaller(h.address)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// requestText is a whole request.
+func requestText(id, path string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", path, servertest.HeaderID, id)
+}
+
+func (c *caller) send(text string) error {
+	_, err := io.WriteString(c, text)
+	return err
+}
+
+// answer reads an answer and returns its status and whether its body is complete.
+func (c *caller) answer() (int, *http.Response, error) {
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	_, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, resp, err
+}
+
+// scriptedHandler answers a request as its path says.
+func scriptedHandler(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.ReadAll(r.Body) // requests of tests have complete bodies
+	switch r.URL.Path {
+	case "/wait":
+		<-r.Context().Done()
+	case "/slow":
+		time.Sleep(700 * time.Millisecond)
+	case "/hang":
+		time.Sleep(testGrace)
+	case "/abort":
+		panic(http.ErrAbortHandler)
+	case "/panic":
+		w.Header().Set(servertest.HeaderSeal, "s")
+		panic("a fault")
+	case "/panic-late":
+		_, _ = io.WriteString(w, "a part") // the caller waits
+		_ = http.NewResponseController(w).Flush()
+		panic("a late fault")
+	}
+}
+
+// A panic of a handler closed the connection without an answer, and its log line
+// did not name the request.
+func TestPanicOfHandlerIsAnswered(t *testing.T) {
+	is := is.New(t)
+	h := startTestHost(t, scriptedHandler)
+	c := h.dial()
+	is.NoErr(c.send(requestText("id-1", "/panic")))
+	status, resp, err := c.answer()
+	is.NoErr(err)
+	is.Equal(status, http.StatusInternalServerError) // makes no statement about execution
+	is.Equal(resp.Header.Get(servertest.HeaderSeal), "")
+	h.awaitLog("event=handler_panicked", "request=id-1", `error="a fault"`, "scriptedHandler")
+	is.NoErr(c.send(requestText("id-2", "/")))
+	status, _, err = c.answer()
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.True(h.hasMetric("handler_panics_total 1"))
+	is.NoErr(c.send(requestText("id-3", "/panic-late")))
+	_, _, err = c.answer()
+	is.True(err != nil) // must not look complete
+	h.awaitLog("event=answer_cut", "request=id-3", "by=panic", "status=200")
+}
+
+// A connection that ended without an answer did not tell in the log whether its
+// caller or the host had ended it.
+func TestLogTellsWhoCutAnAnswer(t *testing.T) {
+	is := is.New(t)
+	h := startTestHost(t, scriptedHandler)
+	left, aborted, leaving, hangs := h.dial(), h.dial(), h.dial(), h.dial()
+	is.NoErr(left.send(requestText("left", "/wait")))
+	is.NoErr(leaving.send(requestText("leaving", "/wait")))
+	is.NoErr(hangs.send(requestText("hangs", "/hang")))
+	is.NoErr(aborted.send(requestText("aborted", "/abort")))
+	_, _, err := aborted.answer()
+	is.True(err != nil)
+	time.Sleep(50 * time.Millisecond) // until the handlers run
+	is.NoErr(left.Close())
+	h.awaitLog("request=left", "event=answer_cut", "by=caller", "draining=false", "reason=closed", "status=0")
+	h.awaitLog("request=aborted", "event=answer_cut", "by=host", "draining=false")
+	h.stop()
+	h.awaitLog("event=draining")
+	is.NoErr(leaving.Close())
+	h.awaitLog("request=leaving", "event=answer_cut", "by=caller", "draining=true")
+	<-h.stopped
+	h.awaitLog("request=hangs", "event=answer_cut", "by=grace_period", "draining=true")
+	for _, line := range []string{
+		`answers_cut_total{by="caller",draining="false"} 1`, `answers_cut_total{by="caller",draining="true"} 1`,
+		`answers_cut_total{by="host",draining="false"} 1`, `answers_cut_total{by="grace_period",draining="true"} 1`,
+	} {
+		is.True(h.hasMetric(line)) // line
+	}
+}
--- a/internal/online/refusal.go
+++ b/internal/online/refusal.go
@@ -35,6 +35,7 @@
 	codeFailed      = "server_failed"
 	codeSuspect     = "crashes_servers"
 	codeTooLarge    = "body_too_large"
+	codeInternal    = "internal_error"
 )
 
 // unavailable refuses a request that was not and will not be executed.
@@ -42,6 +43,11 @@
 	return &Refusal{Status: http.StatusServiceUnavailable, Code: code, Detail: detail, RetryAfter: after}
 }
 
+// InternalError answers a request whose handler panicked. It may have been executed.
+func InternalError() *Refusal {
+	return &Refusal{Status: http.StatusInternalServerError, Code: codeInternal, Detail: "the host failed; the request may have been executed"}
+}
+
 // errorBody is the JSON body of a refusal.
 type errorBody struct {
 	Error errorDetail `json:"error"`
