online: a call that panics keeps no slot

A panic in the handling of a call, which net/http recovers, left its exchange open: the slot at the server counted as taken for the rest of the process's life, and a goroutine waited for good. (The server itself was told, by the end of the call's context.)

The exchanges that are left are released when the call returns, for whatever reason. TestPanicKeepsNoSlot failed before with one request in flight and a blocked goroutine.

--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -122,6 +122,7 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, a.deadline, errDeadline)
 	defer cancel()
 	f := &forwarding{Service: s, admitted: a, ctx: ctx, w: w}
+	defer f.releaseAll() // nothing is left but after a panic
 	f.run()
 }
 
