entry: requests read during a planned stop are answered

Callers saw their connections close without an answer, though the host had read their whole request, at the end of the deregistration delay of a planned stop. http.Server.Shutdown is the cause: from its call on, the server drops each request that it reads, on connections that were accepted just before and on kept ones whose request was just arriving, and it closes connections that count as idle until the head of their next request is whole.

The host now drains its connections itself. It closes the listener, and then ends idle connections by ending their pending read; if bytes have arrived by then, they are read and the request is answered. A connection that was accepted and has not been used yet gets a second for its first request.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -87,6 +87,8 @@
 		by, reason = cutByCaller, end
 	}
 	switch {
+	case panicked == nil && r.Context().Err() == nil && out.status == 0:
+		out.WriteHeader(http.StatusOK)
 	case panicked == nil && (r.Context().Err() == nil || out.isComplete()):
 		return
 	case panicked == nil:
--- a/internal/entry/connections.go
+++ b/internal/entry/connections.go
@@ -3,17 +3,29 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/rawconn"
 )
 
+const (
+	// newConnectionTime is how long a host that accepts no more connections waits for
+	// the first request on those that it accepted before.
+	newConnectionTime = time.Second
+	// drainInterval is how often a draining host looks for connections that have
+	// become idle.
+	drainInterval = 10 * time.Millisecond
+)
+
 // connections are the open connections of callers.
 type connections struct {
 	mu   sync.Mutex
@@ -58,23 +70,152 @@
 	delete(s.open, c)
 }
 
+// drain closes idle connections until none is open or ctx ends. The listener is
+// closed. http.Server.Shutdown is no substitute: it drops requests that are read
+// after its call, and may close a connection while a request is read from it.
+func (s *connections) drain(ctx context.Context) error {
+	began := time.Now()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		open := s.list()
+		if len(open) == 0 {
+			return nil
+		}
+		for _, c := range open {
+			c.retire(time.Since(began) < newConnectionTime)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(context.Cause(ctx), "%d connections are open", len(open))
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *connections) list() []*connection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.open))
+}
+
+// stateChanged is an http.Server's ConnState.
+func stateChanged(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*connection)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateIdle:
+		c.phase = idle
+	case http.StateActive:
+		c.phase = inRequest
+		c.keep()
+	}
+}
+
+// phase is what a connection is used for.
+type phase int
+
+const (
+	unused    phase = iota // no byte of the first request has arrived
+	inRequest              // a request has begun to arrive or is not answered yet
+	idle                   // since the answer to a request
+)
+
 // connection is a caller's connection. It notes which side ended it.
 type connection struct {
 	*rawconn.Conn
 	owner *connections
 
 	mu       sync.Mutex
+	phase    phase
+	retired  bool   // the next read finds the end of the connection, unless it finds bytes
 	isClosed bool   // by this host
 	lostBy   string // how the caller or the network ended it, empty if neither did
 }
 
+// aLongTimeAgo is a deadline that ends a pending read.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// retire ends an idle connection. A connection from which no request was read is
+// spared if spareUnused is set. Bytes that have arrived are a request and are read.
+func (c *connection) retire(spareUnused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired || c.phase == inRequest || c.phase == unused && spareUnused {
+		return
+	}
+	c.retired = true
+	_ = c.Conn.SetReadDeadline(aLongTimeAgo) // fails if it is closed
+}
+
+// keep revokes retire. The caller holds mu.
+func (c *connection) keep() {
+	if c.retired {
+		c.retired = false
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails if it is closed
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired {
+		t = aLongTimeAgo
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired() {
+		n, err = c.lastRead(p)
+	}
+	if n > 0 {
+		c.requestBegins()
+	}
 	c.noteEnd(err)
 	return n, err
 }
 
+func (c *connection) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
+}
+
+// lastRead reads the bytes that have arrived on a retired connection, and returns
+// io.EOF if there are none.
+func (c *connection) lastRead(p []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	if c.IsIdle() {
+		c.retiredUnread()
+		return 0, io.EOF
+	}
+	return c.Conn.Read(p)
+}
+
+// retiredUnread notes that this host ends the connection.
+func (c *connection) retiredUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isClosed = true
+}
+
+func (c *connection) requestBegins() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = inRequest
+	c.keep()
+}
+
 // Write implements net.Conn.
 func (c *connection) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -193,14 +193,23 @@
 type httpServer struct {
 	name     string
 	server   *http.Server
-	listener net.Listener
+	listener listener
+	ended    chan struct{} // closed when it accepts no more connections
 }
 
 func (s httpServer) serve() error {
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve %s", s.name)
+	defer close(s.ended)
+	return errors.Wrapf(s.server.Serve(s.listener), "serve %s", s.name)
+}
+
+// drain accepts no more connections and waits until all requests are answered, or
+// ctx ends.
+func (s httpServer) drain(ctx context.Context) error {
+	if err := s.listener.Close(); err != nil {
+		return errors.Wrap(err, "close listener")
 	}
-	return nil
+	<-s.ended // all accepted connections are known
+	return s.listener.connections.drain(ctx)
 }
 
 // listen binds all addresses before any component starts.
@@ -228,9 +237,9 @@
 		}
 		server := &http.Server{
 			Handler: item.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: slog.NewLogLogger(h.log.With("event", "http_server", "server", item.name).Handler(), slog.LevelWarn), ConnContext: withConnection,
+			ErrorLog: slog.NewLogLogger(h.log.With("event", "http_server", "server", item.name).Handler(), slog.LevelWarn), ConnContext: withConnection, ConnState: stateChanged,
 		}
-		out = append(out, httpServer{item.name, server, listener{l, newConnections()}})
+		out = append(out, httpServer{item.name, server, listener{l, newConnections()}, make(chan struct{})})
 	}
 	return out, nil
 }
@@ -256,7 +265,7 @@
 			continue // readiness and metrics are served until the process ends
 		}
 		group.Go(func() {
-			if err := s.server.Shutdown(ctx); err != nil {
+			if err := s.drain(ctx); err != nil {
 				h.calls.cutOpen()
 				h.log.Warn("requests aborted at the end of the grace period", "event", "drain_incomplete", "server", s.name, "error", err)
 			}
