gateway: an error event is sent after whole events only

A model server's stream that broke off within an event reached its caller with the gateway's error event appended to the part of that event, without a line end between them: callers read one event with the error's text in its middle.

The error event is now sent only if the stream ended between two events. A stream that ended elsewhere is just aborted, and callers drop the part of an event as they do when a server breaks off.

TestErrorEventFollowsWholeEvents cuts two streams after every byte.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -137,7 +137,7 @@
 		return
 	}
 	counters.Add("answers_aborted", 1)
-	if r.sse {
+	if r.sse && end.betweenEvents() {
 		writeEventError(w, streamError(ctx, err))
 	}
 	panic(http.ErrAbortHandler)
@@ -180,6 +180,12 @@
 	return bytes.HasSuffix(bytes.TrimRight(t.last[:t.n], "\r\n"), endMarker)
 }
 
+// betweenEvents reports whether the stream ended after an event. Anything written
+// after a part of one would become part of it.
+func (t *streamTail) betweenEvents() bool {
+	return t.n == 0 || bytes.HasSuffix(t.last[:t.n], []byte("\n\n")) || bytes.HasSuffix(t.last[:t.n], []byte("\n\r\n"))
+}
+
 // copyStream relays the body, flushing after each read.
 func copyStream(w http.ResponseWriter, body io.Reader) (*streamTail, error) {
 	buf := streamBuffers.Get().(*[]byte)
