gateway: an aborted response is reset for callers that speak HTTP/1.0

As on an entry host, a stream that was aborted ended with a regular close for callers that speak HTTP/1.0, and so looked complete; also for one that had closed its side of the connection. The gateway resets the connection now (internal/abort).

Before, TestAbortedStreamIsNotComplete and TestHalfClosedCallerGetsNoCompleteAnswer failed for HTTP/1.0. Callers over HTTP/1.1 were told before: a half-closed one gets a 502 while its request is at a server, and its stream without the last chunk.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/uuid"
 
+	"ragwortstep/internal/abort"
 	"ragwortstep/internal/core/config"
 	"ragwortstep/internal/dispatch"
 	"ragwortstep/internal/events"
@@ -63,6 +64,7 @@
 	requestTracker *requestTracker
 	draining       atomic.Bool
 	mux            *http.ServeMux
+	handler        http.Handler // mux, with responses that are visibly aborted
 }
 
 // New returns a gateway that applies every new configuration of the fleet.
@@ -84,6 +86,7 @@
 	g.mux.HandleFunc("/v1/batches", g.withKey(g.batchAPI))
 	g.mux.HandleFunc("/v1/batches/", g.withKey(g.batchAPI))
 	g.mux.HandleFunc("/", g.service)
+	g.handler = abort.Handler(g.mux)
 	return g
 }
 
@@ -108,7 +111,7 @@
 		// another host.
 		w.Header().Set("Connection", "close")
 	}
-	g.mux.ServeHTTP(w, r)
+	g.handler.ServeHTTP(w, r)
 }
 
 // StartDraining makes the readiness check fail. Running and new requests are
