store: a read whose end is not marked is lost

An answer of the product's store with neither length nor chunks ends with its connection. If that ended early, a host took the first bytes of an object, or none, for its value; a cut list gave an error that was not classed as an outage.

Reads with such an answer now count as unavailable and are repeated, as bodies of servers are in internal/backend. Writes carry their result in the head.

Cut heads and bodies with a length or chunks never counted as whole, nor a cut answer to a write as the promise that it was not done.

--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -142,9 +142,18 @@
 	if err := statusError(resp.StatusCode()); err != nil {
 		return nil, errors.Wrapf(err, "platform %s %s: status %d", method, path, resp.StatusCode())
 	}
+	if method == http.MethodGet && endsWithConnection(resp.RawResponse) {
+		return nil, errors.Wrapf(ErrUnavailable, "platform %s %s: the end of the answer is not marked", method, path)
+	}
 	return resp, nil
 }
 
+// endsWithConnection reports whether neither a length nor chunks mark the end of a
+// body, so that one that was cut looks whole.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
+}
+
 // classify returns ErrUnavailable for a call that was certainly not applied and
 // ErrUnknownOutcome for one that may have been. A write was certainly not applied
 // only if the connection was refused or the dial failed.
