--- a/internal/bulk/silence_test.go
+++ b/internal/bulk/silence_test.go
@@ -21,12 +21,14 @@
 	"ragwortstep/internal/peer/peertest"
 	"ragwortstep/internal/servertest"
 	"ragwortstep/internal/slots"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
 	"ragwortstep/internal/upstream"
 )
 
 // newPipedHost returns a host without a network that is alone, for a test in a
 // synctest bubble. The servers with the ids have the script.
-func newPipedHost(t *testing.T, script func(*servertest.Conn) bool, ids ...string) *bulk.Service {
+func newPipedHost(t *testing.T, objects store.Store, script func(*servertest.Conn) bool, ids ...string) *bulk.Service {
 	f := newFleet(t)
 	r := *f.snapshot.Load().ByName("r")
 	r.Retention = 5 * time.Minute
@@ -37,7 +39,7 @@
 	c.SetMembers(nil)
 	node := peertest.New().Node("a")
 	inf := informer.New(informer.Options{
-		Store: f.store, Cluster: c, Peers: node, Members: bulk.Collection, Logger: logger,
+		Store: objects, Cluster: c, Peers: node, Members: bulk.Collection, Logger: logger,
 		Collections: []informer.Collection{{Prefix: bulk.Collection, Wait: 100 * time.Millisecond, TakeOver: 500 * time.Millisecond}},
 	})
 	scheduler := slots.New(slots.Options{Zone: "z", Cluster: c, Logger: logger})
@@ -47,7 +49,7 @@
 	}
 	scheduler.SetServers(list)
 	service := bulk.New(bulk.Options{
-		Store: f.store, Cluster: c, Informer: inf, Peers: node, Config: f, Codec: servertest.Codec{}, Items: servertest.Codec{},
+		Store: objects, Cluster: c, Informer: inf, Peers: node, Config: f, Codec: servertest.Codec{}, Items: servertest.Codec{},
 		Slots: scheduler, Upstream: upstream.New(upstream.Options{Connect: server.Connect}), Metrics: metrics.New(), Logger: logger,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -85,7 +87,7 @@
 	rng := rand.New(rand.NewPCG(1, uint64(silence)))
 	progress := map[string]int64{} // last event written, by item
 	runs := 0
-	service := newPipedHost(t, func(c *servertest.Conn) bool {
+	service := newPipedHost(t, storetest.New(), func(c *servertest.Conn) bool {
 		pause := func() {
 			mu.Lock()
 			silent := rng.IntN(every) == 0
