--- a/test/coop/client.go
+++ b/test/coop/client.go
@@ -108,46 +108,63 @@
 
 // CallWithParts is Call for a prompt with the shared parts and one of its own.
 func (c *Client) CallWithParts(host, route, id, key string, parts ...string) int {
-	r, err := c.request(http.MethodPost, host, "/"+route+"/x", id, key, []byte("body "+id))
+	r, err := c.newCall(host, route, id, key, parts...)
 	if err != nil {
 		c.Ledger.AddFailure("request %s: %v", id, err)
 		return 0
 	}
-	streams := route == "stream" || route == "resume"
-	if streams {
-		r.Header.Set("Token-Count", "100,50")
-		prompt := fmt.Sprintf("%x:20", idHash(id))
-		for _, part := range slices.Backward(parts) {
-			prompt = part + ":40," + prompt
-		}
-		r.Header.Set("Prompt-Prefix", prompt)
-	}
 	c.Ledger.recordSent(host, route, id)
 	resp, err := c.http.Do(r)
 	if err != nil {
 		c.Ledger.recordAnswer(route, id, 0, false)
 		return 0
 	}
-	defer resp.Body.Close()
 	if resp.Header.Get("Server-Leaving") != "" {
 		c.Ledger.recordLeaving(host, route)
 	}
+	c.receive(route, id, resp)
+	return resp.StatusCode
+}
+
+// newCall returns an online request.
+func (c *Client) newCall(host, route, id, key string, parts ...string) (*http.Request, error) {
+	r, err := c.request(http.MethodPost, host, "/"+route+"/x", id, key, []byte("body "+id))
+	if err != nil {
+		return nil, err
+	}
+	if streams(route) {
+		r.Header.Set("Token-Count", "100,50")
+		prompt := fmt.Sprintf("%x:20", idHash(id))
+		for _, part := range slices.Backward(parts) {
+			prompt = part + ":40," + prompt
+		}
+		r.Header.Set("Prompt-Prefix", prompt)
+	}
+	return r, nil
+}
+
+func streams(route string) bool { return route == "stream" || route == "resume" }
+
+// receive reads and checks the answer to an online request. It reports whether it
+// is whole.
+func (c *Client) receive(route, id string, resp *http.Response) bool {
+	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	c.Ledger.recordAnswer(route, id, resp.StatusCode, err == nil)
 	if resp.StatusCode != http.StatusOK || err != nil {
-		return resp.StatusCode
+		return err == nil
 	}
 	if got := resp.Header.Get("Attempt-Id"); got != id {
 		c.Ledger.AddFailure("%s %s: answer to %q", route, id, got)
 	}
 	want := PlainBody(id)
-	if streams {
+	if streams(route) {
 		want = expectedStream(id)
 	}
 	if string(body) != want {
 		c.Ledger.AddFailure("%s %s: whole answer %q, want %q", route, id, body, want)
 	}
-	return resp.StatusCode
+	return true
 }
 
 func expectedStream(id string) string {
--- a/test/coop/fleet.go
+++ b/test/coop/fleet.go
@@ -162,11 +162,13 @@
 	return target, nil
 }
 
-// Configure writes a configuration with a route of each kind and one key.
+// Configure writes a configuration with a route of each kind and the keys. Time-outs,
+// limits and a route that no caller uses differ between versions.
 func Configure(store *Store, version int64, keys ...string) {
+	odd := int(version % 2)
 	route := func(name, kind string, attempts int, more map[string]any) map[string]any {
 		r := map[string]any{
-			"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 4000,
+			"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 4000 + 500*odd,
 			"targetLatencyMs": 100, "gapAimMs": 100, "maxAttempts": attempts, "service": "llm",
 		}
 		for k, v := range more {
@@ -182,7 +184,9 @@
 			route("stream", "streaming", 1, nil),
 			route("resume", "streaming", 3, map[string]any{"resumable": true}),
 			route("batch", "batch", 3, map[string]any{"completionTargetMs": 10_000, "retentionS": 120}),
+			route(fmt.Sprint("only-", version), "idempotent", 1+odd, nil),
 		},
+		"limits":   map[string]any{"maxHeaderBytes": 8192 << odd, "maxBodyBytes": 1 << (20 + odd), "headerTimeoutMs": 5000 + 1000*odd, "idleTimeoutMs": 20_000 << odd},
 		"services": []any{map[string]any{"name": "llm"}, map[string]any{"name": "app"}},
 		"tenants":  []any{map[string]any{"name": "w", "apiKeys": keys}},
 	})
