entry: callers may take as long as the configuration allows

The configuration states how large a caller's header may be, how long it may take and how long a connection may be idle. The host had limits of its own, 64 KB, 10 s and 3 min, whatever the configuration said: callers within their limits got 431, or found a kept connection closed. Only the limit of bodies was honoured.

Connections extend the HTTP server's deadlines to the limits of the configuration in force, also while they are idle, and bound the header themselves. The limits of the host stay the least ones.

--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -95,7 +95,13 @@
 	Workspaces map[string]Workspace
 	Services   map[string]Service
 	// MaxBodyBytes bounds the body of a request; 0 when it is not configured.
-	MaxBodyBytes   int64
+	MaxBodyBytes int64
+	// MaxHeaderBytes bounds the header of a request; 0 when it is not configured.
+	MaxHeaderBytes int
+	// HeaderTimeout is the time that callers may take for the header of a request, and
+	// IdleTimeout how long their connections may be idle; 0 when not configured.
+	HeaderTimeout, IdleTimeout time.Duration
+
 	byHost         map[string][]int // indexes of Routes, longest prefix first
 	workspaceByKey map[keyHash]string
 }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -44,6 +44,15 @@
 	return age
 }
 
+// callerLimits returns the limits of the current configuration.
+func (c *configuration) callerLimits() callerLimits {
+	snapshot := c.current.Load()
+	if snapshot == nil {
+		return callerLimits{}
+	}
+	return callerLimits{headerBytes: snapshot.MaxHeaderBytes, headerTime: snapshot.HeaderTimeout, idleTime: snapshot.IdleTimeout}
+}
+
 // workspace returns a workspace of the current configuration.
 func (c *configuration) workspace(name string) (routing.Workspace, bool) {
 	snapshot := c.current.Load()
--- a/internal/entry/connections.go
+++ b/internal/entry/connections.go
@@ -24,16 +24,32 @@
 	// drainInterval is how often a draining host looks for connections that have
 	// become idle.
 	drainInterval = 10 * time.Millisecond
+	// minHeaderBytes is the size of headers that are read in any configuration.
+	minHeaderBytes = 64 << 10
+	// readSize bounds the bytes behind a header that are read with it.
+	readSize = 4 << 10
 )
 
+// callerLimits is what the configuration allows callers. The HTTP server's own limits
+// apply where they are larger.
+type callerLimits struct {
+	headerBytes int           // of a request
+	headerTime  time.Duration // from the first to the last byte of the header
+	idleTime    time.Duration // of a connection
+}
+
+// errHeaderTooLarge makes the HTTP server answer 400.
+var errHeaderTooLarge = errors.New("the header of the request is too large")
+
 // connections are the open connections of callers.
 type connections struct {
-	mu   sync.Mutex
-	open map[*connection]struct{}
+	limits func() callerLimits
+	mu     sync.Mutex
+	open   map[*connection]struct{}
 }
 
-func newConnections() *connections {
-	return &connections{open: map[*connection]struct{}{}}
+func newConnections(limits func() callerLimits) *connections {
+	return &connections{limits: limits, open: map[*connection]struct{}{}}
 }
 
 // listener wraps the connections that it accepts.
@@ -109,7 +125,7 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.phase = idle
+		c.phase, c.idleSince, c.headerBytes = idle, time.Now(), 0
 	case http.StateActive:
 		c.phase = inRequest
 		c.keep()
@@ -121,7 +137,8 @@
 
 const (
 	unused    phase = iota // no byte of the first request has arrived
-	inRequest              // a request has begun to arrive or is not answered yet
+	inHeader               // a request has begun to arrive
+	inRequest              // a request is not answered yet
 	idle                   // since the answer to a request
 )
 
@@ -130,11 +147,13 @@
 	*rawconn.Conn
 	owner *connections
 
-	mu       sync.Mutex
-	phase    phase
-	retired  bool   // the next read finds the end of the connection, unless it finds bytes
-	isClosed bool   // by this host
-	lostBy   string // how the caller or the network ended it, empty if neither did
+	mu          sync.Mutex
+	phase       phase
+	idleSince   time.Time
+	headerBytes int    // read of the current header
+	retired     bool   // the next read finds the end of the connection, unless it finds bytes
+	isClosed    bool   // by this host
+	lostBy      string // how the caller or the network ended it, empty if neither did
 }
 
 // aLongTimeAgo is a deadline that ends a pending read.
@@ -145,7 +164,7 @@
 func (c *connection) retire(spareUnused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired || c.phase == inRequest || c.phase == unused && spareUnused {
+	if c.retired || c.phase == inHeader || c.phase == inRequest || c.phase == unused && spareUnused {
 		return
 	}
 	c.retired = true
@@ -160,24 +179,54 @@
 	}
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. The HTTP server's deadlines for headers and
+// idle connections are extended to what the configuration allows.
 func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.retired {
-		t = aLongTimeAgo
+		return c.Conn.SetReadDeadline(aLongTimeAgo)
+	}
+	if now := time.Now(); t.After(now) {
+		if allowed := now.Add(c.allowedTime()); allowed.After(t) {
+			t = allowed
+		}
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// allowedTime returns how long the configuration lets the caller take in this phase.
+// The caller holds mu.
+func (c *connection) allowedTime() time.Duration {
+	switch c.phase {
+	case unused, inHeader:
+		return c.owner.limits().headerTime
+	case idle:
+		return c.owner.limits().idleTime
+	}
+	return 0
+}
+
+// stayIdle sets a new deadline if the configuration has changed and allows a
+// connection that is idle to be so for longer.
+func (c *connection) stayIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := c.idleSince.Add(c.allowedTime())
+	return c.phase == idle && !c.retired && time.Now().Before(until) && c.Conn.SetReadDeadline(until) == nil
+}
+
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.stayIdle() {
+		n, err = c.Conn.Read(p)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired() {
 		n, err = c.lastRead(p)
 	}
-	if n > 0 {
-		c.requestBegins()
+	if n > 0 && !c.requestArrives(n) {
+		return 0, errHeaderTooLarge
 	}
 	c.noteEnd(err)
 	return n, err
@@ -209,11 +258,18 @@
 	c.isClosed = true
 }
 
-func (c *connection) requestBegins() {
+// requestArrives notes that n bytes of a request have arrived. It reports false if its
+// header is too large.
+func (c *connection) requestArrives(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = inRequest
 	c.keep()
+	if c.phase == inRequest {
+		return true
+	}
+	c.phase = inHeader
+	c.headerBytes += n
+	return c.headerBytes <= max(c.owner.limits().headerBytes, minHeaderBytes)+readSize
 }
 
 // Write implements net.Conn.
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -42,11 +42,12 @@
 	// shutdownMargin is the part of the grace period reserved for the final steps
 	// of the shutdown.
 	shutdownMargin = 700 * time.Millisecond
-	// headerTimeout and idleTimeout bound callers' connections. The idle time
-	// that the configuration allows callers is shorter than idleTimeout.
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 3 * time.Minute
-	maxHeaderBytes = 64 << 10
+	// headerTimeout and idleTimeout bound callers' connections, unless the
+	// configuration allows callers more.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 3 * time.Minute
+	// maxHeaderBytes bounds what the configuration may allow for a header.
+	maxHeaderBytes = 4 << 20
 )
 
 // host is an entry host with its components.
@@ -239,7 +240,7 @@
 			Handler: item.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: slog.NewLogLogger(h.log.With("event", "http_server", "server", item.name).Handler(), slog.LevelWarn), ConnContext: withConnection, ConnState: stateChanged,
 		}
-		out = append(out, httpServer{item.name, server, listener{l, newConnections()}, make(chan struct{})})
+		out = append(out, httpServer{item.name, server, listener{l, newConnections(h.config.callerLimits)}, make(chan struct{})})
 	}
 	return out, nil
 }
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -370,7 +370,7 @@
 		t.Fatal(err)
 	}
 	server := &http.Server{Handler: handler, ConnContext: withConnection, ConnState: stateChanged}
-	return httpServer{"callers", server, listener{l, newConnections()}, make(chan struct{})}
+	return httpServer{"callers", server, listener{l, newConnections(func() callerLimits { return callerLimits{} })}, make(chan struct{})}
 }
 
 // callUntilClosed sends requests on one connection until it is closed. It returns
