--- a/internal/bulk/silence_test.go
+++ b/internal/bulk/silence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,19 +27,36 @@
 	"ragwortstep/internal/upstream"
 )
 
-// newPipedHost returns a host without a network that is alone, for a test in a
-// synctest bubble. The servers with the ids have the script.
-func newPipedHost(t *testing.T, node *peertest.Node, objects store.Store, script func(*servertest.Conn) bool, ids ...string) *bulk.Service {
+// pipedHost describes a host without a network, for a test in a synctest bubble.
+type pipedHost struct {
+	name    string
+	conn    net.PacketConn   // to its peers
+	members []cluster.Member // all hosts, nil if it is alone
+	node    *peertest.Node
+	objects store.Store
+}
+
+func (h pipedHost) self() cluster.Member {
+	for _, m := range h.members {
+		if m.Name == h.name {
+			return m
+		}
+	}
+	return cluster.Member{Name: h.name, Incarnation: 1}
+}
+
+// start starts the host with servers that have the ids and the script.
+func (h pipedHost) start(t *testing.T, script func(*servertest.Conn) bool, ids ...string) *bulk.Service {
 	f := newFleet(t)
 	r := *f.snapshot.Load().ByName("r")
 	r.Retention = 5 * time.Minute
 	f.setRoutes(r)
 	server := servertest.NewPiped(t, script)
 	logger := slog.New(slog.DiscardHandler)
-	c := cluster.New(cluster.Options{Self: cluster.Member{Name: "a", Incarnation: 1}, Logger: logger})
-	c.SetMembers(nil)
+	c := cluster.New(cluster.Options{Self: h.self(), Conn: h.conn, Logger: logger})
+	c.SetMembers(h.members)
 	inf := informer.New(informer.Options{
-		Store: objects, Cluster: c, Peers: node, Members: bulk.Collection, Logger: logger,
+		Store: h.objects, Cluster: c, Peers: h.node, Members: bulk.Collection, Logger: logger,
 		Collections: []informer.Collection{{Prefix: bulk.Collection, Wait: 100 * time.Millisecond, TakeOver: 500 * time.Millisecond}},
 	})
 	scheduler := slots.New(slots.Options{Zone: "z", Cluster: c, Logger: logger})
@@ -48,7 +66,7 @@
 	}
 	scheduler.SetServers(list)
 	service := bulk.New(bulk.Options{
-		Store: objects, Cluster: c, Informer: inf, Peers: node, Config: f, Codec: servertest.Codec{}, Items: servertest.Codec{},
+		Store: h.objects, Cluster: c, Informer: inf, Peers: h.node, Config: f, Codec: servertest.Codec{}, Items: servertest.Codec{},
 		Slots: scheduler, Upstream: upstream.New(upstream.Options{Connect: server.Connect}), Metrics: metrics.New(), Logger: logger,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -57,7 +75,13 @@
 		cancelEnded()
 		service.Close(ended)
 		cancel()
+		if h.conn != nil {
+			_ = h.conn.Close()
+		}
 	})
+	if h.conn != nil {
+		go c.Run(ctx)
+	}
 	go inf.Run(ctx)
 	go scheduler.Run(ctx)
 	go service.Run(ctx)
@@ -86,7 +110,7 @@
 	rng := rand.New(rand.NewPCG(1, uint64(silence)))
 	progress := map[string]int64{} // last event written, by item
 	runs := 0
-	service := newPipedHost(t, peertest.New().Node("a"), storetest.New(), func(c *servertest.Conn) bool {
+	service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: storetest.New()}.start(t, func(c *servertest.Conn) bool {
 		pause := func() {
 			mu.Lock()
 			silent := rng.IntN(every) == 0
--- a/internal/bulk/silent_store_test.go
+++ b/internal/bulk/silent_store_test.go
@@ -122,7 +122,7 @@
 	}
 	var mu sync.Mutex
 	lastRun := map[string]time.Time{} // by job
-	service := newPipedHost(t, network.Node("c"), hostStore, func(c *servertest.Conn) bool {
+	service := pipedHost{name: "c", node: network.Node("c"), objects: hostStore}.start(t, func(c *servertest.Conn) bool {
 		job, _, _ := strings.Cut(c.ID, "-")
 		mu.Lock()
 		lastRun[job] = time.Now()
