--- a/internal/bulk/silence_test.go
+++ b/internal/bulk/silence_test.go
@@ -169,7 +169,7 @@
 		t.Run(silence.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.NewRelaxed(t)
-				service := newPipedHost(t, func(c *servertest.Conn) bool {
+				service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: storetest.New()}.start(t, func(c *servertest.Conn) bool {
 					c.StartStream()
 					c.WriteEvents(c.After+1, lastEvent)
 					if c.After == 0 {
