online: an answer without an event takes over no stream

While the server of a resumable stream was silent before its first event, another one that was asked beside it ended the call with any sealed 200 that held no event: callers got an empty 200, though the first server went on with its stream later. If that answer held text or comments, these were dropped, so that the body was not the server's whole one either; the same happened when the first server ended and left the other one alone.

Cause: the end of another server's stream let it take over, and comments are no progress, so they are dropped while another server is at work. Only an event takes over now, and the end of a stream of which a part was dropped ends nothing.

--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -28,6 +28,7 @@
 	inBody    bool         // a response that is no stream has begun
 	streaming bool         // the response is a sound stream
 	relayed   bool         // a part of the stream has reached the caller
+	skipped   bool         // comments of the stream were dropped
 	beganAt   time.Time
 	begun     bool // a complete event of the stream has arrived
 	answered  bool // the server went on with its answer after the first bytes
--- a/internal/online/joined_test.go
+++ b/internal/online/joined_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -217,3 +218,70 @@
 		})
 	}
 }
+
+// A server that is silent before its first event answers later. Until then, another
+// one must not end the call with an answer without an event, or with one of whose
+// bytes a part was dropped.
+func TestEmptyAnswerTakesOverNoStream(t *testing.T) {
+	t.Parallel()
+	for name, answer := range nextAnswers {
+		if strings.HasPrefix(name, "event ") {
+			continue // the whole answer of a server that was asked from the start
+		}
+		for _, begun := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " head sent ", begun), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				var first firstAsked
+				script := func(c *servertest.Conn) bool {
+					if !first.is(c) {
+						_, _ = io.WriteString(c, answer)
+						return false
+					}
+					if begun {
+						c.StartStream()
+					}
+					time.Sleep(900 * time.Millisecond)
+					if !begun {
+						c.StartStream()
+					}
+					c.WriteEvents(1, 4)
+					c.EndStream()
+					return true
+				}
+				f := newFixture(t, servertest.New(t, script), servertest.New(t, script))
+				got := f.callRaw(callerKinds[""], "/resumable/1")
+				is.NoErr(got.err)
+				if got.resp.StatusCode != http.StatusOK {
+					// A failure that is the request's own, as another server found it.
+					is.True(got.resp.StatusCode >= http.StatusMultipleChoices && got.resp.StatusCode < http.StatusInternalServerError)
+					return
+				}
+				is.Equal(got.body, events(1, 4))
+			})
+		}
+	}
+}
+
+// A server that sent only comments while the first one was silent, and is left alone
+// with the call, must not end it: the caller has not got its whole body.
+func TestStreamOfDroppedCommentsIsNotComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		var first firstAsked
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			if first.is(c) {
+				time.Sleep(400 * time.Millisecond)
+				return false
+			}
+			c.StartStream()
+			_, _ = io.WriteString(c, "8\r\n: boom\n\n\r\n")
+			time.Sleep(400 * time.Millisecond)
+			c.EndStream()
+			return true
+		}, "a", "b")
+		status, body := f.serveWhole("/resumable/1", "k")
+		is.Equal(status, http.StatusBadGateway)
+		is.True(!strings.Contains(body, marker))
+	})
+}
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -57,9 +57,12 @@
 }
 
 // joins reports whether an exchange would go on with a response that another server
-// began. Until its server has sent the next event, nothing tells its answer from one
-// that is no part of the stream, so none of it is relayed.
-func (f *forwarding) joins(x *exchange) bool { return f.headerSent && !x.relayed }
+// began or may still begin, or lacks comments that were dropped meanwhile. Until its
+// server has sent the next event, nothing tells its answer from one that is no part of
+// the stream, so none of it is relayed.
+func (f *forwarding) joins(x *exchange) bool {
+	return !x.relayed && (f.headerSent || x == f.other || x.skipped)
+}
 
 // checkEventOrder checks that an event directly follows the last one. Event ids
 // increase by one. The first event of a server that goes on with the stream of
@@ -76,11 +79,11 @@
 	return nil
 }
 
-// dropEmptyRest drops the answer of a server that was to go on with a stream and
-// sent no event. It need not mean that the stream was complete.
+// dropEmptyRest drops the answer, without an event, of a server whose exchange joins.
+// It need not mean that the stream was complete.
 func (f *forwarding) dropEmptyRest(x *exchange) verdict {
 	f.release(x, placement.Neutral, 0)
-	f.log.Info("no event from the server that was to go on with a stream", "event", "empty_rest", "request", f.call.ID,
+	f.log.Info("no event from the server that was asked to go on", "event", "empty_rest", "request", f.call.ID,
 		"route", f.route.Name, "server", x.slot.Server.ID, "events", f.eventsSent)
 	return ended
 }
--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -97,6 +96,7 @@
 func (f *forwarding) otherHeard(a arrival) bool {
 	x := f.other
 	if a.part == event && a.err == nil && a.event.IsComment {
+		x.skipped = true
 		return false
 	}
 	if f.takesOver(x, a) {
@@ -152,7 +152,7 @@
 	case wholeBody:
 		return a.err == nil && a.resp.Status < http.StatusMultipleChoices
 	case event:
-		return a.err == io.EOF && !f.joins(x) || a.err == nil && f.checkEventOrder(x, a.event) == nil
+		return a.err == nil && f.checkEventOrder(x, a.event) == nil
 	}
 	return false
 }
