bulk: results are read while the job is marked as done

A data race: a call that reads results from memory copied the job's head without its lock, to compare the workspace, while the end of the last item marked the head as done. Only the workspace was used, which never changes, so no caller can have seen it.

The race detector reported it in two of about fifteen runs of the tests of silent servers. The first report was lost; the second one names localResults and markComplete. The workspace alone is passed. TestItemsAtSilentServersComplete reads its count of runs under its lock.

--- a/internal/bulk/read.go
+++ b/internal/bulk/read.go
@@ -96,7 +96,7 @@
 
 // localResults returns results from the list of a job that localJob returned.
 func (s *Service) localResults(ctx context.Context, j *job, workspace string, after int, wait time.Duration) (*Page, error) {
-	if err := sameWorkspace(j.head, workspace); err != nil {
+	if err := sameWorkspace(j.head.Workspace, workspace); err != nil {
 		return nil, err
 	}
 	if err := s.refreshAfterPartition(ctx, j); err != nil {
@@ -222,9 +222,9 @@
 	}
 	j.mu.Lock()
 	j.lastUsed = time.Now()
-	head := j.head
+	owner := j.head.Workspace
 	j.mu.Unlock()
-	return j, sameWorkspace(head, workspace)
+	return j, sameWorkspace(owner, workspace)
 }
 
 func (s *Service) addJob(id string, head Head) *job {
--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -280,7 +280,7 @@
 	leaving, open := s.leaving, s.openItems()
 	s.mu.Unlock()
 	if ok {
-		return sameWorkspace(known.Head, sub.Workspace)
+		return sameWorkspace(known.Workspace, sub.Workspace)
 	}
 	if leaving || open+len(sub.Items) > maxOpenItems {
 		return ErrTooManyJobs
@@ -305,7 +305,7 @@
 		if head, err = DecodeHead(current.Value); err != nil {
 			return err
 		}
-		return sameWorkspace(head, sub.Workspace)
+		return sameWorkspace(head.Workspace, sub.Workspace)
 	}
 	s.log.Info("job accepted", "event", "job_accepted", "job", sub.ID, "workspace", sub.Workspace, "route", sub.Route, "items", len(sub.Items), "parts", parts)
 	s.opts.Metrics.Add("jobs_accepted_total", 1, "route", sub.Route)
@@ -327,8 +327,10 @@
 	return n
 }
 
-func sameWorkspace(head Head, workspace string) error {
-	if head.Workspace != workspace {
+// sameWorkspace returns an error with ErrNoJob if a job of owner is called by another
+// workspace.
+func sameWorkspace(owner, workspace string) error {
+	if owner != workspace {
 		return errors.Mark(errors.New("the job belongs to another workspace"), ErrNoJob)
 	}
 	return nil
--- a/internal/bulk/silence_test.go
+++ b/internal/bulk/silence_test.go
@@ -152,7 +152,9 @@
 		page, err = service.Results(t.Context(), "w", "job", 0, 0)
 		is.NoErr(err)
 	}
+	mu.Lock()
 	t.Logf("%d items after %v and %d runs", len(page.Results), time.Since(started), runs)
+	mu.Unlock()
 	is.Equal(len(page.Results), 10)
 	for _, r := range page.Results {
 		is.Equal(r.State, itemlist.Completed)
