backend: an overdue exchange ends no stream beside it

What callers saw, on the product's own interface: when one exchange with a server got no byte within its deadline, streams at the same server that had paused for a second were cut, although they were sound.

Cause: an overdue exchange replaces the server's connections, and what still waits on older ones after a second was cancelled, also while the server answered polls on a connection of the same age.

A stream that has begun is cancelled early only if polls got no answer on its connections either. Idempotent requests without an answer are still ended then, because they go on at another server. New requests use new connections as before.

TestOverdueExchangeEndsNoOther, parts 1.7 s apart beside a stalled stream: the stream ended after its second part before.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -62,10 +62,14 @@
 	return ex.firstByteTimeout
 }
 
-// canAbort reports whether the exchange may be cancelled before its deadline:
-// either the request can be retried, or the rest of its response is lost anyway.
-func (ex *exchange) canAbort() bool {
-	return ex.idempotent || ex.bodyStarted.Load()
+// canAbort reports whether the exchange may be cancelled before its deadline: either
+// the request can be retried, or the rest of its response is lost anyway, because
+// polls got no answer on connections of its generation.
+func (ex *exchange) canAbort(unanswered bool) bool {
+	if ex.bodyStarted.Load() {
+		return unanswered
+	}
+	return ex.idempotent
 }
 
 // abortSilent cancels an exchange that received no byte within its deadline.
--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -165,7 +165,7 @@
 		}
 	case <-time.After(monitorInterval):
 	}
-	s.replaceGeneration(gen, time.Now().UnixNano())
+	s.replaceGeneration(gen, time.Now().UnixNano(), true)
 	return result
 }
 
@@ -179,7 +179,7 @@
 		// A server that responds on no connection is hung or down. Replacing the
 		// generation cancels the exchanges that may be aborted, after the grace
 		// period.
-		s.replaceGeneration(s.currentGeneration(), time.Now().UnixNano())
+		s.replaceGeneration(s.currentGeneration(), time.Now().UnixNano(), true)
 	}
 	if r.err != nil {
 		observer.PollFailed(s.name, r.err)
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -59,6 +59,8 @@
 	// replacedAt is the client's clock in ns when a generation was replaced; 0
 	// once the exchanges on replaced connections have been cancelled.
 	replacedAt int64
+	// unanswered is set if it was replaced because polls got no answer on it.
+	unanswered bool
 }
 
 func newServer(name, address string, opts Options) *server {
@@ -103,8 +105,8 @@
 
 // replaceGeneration starts a new generation of connections after one of the given
 // generation stopped delivering data. It does nothing when that generation has
-// been replaced already.
-func (s *server) replaceGeneration(old *generation, now int64) bool {
+// been replaced already. unanswered reports that polls got no answer on it.
+func (s *server) replaceGeneration(old *generation, now int64, unanswered bool) bool {
 	s.mu.Lock()
 	if s.gen != old {
 		s.mu.Unlock()
@@ -114,6 +116,7 @@
 	if s.replacedAt == 0 { // a further replacement does not extend the grace period
 		s.replacedAt = now
 	}
+	s.unanswered = s.unanswered || unanswered
 	s.mu.Unlock()
 	old.closeIdle()
 	counters.Add("generations_replaced", 1)
@@ -136,7 +139,7 @@
 		ex.abortSilent()
 	}
 	if len(overdue) > 0 {
-		s.replaceGeneration(overdue[0].gen, now)
+		s.replaceGeneration(overdue[0].gen, now, false)
 	}
 	if slow {
 		s.requestPoll()
@@ -158,14 +161,14 @@
 		switch {
 		case waited > ex.nextByteTimeout():
 			overdue = append(overdue, ex)
-		case graceExpired && ex.gen != s.gen && since <= s.replacedAt && ex.canAbort():
+		case graceExpired && ex.gen != s.gen && since <= s.replacedAt && ex.canAbort(s.unanswered):
 			overdue = append(overdue, ex)
 		case ex.gen == s.gen && waited > s.opts.PollAfterSilence:
 			slow = true
 		}
 	}
 	if graceExpired {
-		s.replacedAt = 0
+		s.replacedAt, s.unanswered = 0, false
 	}
 	return overdue, slow
 }
--- /dev/null
+++ b/internal/backend/silent_exchange_test.go
@@ -0,0 +1,60 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against cutting sound streams that pause for a second because another
+// exchange with their server got no byte within its deadline, while the server
+// answers polls on its older connections.
+func TestOverdueExchangeEndsNoOther(t *testing.T) {
+	is := is.NewRelaxed(t)
+	const gap = 1700 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == loadPath {
+			_, _ = io.WriteString(w, `{"running":1,"slots":8}`)
+			return
+		}
+		_, _ = io.WriteString(w, "first ")
+		w.(http.Flusher).Flush()
+		if r.URL.Path == "/stalled" {
+			<-r.Context().Done()
+			return
+		}
+		for _, part := range []string{"second ", "third"} {
+			time.Sleep(gap)
+			_, _ = io.WriteString(w, part)
+			w.(http.Flusher).Flush()
+		}
+	}))
+	defer server.Close()
+	c := newClient(t, server.Listener.Addr().String(), Options{BetweenBytesTimeout: 2500 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	read := func(path string) (string, error) {
+		resp, err := c.Do(ctx, "s", &Request{Method: "POST", Path: path, Body: []byte("x")})
+		if err != nil {
+			return "", err
+		}
+		defer resp.Body.Close()
+		got, err := io.ReadAll(resp.Body)
+		return string(got), err
+	}
+	stalled := make(chan error, 1)
+	go func() {
+		_, err := read("/stalled")
+		stalled <- err
+	}()
+	time.Sleep(500 * time.Millisecond)
+	got, err := read("/paused")
+	is.NoErr(err)
+	is.Equal(got, "first second third")
+	is.Equal(<-stalled, io.ErrUnexpectedEOF)
+}
