informer: changes of large objects are bounded by their size

The host that watches the store kept the last 64 changes of a collection, whatever their size, and sent all of them to each peer that had fallen behind. Where a large configuration changes faster than peers fetch it, they fall behind further, ask for more at each attempt, and time out again; the answers pile up in the memory of the host until it is ended, which cuts all its requests. Callers of the others are refused meanwhile, because the copies are not confirmed.

The changes that are kept are now bounded by 1 MB, and a peer gets the whole copy where that is smaller than the changes.

TestChangesOfLargeObjectsAreBounded failed before.

--- a/internal/informer/relay.go
+++ b/internal/informer/relay.go
@@ -29,6 +29,8 @@
 	// maxRecentDeltas bounds the deltas that a host keeps for peers whose copies
 	// are slightly older.
 	maxRecentDeltas = 64
+	// maxRecentBytes bounds their keys and values.
+	maxRecentBytes = 1 << 20
 	// pushTime is how long a delta is part of the digests, so that one of them may
 	// be lost. Peers that miss it fetch the change.
 	pushTime = 600 * time.Millisecond
@@ -65,7 +67,14 @@
 
 func (col *collection) recordDelta(d delta) {
 	col.recentDeltas = append(col.recentDeltas, recentDelta{d, time.Now()})
-	col.recentDeltas = col.recentDeltas[max(0, len(col.recentDeltas)-maxRecentDeltas):]
+	first, size := len(col.recentDeltas), 0
+	for first > 0 && len(col.recentDeltas)-first < maxRecentDeltas {
+		if size += col.recentDeltas[first-1].bytes(); size > maxRecentBytes {
+			break
+		}
+		first--
+	}
+	col.recentDeltas = slices.Clone(col.recentDeltas[first:]) // so that the older ones are freed
 }
 
 // deltasToPush returns the newest deltas that are part of the digests.
@@ -90,16 +99,35 @@
 }
 
 // deltasSince returns the deltas after a version, and false if some of them are
-// no longer kept.
+// no longer kept or they are larger than a full copy.
 func (col *collection) deltasSince(changed int64) ([]delta, bool) {
 	for i, d := range col.recentDeltas {
 		if d.follows(changed) {
-			return plainDeltas(col.recentDeltas[i:]), true
+			deltas := plainDeltas(col.recentDeltas[i:])
+			return deltas, deltasBytes(deltas) <= col.bytes()
 		}
 	}
 	return nil, false
 }
 
+func deltasBytes(deltas []delta) int {
+	n := 0
+	for _, d := range deltas {
+		n += d.bytes()
+	}
+	return n
+}
+
+// bytes returns the size of the keys and values of the copy. A copy of one object
+// is as large as a delta that changes it.
+func (col *collection) bytes() int {
+	n := 0
+	for key, o := range col.objects {
+		n += len(key) + len(o.Value)
+	}
+	return n
+}
+
 // copyDigest describes one copy in a digest.
 type copyDigest struct {
 	Changed int64   `cbor:"1,keyasint"`
--- a/internal/informer/relay_test.go
+++ b/internal/informer/relay_test.go
@@ -1,13 +1,18 @@
 package informer
 
 import (
+	"encoding/json"
 	"fmt"
+	"log/slog"
 	"maps"
 	"testing"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"ragwortstep/internal/bootclock"
+	"ragwortstep/internal/cluster"
+	"ragwortstep/internal/peer/peertest"
 	"ragwortstep/internal/store"
 )
 
@@ -69,3 +74,45 @@
 	is.True(!col.applyDeltas([]delta{{From: 1, To: 5}, {From: 7, To: 9}}))
 	is.Equal(col.changedVersion, int64(5))
 }
+
+// A large object that changes often filled the memory of the host that watches the
+// store: it kept 64 changes of any size and sent all of them to each peer that fell
+// behind.
+func TestChangesOfLargeObjectsAreBounded(t *testing.T) {
+	is := is.New(t)
+	logger := slog.New(slog.DiscardHandler)
+	const prefix, changes, size = "things/", 50, 200 << 10
+	i := New(Options{
+		Cluster: cluster.New(cluster.Options{Self: cluster.Member{Name: "a"}, Logger: logger}), Peers: peertest.New().Node("a"),
+		Collections: []Collection{{Prefix: prefix}}, Members: prefix, Logger: logger,
+	})
+	col := i.collections[prefix]
+	col.loaded = true
+	change := func(version int64, key string, size int) {
+		event := store.Event{Object: store.Object{Key: prefix + key, Version: version, Value: make([]byte, size)}}
+		i.apply(col, []store.Event{event}, version, bootclock.Now())
+	}
+	for version := int64(1); version <= changes; version++ {
+		change(version, "large", size)
+	}
+	kept := 0
+	for _, d := range col.recentDeltas {
+		kept += d.bytes()
+	}
+	is.True(kept <= maxRecentBytes)
+	behind := func(by int64) copyResponse {
+		raw, err := json.Marshal(copyRequest{prefix, col.changedVersion - by})
+		is.NoErr(err)
+		response, err := i.serveCopy(t.Context(), "b", raw)
+		is.NoErr(err)
+		return response.(copyResponse)
+	}
+	for by := int64(1); by <= changes; by++ {
+		response := behind(by)
+		is.True(deltasBytes(response.Deltas) <= col.bytes())
+		is.True(len(response.Deltas) > 0 || len(response.Objects) == 1)
+	}
+	change(changes+1, "small", 10)
+	change(changes+2, "small", 10)
+	is.Equal(len(behind(2).Deltas), 2) // guards against full copies for small changes
+}
