bulk: an item with an empty output completes

Since an answer without an event is no output, an item whose output is empty would have been run until its retention was over. Its third complete answer without anything now counts as its output. One that ends with its connection, or that holds comments or text, does not count.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -45,6 +45,9 @@
 	// maxLostRests is how many servers may fail to go on with an output before the
 	// item is run from the start.
 	maxLostRests = 2
+	// emptyAnswers is how many complete answers without an event, from the start of the
+	// item, mean that its output is empty.
+	emptyAnswers = 3
 )
 
 // start runs the items of a loaded job that have not ended yet. ctx is that of the
@@ -89,6 +92,7 @@
 	eventCount  int
 	lastEventID int64 // of the last complete event
 	lostRests   int   // answers in a row that did not go on with the output
+	empty       int   // complete answers from the start without an event
 	failures    int   // responses with status 422 or 500
 	retryDelay  time.Duration
 	tried       []string       // servers that failed since the last progress
@@ -334,14 +338,24 @@
 	}
 }
 
+// isEmptyOutput reports whether an answer without an event, and the ones before it,
+// show that the item's output is empty. A single one may be a fault of its server.
+func (r *itemRun) isEmptyOutput(resp *upstream.Response, hasComments bool) bool {
+	if r.eventCount > 0 || resp.UntilClose || hasComments {
+		return false
+	}
+	r.empty++
+	return r.empty >= emptyAnswers
+}
+
 // waitLonger doubles the waits for the servers of the item.
 func (r *itemRun) waitLonger() { r.patience = min(2*r.patience, maxPatience) }
 
-// collect reads complete events until the regular end of the stream. A stream that
-// ends without an event is no output, whatever its framing.
+// collect reads complete events until the regular end of the stream. One that ends
+// without an event is no output, unless isEmptyOutput says so.
 func (r *itemRun) collect(ctx context.Context, slot *slots.Slot, resp *upstream.Response) (*itemlist.Result, placement.Outcome, float64) {
 	reader := upstream.NewEventReader(resp.Body)
-	got := 0
+	got, hasComments := 0, false
 	began := time.Now()
 	defer func() { r.s.pace.recordRun(got, time.Since(began)) }()
 	resp.Body.SetReadTimeout(r.patience * eventGapTimeout)
@@ -350,7 +364,7 @@
 			r.s.awaitReadTick(ctx)
 		}
 		event, err := reader.Next()
-		if err == io.EOF && got == 0 {
+		if err == io.EOF && got == 0 && !r.isEmptyOutput(resp, hasComments) {
 			err = errNoEvent
 		}
 		if err == io.EOF {
@@ -358,6 +372,7 @@
 			return &itemlist.Result{ID: r.item.ID, State: itemlist.Completed, Output: r.output.String()}, placement.Success, float64(max(got, 1))
 		}
 		if err == nil && event.IsComment {
+			hasComments = true
 			continue
 		}
 		if err == nil {
--- a/internal/bulk/joined_test.go
+++ b/internal/bulk/joined_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"ragwortstep/internal/bulk"
 	"ragwortstep/internal/core/itemlist"
 	"ragwortstep/internal/servertest"
 )
@@ -70,6 +72,32 @@
 	testOddAnswer(t, oddAnswers["no event, length 0"], 1, 4)
 }
 
+// An item whose output is empty must complete: its servers give complete answers
+// without an event, each time. It would be run until its retention is over.
+func TestItemWithEmptyOutputCompletes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var asked atomic.Int64
+	script := func(c *servertest.Conn) bool {
+		asked.Add(1)
+		c.StartStream()
+		c.EndStream()
+		return true
+	}
+	f := newFleet(t, servertest.New(t, script), servertest.New(t, script))
+	a := f.start("a")
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 1)))
+	var page *bulk.Page
+	f.eventually("listed", func() bool {
+		var err error
+		page, err = a.bulk.Results(context.Background(), "w", "job", 0, 0)
+		return err == nil && len(page.Results) == 1
+	})
+	is.Equal(page.Results[0].State, itemlist.Completed)
+	is.Equal(page.Results[0].Output, "")
+	is.Equal(asked.Load(), int64(3))
+}
+
 // testOddAnswer runs an item whose servers break off at first, then give an odd answer
 // to each request for the rest, for the given numbers of requests, and are sound.
 func testOddAnswer(t *testing.T, answer string, broken, odd int) {
