host: requests read during a planned stop are answered

On the own interface, callers saw their connections close without an answer when a host stopped, though it had read their whole request: on connections that were accepted just before the drain began, and on kept and new ones whose request was just arriving. Over HTTP/1.1 this was so with and without TLS.

The drain of internal/entry is now in internal/callers, with the limits and the record of who ended a connection, and both hosts use it. Under TLS it acts on the connection below, where a pending read can be ended and bytes that have arrived are seen. Shutdown is right over HTTP/2, so it is called once no connection of HTTP/1.1 is open, and asks callers of HTTP/2 to leave; those with requests were asked before by the gateway's Connection: close. Answers to operators during the drain say so too, as they did under Shutdown.

--- a/internal/entry/connections.go
+++ b/internal/callers/connections.go
@@ -1,7 +1,10 @@
-package entry
+// Package callers holds the connections of an HTTP server's callers: their limits,
+// which side ended them, and their drain when the host stops.
+package callers
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"maps"
 	"net"
@@ -24,8 +27,8 @@
 	// drainInterval is how often a draining host looks for connections that have
 	// become idle.
 	drainInterval = 10 * time.Millisecond
-	// minHeaderBytes is the size of headers that are read in any configuration.
-	minHeaderBytes = 64 << 10
+	// MinHeaderBytes is the size of headers that are read in any configuration.
+	MinHeaderBytes = 64 << 10
 	// readSize bounds the bytes behind a header that are read with it.
 	readSize = 4 << 10
 	// refusalTime and refusalBytes bound what is read of a header that is refused, so
@@ -34,37 +37,42 @@
 	refusalBytes = 4 << 20
 )
 
+// protocolHTTP2 is the name of HTTP/2 in the handshake of TLS.
+const protocolHTTP2 = "h2"
+
 // headerTooLarge is the answer to a request whose header is too large.
 const headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\n" +
 	"Connection: close\r\n\r\n431 Request Header Fields Too Large"
 
-// callerLimits is what the configuration allows callers. The HTTP server's own limits
-// apply where they are larger.
-type callerLimits struct {
-	headerBytes int           // of a request
-	headerTime  time.Duration // from the first to the last byte of the header
-	idleTime    time.Duration // of a connection
+// Limits is what the configuration allows callers. The HTTP server's own limits apply
+// where they are larger.
+type Limits struct {
+	HeaderBytes int           // of a request
+	HeaderTime  time.Duration // from the first to the last byte of the header
+	IdleTime    time.Duration // of a connection
 }
 
-// connections are the open connections of callers.
-type connections struct {
-	limits func() callerLimits
-	mu     sync.Mutex
-	open   map[*connection]struct{}
-}
+// Listener accepts callers' connections and keeps those that are open. The HTTP
+// server needs StateChanged.
+type Listener struct {
+	net.Listener
+	limits func() Limits
 
-func newConnections(limits func() callerLimits) *connections {
-	return &connections{limits: limits, open: map[*connection]struct{}{}}
+	accepting sync.Mutex // held while a connection is accepted
+	mu        sync.Mutex
+	open      map[*connection]struct{}
 }
 
-// listener wraps the connections that it accepts.
-type listener struct {
-	net.Listener
-	connections *connections
+// NewListener wraps a TCP listener. If limits is nil, the HTTP server's own limits are
+// the only ones.
+func NewListener(l net.Listener, limits func() Limits) *Listener {
+	return &Listener{Listener: l, limits: limits, open: map[*connection]struct{}{}}
 }
 
 // Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
+	l.accepting.Lock()
+	defer l.accepting.Unlock()
 	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -74,32 +82,45 @@
 		_ = accepted.Close() // the error of Wrap is returned
 		return nil, err
 	}
-	return l.connections.add(raw), nil
+	return l.add(raw), nil
 }
 
-func (s *connections) add(raw *rawconn.Conn) *connection {
-	c := &connection{Conn: raw, owner: s}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.open[c] = struct{}{}
+// Close implements net.Listener. The HTTP server closes the listener too.
+func (l *Listener) Close() error {
+	if err := l.Listener.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+func (l *Listener) add(raw *rawconn.Conn) *connection {
+	c := &connection{Conn: raw, owner: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
 	return c
 }
 
-func (s *connections) remove(c *connection) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.open, c)
+func (l *Listener) remove(c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
 }
 
-// drain closes idle connections until none is open or ctx ends. The listener is
-// closed. http.Server.Shutdown is no substitute: it drops requests that are read
-// after its call, and may close a connection while a request is read from it.
-func (s *connections) drain(ctx context.Context) error {
+// Drain accepts no more connections and closes idle ones until none of HTTP/1.1 is
+// open or ctx ends. http.Server.Shutdown is no substitute: it drops requests that are
+// read after its call, and may close a connection while a request is read from it.
+func (l *Listener) Drain(ctx context.Context) error {
+	if err := l.Close(); err != nil {
+		return errors.Wrap(err, "close listener")
+	}
+	l.accepting.Lock() // all accepted connections are known
+	defer l.accepting.Unlock()
 	began := time.Now()
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for {
-		open := s.list()
+		open := slices.DeleteFunc(l.list(), (*connection).isMultiplexed)
 		if len(open) == 0 {
 			return nil
 		}
@@ -114,24 +135,30 @@
 	}
 }
 
-func (s *connections) list() []*connection {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Keys(s.open))
+func (l *Listener) list() []*connection {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.open))
 }
 
-// stateChanged is an http.Server's ConnState.
-func stateChanged(conn net.Conn, state http.ConnState) {
+// StateChanged is an http.Server's ConnState.
+func StateChanged(conn net.Conn, state http.ConnState) {
+	protocol := ""
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn, protocol = encrypted.NetConn(), encrypted.ConnectionState().NegotiatedProtocol
+	}
 	c, ok := conn.(*connection)
 	if !ok {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch state {
-	case http.StateIdle:
+	switch {
+	case protocol == protocolHTTP2:
+		c.phase = multiplexed
+	case state == http.StateIdle:
 		c.phase, c.idleSince, c.headerBytes = idle, time.Now(), 0
-	case http.StateActive:
+	case state == http.StateActive:
 		c.phase = inRequest
 		c.keep()
 	}
@@ -141,16 +168,17 @@
 type phase int
 
 const (
-	unused    phase = iota // no byte of the first request has arrived
-	inHeader               // a request has begun to arrive
-	inRequest              // a request is not answered yet
-	idle                   // since the answer to a request
+	unused      phase = iota // no byte of the first request has arrived
+	inHeader                 // a request or a handshake of TLS has begun to arrive
+	inRequest                // a request is not answered yet
+	idle                     // since the answer to a request
+	multiplexed              // it carries HTTP/2
 )
 
 // connection is a caller's connection. It notes which side ended it.
 type connection struct {
 	*rawconn.Conn
-	owner *connections
+	owner *Listener
 
 	mu          sync.Mutex
 	phase       phase
@@ -169,13 +197,19 @@
 func (c *connection) retire(spareUnused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired || c.phase == inHeader || c.phase == inRequest || c.phase == unused && spareUnused {
+	if c.retired || c.phase != idle && (c.phase != unused || spareUnused) {
 		return
 	}
 	c.retired = true
 	_ = c.Conn.SetReadDeadline(aLongTimeAgo) // fails if it is closed
 }
 
+func (c *connection) isMultiplexed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == multiplexed
+}
+
 // keep revokes retire. The caller holds mu.
 func (c *connection) keep() {
 	if c.retired {
@@ -203,11 +237,14 @@
 // allowedTime returns how long the configuration lets the caller take in this phase.
 // The caller holds mu.
 func (c *connection) allowedTime() time.Duration {
+	if c.owner.limits == nil {
+		return 0
+	}
 	switch c.phase {
 	case unused, inHeader:
-		return c.owner.limits().headerTime
+		return c.owner.limits().HeaderTime
 	case idle:
-		return c.owner.limits().idleTime
+		return c.owner.limits().IdleTime
 	}
 	return 0
 }
@@ -280,12 +317,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.keep()
-	if c.phase == inRequest {
+	if c.phase == inRequest || c.phase == multiplexed {
 		return true
 	}
 	c.phase = inHeader
+	if c.owner.limits == nil {
+		return true
+	}
 	c.headerBytes += n
-	return c.headerBytes <= max(c.owner.limits().headerBytes, minHeaderBytes)+readSize
+	return c.headerBytes <= max(c.owner.limits().HeaderBytes, MinHeaderBytes)+readSize
 }
 
 // Write implements net.Conn.
@@ -336,14 +376,14 @@
 // connectionKey is the context key of a request's connection.
 type connectionKey struct{}
 
-// withConnection is an http.Server's ConnContext.
-func withConnection(ctx context.Context, c net.Conn) context.Context {
+// WithConnection is an http.Server's ConnContext.
+func WithConnection(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
-// callerEnd returns how the caller ended the connection of a request, empty if it
+// EndOf returns how the caller ended the connection of a request, empty if it
 // did not.
-func callerEnd(r *http.Request) string {
+func EndOf(r *http.Request) string {
 	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
 		return c.callerEnd()
 	}
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"ragwortstep/internal/callers"
 	"ragwortstep/internal/metrics"
 	"ragwortstep/internal/online"
 )
@@ -83,7 +84,7 @@
 // not say that nothing ran.
 func (c *calls) finish(call *openCall, out *answer, r *http.Request, panicked any) {
 	by, reason := cutByHost, "the answer was aborted"
-	if end := callerEnd(r); end != "" {
+	if end := callers.EndOf(r); end != "" {
 		by, reason = cutByCaller, end
 	}
 	switch {
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"ragwortstep/internal/callers"
 	"ragwortstep/internal/core/routing"
 	"ragwortstep/internal/informer"
 )
@@ -45,12 +46,12 @@
 }
 
 // callerLimits returns the limits of the current configuration.
-func (c *configuration) callerLimits() callerLimits {
+func (c *configuration) callerLimits() callers.Limits {
 	snapshot := c.current.Load()
 	if snapshot == nil {
-		return callerLimits{}
+		return callers.Limits{}
 	}
-	return callerLimits{headerBytes: snapshot.MaxHeaderBytes, headerTime: snapshot.HeaderTimeout, idleTime: snapshot.IdleTimeout}
+	return callers.Limits{HeaderBytes: snapshot.MaxHeaderBytes, HeaderTime: snapshot.HeaderTimeout, IdleTime: snapshot.IdleTimeout}
 }
 
 // workspace returns a workspace of the current configuration.
--- a/internal/entry/connections_test.go
+++ b/internal/entry/connections_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"ragwortstep/internal/callers"
 )
 
 const (
@@ -20,11 +22,10 @@
 )
 
 // startLimitedServer starts a server with the limits of a configuration.
-func startLimitedServer(t *testing.T, limits func() callerLimits) *caller {
+func startLimitedServer(t *testing.T, limits func() callers.Limits) *caller {
 	t.Helper()
-	s := newTestServer(t, func(http.ResponseWriter, *http.Request) {})
+	s := newTestServer(t, func(http.ResponseWriter, *http.Request) {}, limits)
 	s.server.IdleTimeout, s.server.ReadHeaderTimeout, s.server.MaxHeaderBytes = shortTime, shortTime, maxHeaderBytes
-	s.listener.connections.limits = limits
 	go func() { _ = s.serve() }() // it ends with the listener
 	c, err := dialCaller(s.listener.Addr().String())
 	if err != nil {
@@ -32,7 +33,7 @@
 	}
 	t.Cleanup(func() {
 		_ = c.Close()
-		if err := s.drain(context.WithoutCancel(t.Context())); err != nil {
+		if err := s.listener.Drain(context.WithoutCancel(t.Context())); err != nil {
 			t.Error(err)
 		}
 	})
@@ -51,7 +52,7 @@
 // configuration found their connections closed by shorter limits of the host.
 func TestConnectionsLastAsLongAsConfigured(t *testing.T) {
 	is := is.New(t)
-	c := startLimitedServer(t, func() callerLimits { return callerLimits{idleTime: longTime, headerTime: longTime} })
+	c := startLimitedServer(t, func() callers.Limits { return callers.Limits{IdleTime: longTime, HeaderTime: longTime} })
 	text := requestText("id", "/")
 	for range 3 {
 		time.Sleep(3 * shortTime)
@@ -66,16 +67,16 @@
 // that were idle at that moment were closed after the former one.
 func TestIdleConnectionLastsAsLongAsNewlyConfigured(t *testing.T) {
 	is := is.New(t)
-	var limits atomic.Pointer[callerLimits]
-	limits.Store(&callerLimits{})
-	c := startLimitedServer(t, func() callerLimits { return *limits.Load() })
+	var limits atomic.Pointer[callers.Limits]
+	limits.Store(&callers.Limits{})
+	c := startLimitedServer(t, func() callers.Limits { return *limits.Load() })
 	is.NoErr(c.send(requestText("id", "/")))
 	c.expect(t, http.StatusOK)
-	limits.Store(&callerLimits{idleTime: longTime})
+	limits.Store(&callers.Limits{IdleTime: longTime})
 	time.Sleep(3 * shortTime)
 	is.NoErr(c.send(requestText("id", "/")))
 	c.expect(t, http.StatusOK)
-	limits.Store(&callerLimits{}) // guards against connections without a limit
+	limits.Store(&callers.Limits{}) // guards against connections without a limit
 	time.Sleep(longTime + shortTime)
 	_ = c.send(requestText("id", "/")) // the answer tells
 	_, _, err := c.answer()
@@ -88,17 +89,17 @@
 	request := func(size int) string {
 		return fmt.Sprintf("GET / HTTP/1.1\r\nHost: h\r\nX: %s\r\n\r\n", strings.Repeat("x", size))
 	}
-	large := callerLimits{headerBytes: 4 * minHeaderBytes}
-	c := startLimitedServer(t, func() callerLimits { return large })
+	large := callers.Limits{HeaderBytes: 4 * callers.MinHeaderBytes}
+	c := startLimitedServer(t, func() callers.Limits { return large })
 	for range 3 { // each is counted by itself
-		is.NoErr(c.send(request(3 * minHeaderBytes)))
+		is.NoErr(c.send(request(3 * callers.MinHeaderBytes)))
 		c.expect(t, http.StatusOK)
 	}
-	is.NoErr(c.send(request(5 * minHeaderBytes)))
+	is.NoErr(c.send(request(5 * callers.MinHeaderBytes)))
 	c.expect(t, http.StatusRequestHeaderFieldsTooLarge)
 	_, _, err := c.answer()
 	is.True(err != nil) // closed
-	c = startLimitedServer(t, func() callerLimits { return callerLimits{} })
-	is.NoErr(c.send(request(minHeaderBytes - 100)))
+	c = startLimitedServer(t, func() callers.Limits { return callers.Limits{} })
+	is.NoErr(c.send(request(callers.MinHeaderBytes - 100)))
 	c.expect(t, http.StatusOK)
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -13,6 +13,7 @@
 
 	"ragwortstep/internal/abort"
 	"ragwortstep/internal/bulk"
+	"ragwortstep/internal/callers"
 	"ragwortstep/internal/cluster"
 	"ragwortstep/internal/informer"
 	"ragwortstep/internal/metrics"
@@ -194,25 +195,13 @@
 type httpServer struct {
 	name     string
 	server   *http.Server
-	listener listener
-	ended    chan struct{} // closed when it accepts no more connections
+	listener *callers.Listener
 }
 
 func (s httpServer) serve() error {
-	defer close(s.ended)
 	return errors.Wrapf(s.server.Serve(s.listener), "serve %s", s.name)
 }
 
-// drain accepts no more connections and waits until all requests are answered, or
-// ctx ends.
-func (s httpServer) drain(ctx context.Context) error {
-	if err := s.listener.Close(); err != nil {
-		return errors.Wrap(err, "close listener")
-	}
-	<-s.ended // all accepted connections are known
-	return s.listener.connections.drain(ctx)
-}
-
 // listen binds all addresses before any component starts.
 func (h *host) listen() ([]httpServer, error) {
 	h.calls = &calls{
@@ -238,9 +227,9 @@
 		}
 		server := &http.Server{
 			Handler: item.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: slog.NewLogLogger(h.log.With("event", "http_server", "server", item.name).Handler(), slog.LevelWarn), ConnContext: withConnection, ConnState: stateChanged,
+			ErrorLog: slog.NewLogLogger(h.log.With("event", "http_server", "server", item.name).Handler(), slog.LevelWarn), ConnContext: callers.WithConnection, ConnState: callers.StateChanged,
 		}
-		out = append(out, httpServer{item.name, server, listener{l, newConnections(h.config.callerLimits)}, make(chan struct{})})
+		out = append(out, httpServer{item.name, server, callers.NewListener(l, h.config.callerLimits)})
 	}
 	return out, nil
 }
@@ -266,7 +255,7 @@
 			continue // readiness and metrics are served until the process ends
 		}
 		group.Go(func() {
-			if err := s.drain(ctx); err != nil {
+			if err := s.listener.Drain(ctx); err != nil {
 				h.calls.cutOpen()
 				h.log.Warn("requests aborted at the end of the grace period", "event", "drain_incomplete", "server", s.name, "error", err)
 			}
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/matryer/is"
 
+	"ragwortstep/internal/callers"
 	"ragwortstep/internal/metrics"
 	"ragwortstep/internal/servertest"
 	"ragwortstep/internal/store/storetest"
@@ -329,9 +330,9 @@
 			handled[r.Header.Get(servertest.HeaderID)] = true
 			mu.Unlock()
 			_, _ = io.ReadAll(r.Body) // may be cut
-		})
+		}, func() callers.Limits { return callers.Limits{} })
 		s.server.ConnState = func(c net.Conn, state http.ConnState) {
-			stateChanged(c, state)
+			callers.StateChanged(c, state)
 			if state == http.StateActive {
 				read.Add(1)
 			}
@@ -352,7 +353,7 @@
 		}
 		time.Sleep(time.Duration(2000+37*round%3000) * time.Microsecond)
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-		is.NoErr(s.drain(ctx))
+		is.NoErr(s.listener.Drain(ctx))
 		cancel()
 		group.Wait()
 	}
@@ -363,14 +364,14 @@
 }
 
 // newTestServer returns a server of callers' connections without a host.
-func newTestServer(t *testing.T, handler http.HandlerFunc) httpServer {
+func newTestServer(t *testing.T, handler http.HandlerFunc, limits func() callers.Limits) httpServer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: handler, ConnContext: withConnection, ConnState: stateChanged}
-	return httpServer{"callers", server, listener{l, newConnections(func() callerLimits { return callerLimits{} })}, make(chan struct{})}
+	server := &http.Server{Handler: handler, ConnContext: callers.WithConnection, ConnState: callers.StateChanged}
+	return httpServer{"callers", server, callers.NewListener(l, limits)}
 }
 
 // callUntilClosed sends requests on one connection until it is closed. It returns
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ragwortstep/internal/admin"
+	"ragwortstep/internal/callers"
 	"ragwortstep/internal/core/limit"
 	"ragwortstep/internal/dedupe"
 	"ragwortstep/internal/dispatch"
@@ -174,10 +175,7 @@
 	h.logger.Info("host started", "callers", h.settings.Listen.Callers, "incarnation", h.incarnation)
 	<-groupCtx.Done()
 	h.shutdown(servers, stop)
-	if err := group.Wait(); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return group.Wait()
 }
 
 // start starts the components in the order of their dependencies. It waits for
@@ -241,32 +239,45 @@
 type httpServer struct {
 	name     string
 	server   *http.Server
-	listener net.Listener
+	listener *callers.Listener
+	tls      *tls.Config // nil without TLS
 }
 
 func (s httpServer) serve() error {
-	err := s.server.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	accepting := net.Listener(s.listener)
+	if s.tls != nil {
+		accepting = tls.NewListener(accepting, s.tls)
+	}
+	err := s.server.Serve(accepting)
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errors.Wrapf(err, "serve %s", s.name)
 }
 
+// drain accepts no more connections and waits until all requests are answered, or
+// ctx ends. Those over HTTP/2 may come until Shutdown, which asks callers to leave;
+// over HTTP/1.1 it would drop requests.
+func (s httpServer) drain(ctx context.Context) error {
+	err := s.listener.Drain(ctx)
+	return errors.CombineErrors(err, s.server.Shutdown(ctx))
+}
+
 func (h *Host) servers(l *listeners) ([]httpServer, error) {
 	h.gateway = gateway.New(gateway.Options{
 		Fleet: h.fleet, Limiter: h.limiter, Dispatcher: h.dispatcher, IdempotencyStore: h.dedupe,
 		Jobs: h.jobs.Handler(), WithWorkspace: jobs.WithWorkspace,
 		Settings: h.settings.Gateway, Events: h.events, Logger: h.logger,
 	})
-	callers, err := h.callersServer(l.callers)
+	forCallers, err := h.callersServer(l.callers)
 	if err != nil {
 		return nil, err
 	}
-	servers := []httpServer{callers, {"admin", h.newServer(h.adminHandler()), l.admin}}
+	servers := []httpServer{forCallers, h.internalServer("admin", h.adminHandler(), l.admin)}
 	if l.metrics != nil {
 		mux := http.NewServeMux()
 		mux.Handle("GET /debug/vars", expvar.Handler())
-		servers = append(servers, httpServer{"metrics", h.newServer(mux), l.metrics})
+		servers = append(servers, h.internalServer("metrics", mux, l.metrics))
 	}
 	return servers, nil
 }
@@ -274,23 +285,35 @@
 func (h *Host) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(h.logger.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(h.logger.Handler(), slog.LevelDebug), ConnState: callers.StateChanged,
 	}
 }
 
+// internalServer returns a server for operators. While the host drains, each answer
+// is the last one of its connection.
+func (h *Host) internalServer(name string, handler http.Handler, l net.Listener) httpServer {
+	server := h.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	return httpServer{name: name, server: server, listener: callers.NewListener(l, nil)}
+}
+
 func (h *Host) callersServer(l net.Listener) (httpServer, error) {
-	server := h.newServer(h.gateway)
+	s := httpServer{name: "callers", server: h.newServer(h.gateway), listener: callers.NewListener(l, nil)}
 	files := h.settings.Listen.TLS
 	if files.Cert == "" {
-		return httpServer{"callers", server, l}, nil
+		return s, nil
 	}
 	certs, err := newCertSource(files.Cert, files.Key)
 	if err != nil {
 		return httpServer{}, err
 	}
-	cfg := &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: certs.getCertificate, NextProtos: []string{"h2", "http/1.1"}}
-	server.TLSConfig = cfg
-	return httpServer{"callers", server, tls.NewListener(l, cfg)}, nil
+	s.tls = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: certs.getCertificate, NextProtos: []string{"h2", "http/1.1"}}
+	s.server.TLSConfig = s.tls
+	return s, nil
 }
 
 func (h *Host) adminHandler() http.Handler {
@@ -324,7 +347,7 @@
 	time.Sleep(h.settings.Gateway.Unready)
 	h.logErr("release batch work", h.jobs.Close(drain))
 	for _, srv := range servers {
-		h.logErr("drain "+srv.name, srv.server.Shutdown(drain))
+		h.logErr("drain "+srv.name, srv.drain(drain))
 	}
 	h.logErr("drain requests", h.dispatcher.Drain(drain))
 	time.AfterFunc(leaveTimeout, stopLeaving)
