host: callers are drained while batch items end

When a host of the own way of running stopped while an item of a batch took longer than its drain (30 s; an item may take 10 minutes), it accepted callers' requests until the end of the drain, and then cut those that were open. The cause is the order of the shutdown: it ended batch work first, which waits for running items until the drain's context ends, and drained the servers after that, without any time left.

The callers' server is now drained while batch items end. Those of operators still follow, so that the end of the items can be watched, and the dispatcher after them, which refuses batch work from then on.

--- a/internal/host/drain_test.go
+++ b/internal/host/drain_test.go
@@ -383,3 +383,35 @@
 	}
 	s.drainNow()
 }
+
+// Guards against a host that accepts requests until the end of its drain while an item
+// of a batch hangs, and then stops below them.
+func TestHangingItemsKeepNoCallersAtDrainingHost(t *testing.T) {
+	is := is.New(t)
+	var open atomic.Int64
+	s := startServer(t, settings.TLS{}, func(_ http.ResponseWriter, r *http.Request) {
+		open.Add(1)
+		defer open.Add(-1)
+		_, _ = io.ReadAll(r.Body) // may be cut
+		time.Sleep(300 * time.Millisecond)
+	})
+	var group sync.WaitGroup
+	for range drainCallers {
+		group.Go(func() {
+			for err := error(nil); err == nil; { // until it is refused
+				_, err = s.callSome("id", false, &atomic.Int64{})
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond) // until requests are open
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	h := &Host{logger: slog.New(slog.DiscardHandler)}
+	h.endWork(ctx, []httpServer{s.httpServer}, func(ctx context.Context) error {
+		<-ctx.Done() // as jobs.Service.Close while an item hangs
+		return nil
+	})
+	is.Equal(open.Load(), int64(0)) // requests that the end of the process would cut
+	_ = s.server.Close()            // ends callers of a host that is not drained
+	group.Wait()
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -345,10 +345,7 @@
 	left := make(chan error, 1)
 	go func() { left <- h.fleet.Leave(leave) }() // hands over shares and roles while the load balancer reacts
 	time.Sleep(h.settings.Gateway.Unready)
-	h.logErr("release batch work", h.jobs.Close(drain))
-	for _, srv := range servers {
-		h.logErr("drain "+srv.name, srv.drain(drain))
-	}
+	h.endWork(drain, servers, h.jobs.Close)
 	h.logErr("drain requests", h.dispatcher.Drain(drain))
 	time.AfterFunc(leaveTimeout, stopLeaving)
 	h.logErr("leave the epoch", <-left)
@@ -361,6 +358,20 @@
 	h.logger.Info("host stopped")
 }
 
+// endWork drains the servers, the callers' one of which is the first, and ends batch
+// work. Callers do not wait for items, which may run until ctx ends: the host would
+// accept requests until then and stop below them.
+func (h *Host) endWork(ctx context.Context, servers []httpServer, closeJobs func(context.Context) error) {
+	var group sync.WaitGroup
+	group.Go(func() { h.logErr("release batch work", closeJobs(ctx)) })
+	drain := func(s httpServer) { h.logErr("drain "+s.name, s.drain(ctx)) }
+	drain(servers[0])
+	group.Wait() // operators can watch the items end
+	for _, srv := range servers[1:] {
+		drain(srv)
+	}
+}
+
 func (h *Host) logErr(step string, err error) {
 	if err != nil {
 		h.logger.Warn("shutdown step failed", "step", step, "error", err)
