host: a drain waits 5 s for first requests over TLS

The bytes of a handshake counted as the begin of a request.

Before its first request, a connection of TLS is now ended when nothing was read on it for 5 s. A shorter time would end callers whose first request has begun, which cannot be told from a handshake below TLS.

--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -24,6 +24,9 @@
 	// newConnectionTime is how long a host that accepts no more connections waits for
 	// the first request on those that it accepted before.
 	newConnectionTime = time.Second
+	// handshakeTime is how long a draining host waits for more on a connection of TLS
+	// without a request: what was read may be the handshake or a part of the first one.
+	handshakeTime = 5 * time.Second
 	// drainInterval is how often a draining host looks for connections that have
 	// become idle.
 	drainInterval = 10 * time.Millisecond
@@ -144,7 +147,8 @@
 // StateChanged is an http.Server's ConnState.
 func StateChanged(conn net.Conn, state http.ConnState) {
 	protocol := ""
-	if encrypted, ok := conn.(*tls.Conn); ok {
+	encrypted, isTLS := conn.(*tls.Conn)
+	if isTLS {
 		conn, protocol = encrypted.NetConn(), encrypted.ConnectionState().NegotiatedProtocol
 	}
 	c, ok := conn.(*connection)
@@ -154,8 +158,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case state == http.StateNew && isTLS:
+		c.phase, c.readAt = inHandshake, time.Now()
 	case protocol == protocolHTTP2:
 		c.phase = multiplexed
+		c.keep()
 	case state == http.StateIdle:
 		c.phase, c.idleSince, c.headerBytes = idle, time.Now(), 0
 	case state == http.StateActive:
@@ -169,7 +176,8 @@
 
 const (
 	unused      phase = iota // no byte of the first request has arrived
-	inHeader                 // a request or a handshake of TLS has begun to arrive
+	inHandshake              // of TLS, or behind it and before the first request
+	inHeader                 // a request has begun to arrive
 	inRequest                // a request is not answered yet
 	idle                     // since the answer to a request
 	multiplexed              // it carries HTTP/2
@@ -183,10 +191,11 @@
 	mu          sync.Mutex
 	phase       phase
 	idleSince   time.Time
-	headerBytes int    // read of the current header
-	retired     bool   // the next read finds the end of the connection, unless it finds bytes
-	isClosed    bool   // by this host
-	lostBy      string // how the caller or the network ended it, empty if neither did
+	readAt      time.Time // last, in the phase inHandshake
+	headerBytes int       // read of the current header
+	retired     bool      // the next read finds the end of the connection, unless it finds bytes
+	isClosed    bool      // by this host
+	lostBy      string    // how the caller or the network ended it, empty if neither did
 }
 
 // aLongTimeAgo is a deadline that ends a pending read.
@@ -197,7 +206,8 @@
 func (c *connection) retire(spareUnused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired || c.phase != idle && (c.phase != unused || spareUnused) {
+	isUnused := c.phase == unused || c.phase == inHandshake && time.Since(c.readAt) > handshakeTime
+	if c.retired || c.phase != idle && (!isUnused || spareUnused) {
 		return
 	}
 	c.retired = true
@@ -241,7 +251,7 @@
 		return 0
 	}
 	switch c.phase {
-	case unused, inHeader:
+	case unused, inHandshake, inHeader:
 		return c.owner.limits().HeaderTime
 	case idle:
 		return c.owner.limits().IdleTime
@@ -317,7 +327,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.keep()
-	if c.phase == inRequest || c.phase == multiplexed {
+	switch c.phase {
+	case inHandshake:
+		c.readAt = time.Now()
+		return true
+	case inRequest, multiplexed:
 		return true
 	}
 	c.phase = inHeader
