entry: a request begun behind another one is answered during a planned stop

What callers saw, if they send requests without waiting for the answers: at a planned stop, 400 and a closed connection for a request whose beginning had arrived together with the request before it.

Cause: such bytes are in the HTTP server's buffer already, so the connection counted as idle after the answer, and the end that a draining host lets the server find there cut the request.

The server sets a deadline for the wait on an idle connection and one for the header after it. If it reads nothing in between, the request has begun. That moment also gives the header its own limit instead of that for idle connections.

TestRequestBegunBehindAnotherIsAnsweredDuringShutdown: status 400 before, 200 now. One to three bytes of a request that were read with the one before still count as none.

--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -164,7 +164,7 @@
 		c.phase = multiplexed
 		c.keep()
 	case state == http.StateIdle:
-		c.phase, c.idleSince, c.headerBytes = idle, time.Now(), 0
+		c.phase, c.idleSince, c.headerBytes, c.awaitsRequest = idle, time.Now(), 0, false
 	case state == http.StateActive:
 		c.phase = inRequest
 		c.keep()
@@ -188,14 +188,15 @@
 	*rawconn.Conn
 	owner *Listener
 
-	mu          sync.Mutex
-	phase       phase
-	idleSince   time.Time
-	readAt      time.Time // last, in the phase inHandshake
-	headerBytes int       // read of the current header
-	retired     bool      // the next read finds the end of the connection, unless it finds bytes
-	isClosed    bool      // by this host
-	lostBy      string    // how the caller or the network ended it, empty if neither did
+	mu            sync.Mutex
+	phase         phase
+	idleSince     time.Time
+	awaitsRequest bool      // the HTTP server has set the deadline for the wait in phase idle
+	readAt        time.Time // last, in the phase inHandshake
+	headerBytes   int       // read of the current header
+	retired       bool      // the next read finds the end of the connection, unless it finds bytes
+	isClosed      bool      // by this host
+	lostBy        string    // how the caller or the network ended it, empty if neither did
 }
 
 // aLongTimeAgo is a deadline that ends a pending read.
@@ -233,6 +234,7 @@
 func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.noteBufferedRequest()
 	if c.retired {
 		return c.Conn.SetReadDeadline(aLongTimeAgo)
 	}
@@ -244,6 +246,17 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// noteBufferedRequest notes a request whose beginning was read together with the
+// request before. The HTTP server does not read then, but sets the deadline for the
+// header right after that for the wait. The caller holds mu.
+func (c *connection) noteBufferedRequest() {
+	if c.phase == idle && c.awaitsRequest {
+		c.phase = inHeader
+		c.keep()
+	}
+	c.awaitsRequest = c.phase == idle
+}
+
 // allowedTime returns how long the configuration lets the caller take in this phase.
 // The caller holds mu.
 func (c *connection) allowedTime() time.Duration {
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -402,3 +402,23 @@
 		time.Sleep(time.Duration(rand.IntN(int(maxThinkTime))))
 	}
 }
+
+// A host that shuts down closed a connection on which it had read the beginning of a
+// request together with the one before, without an answer.
+func TestRequestBegunBehindAnotherIsAnsweredDuringShutdown(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, scriptedHandler)
+	go func() { _ = s.serve() }() // it ends with the listener
+	c, err := dialCaller(s.listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	next := requestText("next", "/")
+	is.NoErr(c.send(requestText("first", "/") + next[:20]))
+	c.expect(t, http.StatusOK)
+	drained := make(chan error, 1)
+	go func() { drained <- s.drain(context.WithoutCancel(t.Context())) }()
+	time.Sleep(10 * drainInterval)
+	is.NoErr(c.send(next[20:]))
+	c.expect(t, http.StatusOK)
+	is.NoErr(<-drained) // the connection is idle now
+}
