entry: a request that revokes the end of its connection keeps its time limit

What callers could do: one whose header began to arrive just when a draining host ended its idle connection could take any time for the rest, so that the stop lasted until the end of its grace period.

Cause: the past deadline that ends a connection replaced the HTTP server's, and was removed when bytes arrived, though the server sets its own only once.

The connection remembers the server's deadline now and restores it.

TestHeaderThatRevokesCloseKeepsItsLimit, with a limit of 0.1 s: the read had no end until the caller left after 2 s; now it ends by the limit.

--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -194,6 +194,7 @@
 	awaitsRequest bool      // the HTTP server has set the deadline for the wait in phase idle
 	readAt        time.Time // last, in the phase inHandshake
 	headerBytes   int       // read of the current header
+	readDeadline  time.Time // in force unless the connection is retired
 	retired       bool      // the next read finds the end of the connection, unless it finds bytes
 	isClosed      bool      // by this host
 	lostBy        string    // how the caller or the network ended it, empty if neither did
@@ -225,7 +226,7 @@
 func (c *connection) keep() {
 	if c.retired {
 		c.retired = false
-		_ = c.Conn.SetReadDeadline(time.Time{}) // fails if it is closed
+		_ = c.Conn.SetReadDeadline(c.readDeadline) // fails if it is closed
 	}
 }
 
@@ -235,14 +236,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.noteBufferedRequest()
-	if c.retired {
-		return c.Conn.SetReadDeadline(aLongTimeAgo)
-	}
 	if now := time.Now(); t.After(now) {
 		if allowed := now.Add(c.allowedTime()); allowed.After(t) {
 			t = allowed
 		}
 	}
+	c.readDeadline = t
+	if c.retired {
+		return c.Conn.SetReadDeadline(aLongTimeAgo)
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -278,7 +280,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	until := c.idleSince.Add(c.allowedTime())
-	return c.phase == idle && !c.retired && time.Now().Before(until) && c.Conn.SetReadDeadline(until) == nil
+	if c.phase != idle || c.retired || !time.Now().Before(until) {
+		return false
+	}
+	c.readDeadline = until
+	return c.Conn.SetReadDeadline(until) == nil
 }
 
 // Read implements net.Conn.
