bulk: an item that has made events has no empty output

What callers saw, by a test: an item was listed as completed with an empty output, although a server had sent events of it. It takes three answers without an event, before and after a stream that broke off and whose rest two more servers did not send.

Cause: answers without an event were counted over the whole life of the item, so that one fault of a server sufficed after the item had been run from the start.

An event sets the count to zero now. Servers that give nothing else afterwards still complete the item by three answers.

TestItemWithEventsHasNoEmptyOutput: output "" before, the whole text now.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -92,7 +92,7 @@
 	eventCount  int
 	lastEventID int64 // of the last complete event
 	lostRests   int   // answers in a row that did not go on with the output
-	empty       int   // complete answers from the start without an event
+	empty       int   // complete answers without an event, since the last event
 	failures    int   // responses with status 422 or 500
 	retryDelay  time.Duration
 	tried       []string       // servers that failed since the last progress
@@ -404,5 +404,5 @@
 	if event.HasID {
 		r.lastEventID = event.ID
 	}
-	r.retryDelay, r.tried, r.lostRests, r.progressed = 0, nil, 0, true
+	r.retryDelay, r.tried, r.lostRests, r.empty, r.progressed = 0, nil, 0, 0, true
 }
--- a/internal/bulk/joined_test.go
+++ b/internal/bulk/joined_test.go
@@ -129,3 +129,32 @@
 		is.Equal(r.State, itemlist.Completed)
 	}
 }
+
+// An item of which a server had sent events was listed with an empty output after
+// three answers without an event in all, of which only one had come after the events.
+func TestItemWithEventsHasNoEmptyOutput(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sound := generate(time.Millisecond)
+	var asked atomic.Int64
+	script := func(c *servertest.Conn) bool {
+		n := asked.Add(1)
+		switch {
+		case n == 3:
+			c.StartStream()
+			c.WriteEvents(1, 2)
+			return false
+		case n <= 6: // two for the rest, so that the item is run from the start, and one for all
+			c.StartStream()
+			c.EndStream()
+			return true
+		}
+		return sound(c)
+	}
+	f := newFleet(t, servertest.New(t, script), servertest.New(t, script))
+	a := f.start("a")
+	is.NoErr(a.bulk.Submit(context.Background(), submission("job", 1)))
+	for _, r := range f.complete(a, "job", 1) { // compares the text
+		is.Equal(r.State, itemlist.Completed)
+	}
+}
