bulk: an item whose error comes late is a dead letter after its attempts

What callers saw, by a test: an item that its servers fail with 422 or 500, and whose error's body comes 3 s after its head each time, was run again until its retention was over instead of being listed as a dead letter.

Cause: the wait for the body of an error was left out when the other waits of an item became longer after a silence, and the error that tells a silence was dropped.

Both are as for events now.

TestItemWithLateErrorIsDeadLetter: no result within 2 minutes before, with both statuses; listed now.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -277,10 +277,13 @@
 
 // handleServerError handles an error response of a server.
 func (r *itemRun) handleServerError(slot *slots.Slot, resp *upstream.Response, meta online.ResponseMeta) (*itemlist.Result, placement.Outcome, float64) {
-	resp.Body.SetReadTimeout(eventGapTimeout)
+	resp.Body.SetReadTimeout(r.patience * eventGapTimeout)
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, drainLimit))
-	if err != nil || !meta.Sealed {
-		return nil, r.recordFailure(slot, errors.Newf("status %d in an invalid response", resp.Status)), 0
+	if err == nil && !meta.Sealed {
+		err = errors.New("response without the server's signature")
+	}
+	if err != nil {
+		return nil, r.recordFailure(slot, errors.Wrapf(err, "status %d", resp.Status)), 0
 	}
 	r.s.log.Info("server returned an error for an item", "event", "item_failed", "job", r.j.id, "item", r.item.ID, "server", slot.Server.ID, "status", resp.Status)
 	switch resp.Status {
--- a/internal/bulk/silence_test.go
+++ b/internal/bulk/silence_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -194,3 +196,30 @@
 		})
 	}
 }
+
+// An item that its servers fail must become a dead letter after its attempts, also if
+// the body of their answers comes late. It was run until its retention was over.
+func TestItemWithLateErrorIsDeadLetter(t *testing.T) {
+	for _, status := range []int{http.StatusUnprocessableEntity, http.StatusInternalServerError} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: storetest.New()}.start(t, func(c *servertest.Conn) bool {
+					c.WriteHead(status, "Content-Length: 4")
+					time.Sleep(3 * time.Second)
+					_, err := io.WriteString(c, "text")
+					return err == nil
+				}, "a", "b")
+				is.NoErr(service.Submit(t.Context(), submission("job", 1)))
+				time.Sleep(2 * time.Minute)
+				page, err := service.Results(t.Context(), "w", "job", 0, 0)
+				is.NoErr(err)
+				is.Equal(len(page.Results), 1)
+				for _, r := range page.Results {
+					is.Equal(r.State, itemlist.DeadLetter)
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
