upstream: a full pool keeps the connection in use

What it cost: with six idle connections to a server, as many as are kept, each request that needs one in recent use, as those that may run only once do, opened a new connection and closed it, as long as the older ones lasted.

Cause: a full pool closed the connection that was just used. Requests that are sent again fill pools since they return on no connection that carried them, and idle connections last longer since.

The oldest connection is closed instead. The number of connections kept is the same.

TestFullPoolKeepsConnectionInUse: 9 connections for 3 requests beside 6 idle ones before, 7 now.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -71,9 +71,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expire(now)
-	if len(p.idle) >= maxIdlePerServer {
-		_ = c.Close()
-		return
+	if len(p.idle) >= maxIdlePerServer { // the oldest one is of least use
+		_ = p.idle[0].Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
 	}
 	p.idle = append(p.idle, c)
 }
--- a/internal/upstream/sends_test.go
+++ b/internal/upstream/sends_test.go
@@ -59,3 +59,29 @@
 		send(t, c, s.Address(), nil) // keeps a connection in use
 	}
 }
+
+// TestFullPoolKeepsConnectionInUse guards against a new connection for each request
+// that needs one in recent use, while the pool is full of older ones.
+func TestFullPoolKeepsConnectionInUse(t *testing.T) {
+	is := is.New(t)
+	s := servertest.New(t, whole)
+	c := upstream.New(upstream.Options{})
+	var sends upstream.Sends
+	const kept = 6 // as many as the pool keeps
+	for range kept {
+		send(t, c, s.Address(), &sends)
+	}
+	is.Equal(s.AcceptedConnections(), kept)
+	const maxIdle = time.Second
+	time.Sleep(maxIdle + maxIdle/10)
+	req := request()
+	req.MaxIdle = maxIdle
+	for range 3 {
+		resp, err := c.Do(context.Background(), s.Address(), req)
+		is.NoErr(err)
+		_, err = io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+	}
+	is.Equal(s.AcceptedConnections(), kept+1)
+}
