--- a/internal/online/takeover_test.go
+++ b/internal/online/takeover_test.go
@@ -410,9 +410,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.NewRelaxed(t)
 				const last = 40
-				runs := 0
+				var runs atomic.Int64
 				f := newPipedFixture(t, func(c *servertest.Conn) bool {
-					runs++
+					runs.Add(1)
 					c.StartStream()
 					for id := c.After + 1; id <= last; id++ {
 						if id == c.After+3 {
@@ -426,7 +426,7 @@
 				f.setRoutes(func(r *routing.Route) { r.Timeout, r.GapObjective = 4*time.Second, 200*time.Millisecond })
 				asked := time.Now()
 				status, body := f.serveWhole("/resumable/1", "k")
-				t.Logf("status %d after %v and %d runs", status, time.Since(asked), runs)
+				t.Logf("status %d after %v and %d runs", status, time.Since(asked), runs.Load())
 				is.Equal(status, http.StatusOK)
 				is.Equal(strings.Count(body, "data: "), last)
 				time.Sleep(2 * time.Second)
