entry: a connection may be idle before its first request too

What callers saw: a connection that was opened ahead and got its first request later than the limit for headers, at least 10 s, was closed, also when the configuration lets connections be idle for longer. Clients that pool connections open some ahead and cannot tell a request that such a connection carried from one that was read.

An unused connection may be idle for as long as a used one that the configuration allows; its first byte begins the limit for the header.

TestUnusedConnectionMayBeIdleAsLongAsConfigured: closed after 0.1 s before; the request sent after 0.3 s is answered now.

--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -97,7 +97,7 @@
 }
 
 func (l *Listener) add(raw *rawconn.Conn) *connection {
-	c := &connection{Conn: raw, owner: l}
+	c := &connection{Conn: raw, owner: l, idleSince: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = struct{}{}
@@ -191,13 +191,14 @@
 	mu            sync.Mutex
 	phase         phase
 	idleSince     time.Time
-	awaitsRequest bool      // the HTTP server has set the deadline for the wait in phase idle
-	readAt        time.Time // last, in the phase inHandshake
-	headerBytes   int       // read of the current header
-	readDeadline  time.Time // in force unless the connection is retired
-	retired       bool      // the next read finds the end of the connection, unless it finds bytes
-	isClosed      bool      // by this host
-	lostBy        string    // how the caller or the network ended it, empty if neither did
+	awaitsRequest bool          // the HTTP server has set the deadline for the wait in phase idle
+	readAt        time.Time     // last, in the phase inHandshake
+	headerBytes   int           // read of the current header
+	firstHeader   time.Duration // allowed for the first header, 0 if there is no limit
+	readDeadline  time.Time     // in force unless the connection is retired
+	retired       bool          // the next read finds the end of the connection, unless it finds bytes
+	isClosed      bool          // by this host
+	lostBy        string        // how the caller or the network ended it, empty if neither did
 }
 
 // aLongTimeAgo is a deadline that ends a pending read.
@@ -237,6 +238,9 @@
 	defer c.mu.Unlock()
 	c.noteBufferedRequest()
 	if now := time.Now(); t.After(now) {
+		if c.phase == unused {
+			c.firstHeader = max(t.Sub(now), c.limits().HeaderTime)
+		}
 		if allowed := now.Add(c.allowedTime()); allowed.After(t) {
 			t = allowed
 		}
@@ -259,17 +263,25 @@
 	c.awaitsRequest = c.phase == idle
 }
 
+// limits returns the limits of the configuration, none if the host has no such limits.
+func (c *connection) limits() Limits {
+	if c.owner.limits == nil {
+		return Limits{}
+	}
+	return c.owner.limits()
+}
+
 // allowedTime returns how long the configuration lets the caller take in this phase.
 // The caller holds mu.
 func (c *connection) allowedTime() time.Duration {
-	if c.owner.limits == nil {
-		return 0
-	}
+	limits := c.limits()
 	switch c.phase {
-	case unused, inHandshake, inHeader:
-		return c.owner.limits().HeaderTime
+	case unused:
+		return max(limits.HeaderTime, limits.IdleTime)
+	case inHandshake, inHeader:
+		return limits.HeaderTime
 	case idle:
-		return c.owner.limits().IdleTime
+		return limits.IdleTime
 	}
 	return 0
 }
@@ -280,7 +292,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	until := c.idleSince.Add(c.allowedTime())
-	if c.phase != idle || c.retired || !time.Now().Before(until) {
+	if c.phase != idle && c.phase != unused || c.retired || !time.Now().Before(until) {
 		return false
 	}
 	c.readDeadline = until
@@ -353,6 +365,10 @@
 	case inRequest, multiplexed:
 		return true
 	}
+	if c.phase == unused && c.firstHeader > 0 { // the HTTP server's limit began with the connection
+		c.readDeadline = time.Now().Add(c.firstHeader)
+		_ = c.Conn.SetReadDeadline(c.readDeadline) // fails if it is closed
+	}
 	c.phase = inHeader
 	if c.owner.limits == nil {
 		return true
--- a/internal/entry/connections_test.go
+++ b/internal/entry/connections_test.go
@@ -103,3 +103,30 @@
 	is.NoErr(c.send(request(callers.MinHeaderBytes - 100)))
 	c.expect(t, http.StatusOK)
 }
+
+// A caller that sent its first request later than the limit for headers allows, but
+// within that for idle connections, found its connection closed.
+func TestUnusedConnectionMayBeIdleAsLongAsConfigured(t *testing.T) {
+	is := is.New(t)
+	c := startLimitedServer(t, func() callers.Limits { return callers.Limits{IdleTime: longTime, HeaderTime: shortTime} })
+	time.Sleep(3 * shortTime)
+	is.NoErr(c.send(requestText("id", "/")))
+	c.expect(t, http.StatusOK)
+}
+
+// The limit for headers holds from the first byte. Guards against callers that open a
+// connection and send the header of a first request without end.
+func TestFirstHeaderIsBounded(t *testing.T) {
+	is := is.New(t)
+	c := startLimitedServer(t, func() callers.Limits { return callers.Limits{IdleTime: 10 * longTime, HeaderTime: 2 * shortTime} })
+	began := time.Now()
+	go func() {
+		for range 20 {
+			_ = c.send("G") // until it is closed
+			time.Sleep(shortTime / 2)
+		}
+	}()
+	status, _, err := c.answer()
+	is.True(err != nil || status == http.StatusBadRequest)
+	is.True(time.Since(began) < longTime/2)
+}
