cli: SIGHUP ends no host

What callers saw: SIGHUP, for example at the end of the terminal or from an operator who expects a reload, ended a host of the product's own way of running at once, while it served and while it drained. All its open requests were cut without an answer.

Cause: the default action of SIGHUP. It was changed on the platform only. Commands that serve until SIGTERM share untilStopped now, which ignores SIGHUP.

TestHangupEndsNoHost, a deployment with one host and two SIGHUP before and after SIGTERM: all four streams were cut and the process ended by "signal: hangup" before; they are complete and it ends with status 0 now.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -62,7 +60,7 @@
 	if _, err := a.opts.Platform.Check(path); err != nil {
 		return withCode(ExitUsage, err)
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := untilStopped(ctx)
 	defer stop()
 	return a.opts.Platform.Serve(ctx, path, c.Int("metrics-port"), c.String("log-level"))
 }
@@ -73,9 +71,8 @@
 	if err := noArgs(c); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := untilStopped(ctx)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP) // there are no settings to reload
 	<-ctx.Done()
 	return nil
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -4,9 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
-	"os/signal"
 	"strings"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -58,7 +56,7 @@
 	if a.opts.Serve == nil {
 		return errors.New("this build does not support the command serve")
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := untilStopped(ctx)
 	defer stop()
 	return a.opts.Serve(ctx, s, newLogger(a.err, s))
 }
--- /dev/null
+++ b/test/integration/signals_test.go
@@ -0,0 +1,48 @@
+package integration
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/test/harness"
+)
+
+const (
+	// slowStreamTokens makes a stream that lasts for seconds.
+	slowStreamTokens = 300
+	// signalInterval is the time between the signals of a series.
+	signalInterval = 200 * time.Millisecond
+)
+
+// Guards against hosts that end, with all their requests, on SIGHUP: when they serve
+// and while they drain.
+func TestHangupEndsNoHost(t *testing.T) {
+	runParallel(t)
+	is := is.New(t)
+	ctx, d := startDeployment(t, harness.Thies, withHosts(1))
+	h, caller := d.Hosts[0], hostCallers(d, d.Layout.Workspaces[0].Name)[0]
+	done := make(chan harness.Answer)
+	for range 4 {
+		go func() { done <- caller.Complete(ctx, harness.Completion{Tokens: slowStreamTokens, Stream: true}) }()
+	}
+	hangUp := func() {
+		time.Sleep(signalInterval)
+		is.NoErr(h.Signal(syscall.SIGHUP))
+	}
+	hangUp()
+	hangUp()
+	is.NoErr(h.Signal(syscall.SIGTERM))
+	hangUp()
+	hangUp()
+	for range 4 {
+		a := <-done
+		if a.Verdict != harness.Complete {
+			t.Errorf("stream at a host with SIGHUP: %+v", a)
+		}
+	}
+	<-h.Exited()
+	is.NoErr(h.Status())
+}
