--- a/test/coop/shutdown_test.go
+++ b/test/coop/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -44,3 +45,30 @@
 	is.NoErr(leaving.Start())
 	is.Equal(run.ledger.Failures, nil)
 }
+
+// Guards against hosts that end, with all their requests, when the reader of their log
+// lines ends.
+func TestEndOfLogReaderEndsNoHost(t *testing.T) {
+	is := is.New(t)
+	run := newSoakRun(t, 13)
+	host := run.fleet.Hosts[0]
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	kept := host.log
+	host.log = writer
+	is.NoErr(host.Restart(syscall.SIGTERM))
+	host.log = kept
+	is.NoErr(writer.Close())
+	run.awaitServing(15 * time.Second)
+	is.NoErr(reader.Close())
+	for i := range 20 {
+		if status := NewClient(run.ledger).Call(host.Callers, "unknown", fmt.Sprint("logged-", i), callerKey); status != http.StatusNotFound {
+			t.Fatalf("request %d after the end of the log reader: status %d", i, status)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	host.Signal(syscall.SIGTERM)
+	is.NoErr(host.Wait()) // it ended with status 0
+	is.NoErr(host.Start())
+	is.Equal(run.ledger.Failures, nil)
+}
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -16,6 +16,7 @@
 type Process struct {
 	Name    string
 	LogPath string
+	Output  *os.File // of the next start, instead of the log file; may be nil
 
 	mu     sync.Mutex
 	args   []string
@@ -60,6 +61,9 @@
 	cmd := exec.Command(p.args[0], p.args[1:]...)
 	cmd.Env = append(os.Environ(), p.env...)
 	cmd.Stdout, cmd.Stderr = log, log
+	if p.Output != nil {
+		cmd.Stdout, cmd.Stderr = p.Output, p.Output
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
 	spawnThread() <- func() { started <- cmd.Start() }
--- a/test/integration/signals_test.go
+++ b/test/integration/signals_test.go
@@ -1,6 +1,8 @@
 package integration
 
 import (
+	"context"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +19,16 @@
 	signalInterval = 200 * time.Millisecond
 )
 
+// restartWithOutput starts the host again with the pipe's end as its standard output
+// and error.
+func restartWithOutput(ctx context.Context, t *testing.T, h *harness.Host, writer *os.File) {
+	t.Helper()
+	is := is.New(t)
+	h.Output = writer
+	is.NoErr(h.Restart(ctx, restartTimeout))
+	is.NoErr(writer.Close())
+}
+
 // Guards against hosts that end, with all their requests, on SIGHUP: when they serve
 // and while they drain.
 func TestHangupEndsNoHost(t *testing.T) {
@@ -46,3 +58,20 @@
 	<-h.Exited()
 	is.NoErr(h.Status())
 }
+
+// Guards against hosts that end, with all their requests, when the reader of their log
+// lines ends.
+func TestEndOfLogReaderEndsNoHost(t *testing.T) {
+	runParallel(t)
+	is := is.New(t)
+	ctx, d := startDeployment(t, harness.Thies, withHosts(1))
+	h := d.Hosts[0]
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	restartWithOutput(ctx, t, h, writer)
+	is.NoErr(reader.Close())
+	graceful, err := h.Terminate(restartTimeout) // is logged
+	is.NoErr(err)
+	is.True(graceful)
+	is.NoErr(h.Status())
+}
