test: hosts of coop fleets have addresses of their own

A host did not start in one of 3 runs of TestEndOfLogReaderEndsNoHost beside other tests: "listen tcp 127.0.0.1:34579: bind: address already in use". Ports that were free when they were chosen lie in the range of ephemeral ports, which the outgoing connections of all processes of the machine use meanwhile.

Each fleet takes a loopback network as the deployments of test/harness do, and each host an address in it with fixed ports below that range.

--- a/test/coop/fleet.go
+++ b/test/coop/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"ragwortstep/test/harness"
 	"ragwortstep/test/standin/relay"
 )
 
@@ -40,19 +41,31 @@
 	Relay *relay.Server
 	Hosts []*Host
 	dir   string
+	net   *harness.Network
 }
 
+// Ports of a host, which has a loopback address of its own. They are below the range of
+// ephemeral ports, which other processes of this machine use.
+const (
+	portCallers   = 8080
+	portReadiness = 8081
+	portPeers     = 7946
+	portStore     = 17000 // of its relay link to the store
+)
+
+// firstHostByte is the last byte of the first host's address.
+const firstHostByte = 10
+
 // NewFleet starts n hosts of the program. Their logs are in dir.
 func NewFleet(program, dir string, store *Store, n int) (*Fleet, error) {
 	f := &Fleet{Store: store, Relay: relay.New(), dir: dir}
-	// One call for all hosts: a port that another host has not bound yet is free.
-	ports, err := freePorts(n * portsPerHost)
-	if err != nil {
+	var err error
+	if f.net, err = harness.ReserveNetwork(); err != nil {
 		return nil, err
 	}
 	for i := range n {
 		h := &Host{Name: fmt.Sprintf("host-%d", i), program: program}
-		if err := f.prepareHost(h, ports[i*portsPerHost:(i+1)*portsPerHost]); err != nil {
+		if err := f.prepareHost(h, firstHostByte+i); err != nil {
 			return nil, err
 		}
 		f.Hosts = append(f.Hosts, h)
@@ -65,19 +78,20 @@
 	return f, nil
 }
 
-// portsPerHost counts the addresses for callers, readiness, peers and the store's relay.
-const portsPerHost = 4
-
-// prepareHost writes a host's settings and opens its log.
-func (f *Fleet) prepareHost(h *Host, ports []int) error {
-	storeAddress := fmt.Sprintf("127.0.0.1:%d", ports[3])
+// prepareHost writes a host's settings and opens its log. lastByte is that of its address.
+func (f *Fleet) prepareHost(h *Host, lastByte int) error {
+	storeAddress := f.net.Address(lastByte, portStore)
 	if err := f.Relay.Add(relay.Spec{Name: "store-" + h.Name, Listen: storeAddress, Target: f.Store.Address()}); err != nil {
 		return err
 	}
-	h.Callers = fmt.Sprintf("127.0.0.1:%d", ports[0])
+	h.Callers = f.net.Address(lastByte, portCallers)
+	ip, _, err := net.SplitHostPort(h.Callers)
+	if err != nil {
+		return errors.Wrap(err, "address of host")
+	}
 	settings := map[string]any{
-		"nodeName": h.Name, "zone": "z1", "ip": "127.0.0.1", "internalPorts": []int{ports[2], ports[2]},
-		"listen":   map[string]string{"front": h.Callers, "ready": fmt.Sprintf("127.0.0.1:%d", ports[1])},
+		"nodeName": h.Name, "zone": "z1", "ip": ip, "internalPorts": []int{portPeers, portPeers},
+		"listen":   map[string]string{"front": h.Callers, "ready": f.net.Address(lastByte, portReadiness)},
 		"limits":   map[string]float64{"cpuShare": 0.5, "cores": 1},
 		"bounds":   map[string]any{"graceS": shutdownGraceSeconds, "strictRevocation": true, "revokeMs": 5000, "statusS": 120},
 		"platform": map[string]string{"address": storeAddress},
@@ -94,20 +108,6 @@
 	return errors.Wrap(err, "create log")
 }
 
-// freePorts returns ports that were free at the time of the call.
-func freePorts(n int) ([]int, error) {
-	var out []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		defer l.Close()
-		out = append(out, l.Addr().(*net.TCPAddr).Port)
-	}
-	return out, nil
-}
-
 // Start starts the host's process.
 func (h *Host) Start() error {
 	h.mu.Lock()
@@ -150,6 +150,7 @@
 		_ = h.log.Close()
 	}
 	f.Relay.Close()
+	f.net.Release()
 }
 
 // BuildProgram compiles the program into dir.
--- a/test/harness/addresses.go
+++ b/test/harness/addresses.go
@@ -39,29 +39,31 @@
 	pidStride          = 7         // distance between the first choices of adjacent process ids
 )
 
-// network is the range 127.x.y.0/24 that one deployment uses. The lock, a
+// Network is the range 127.x.y.0/24 that one deployment uses. The lock, a
 // listener in the range, keeps other deployments on this machine out of it.
-type network struct {
+type Network struct {
 	prefix string
 	lock   net.Listener
 }
 
-// reserveNetwork takes a free network, starting at one that depends on the process id.
-func reserveNetwork() (*network, error) {
+// ReserveNetwork takes a free network, starting at one that depends on the process id.
+func ReserveNetwork() (*Network, error) {
 	start := os.Getpid() * pidStride
 	for i := range maxNetworkAttempts {
 		n := (start + i) % networkCount
 		prefix := fmt.Sprintf("127.%d.%d.", 128+n/250, n%250)
 		lock, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", prefix, platformByte, portLock))
 		if err == nil {
-			return &network{prefix: prefix, lock: lock}, nil
+			return &Network{prefix: prefix, lock: lock}, nil
 		}
 	}
 	return nil, errors.Newf("no free loopback network after %d attempts", maxNetworkAttempts)
 }
 
-func (n *network) address(lastByte, port int) string {
+// Address returns the address with the last byte and the port.
+func (n *Network) Address(lastByte, port int) string {
 	return fmt.Sprintf("%s%d:%d", n.prefix, lastByte, port)
 }
 
-func (n *network) release() { _ = n.lock.Close() }
+// Release lets other deployments have the network.
+func (n *Network) Release() { _ = n.lock.Close() }
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -57,7 +57,7 @@
 	Keys     map[string]Key // by workspace
 
 	opts    Options
-	net     *network
+	net     *Network
 	tempDir bool
 	closing sync.Once
 }
@@ -97,7 +97,7 @@
 	if d.Dir, err = filepath.Abs(d.Dir); err != nil {
 		return nil, errors.Wrap(err, "folder of the deployment")
 	}
-	d.net, err = reserveNetwork()
+	d.net, err = ReserveNetwork()
 	return d, err
 }
 
@@ -133,7 +133,7 @@
 }
 
 func (d *Deployment) startPlatform() error {
-	address := d.net.address(platformByte, portPlatform)
+	address := d.net.Address(platformByte, portPlatform)
 	args := append([]string{"platform", "--listen", address, "--seed", d.seedArg(0)}, d.opts.PlatformArgs...)
 	p, err := d.startStandin("platform", args...)
 	d.Platform = &Platform{controlClient: newControlClient(address), Process: p}
@@ -142,9 +142,9 @@
 
 func (d *Deployment) startEngine(i int, spec EngineSpec) error {
 	e := &Engine{
-		Spec: spec, Address: d.net.address(firstEngineByte+i, portServer), RelayAddress: d.net.address(firstEngineByte+i, portServerRelay),
+		Spec: spec, Address: d.net.Address(firstEngineByte+i, portServer), RelayAddress: d.net.Address(firstEngineByte+i, portServerRelay),
 	}
-	controlAddress := d.net.address(firstEngineByte+i, portControl)
+	controlAddress := d.net.Address(firstEngineByte+i, portControl)
 	e.controlClient = newControlClient(controlAddress)
 	args := []string{
 		"engine", "--listen", e.Address, "--control", controlAddress, "--name", spec.Name,
@@ -160,9 +160,9 @@
 
 func (d *Deployment) startService(i int, spec ServiceSpec) error {
 	s := &Service{
-		Spec: spec, Address: d.net.address(firstServiceByte+i, portServer), RelayAddress: d.net.address(firstServiceByte+i, portServerRelay),
+		Spec: spec, Address: d.net.Address(firstServiceByte+i, portServer), RelayAddress: d.net.Address(firstServiceByte+i, portServerRelay),
 	}
-	controlAddress := d.net.address(firstServiceByte+i, portControl)
+	controlAddress := d.net.Address(firstServiceByte+i, portControl)
 	s.controlClient = newControlClient(controlAddress)
 	var err error
 	s.Process, err = d.startStandin(spec.Name,
@@ -174,7 +174,7 @@
 }
 
 func (d *Deployment) startRelay() error {
-	address := d.net.address(relayByte, portControl)
+	address := d.net.Address(relayByte, portControl)
 	args := []string{"relay", "--control", address}
 	for _, link := range d.links() {
 		delay := time.Duration(link.DelayUS) * time.Microsecond
@@ -193,8 +193,8 @@
 	}
 	for i, h := range d.Layout.Hosts {
 		lastByte := firstHostByte + i
-		add(CallersLink(h.Name), d.net.address(lastByte, portCallersRelay), d.net.address(lastByte, portCallers), d.Layout.ClientDelay)
-		add(PlatformLink(h.Name), d.net.address(lastByte, portPlatformRelay), d.net.address(platformByte, portPlatform), d.Layout.ZoneDelay)
+		add(CallersLink(h.Name), d.net.Address(lastByte, portCallersRelay), d.net.Address(lastByte, portCallers), d.Layout.ClientDelay)
+		add(PlatformLink(h.Name), d.net.Address(lastByte, portPlatformRelay), d.net.Address(platformByte, portPlatform), d.Layout.ZoneDelay)
 	}
 	for _, e := range d.Engines {
 		add(ServerLink(e.Spec.Name), e.RelayAddress, e.Address, d.Layout.ServerDelay())
@@ -238,7 +238,7 @@
 		list = append(list, client.HostEntry{Name: name, Address: address, Kind: kind, State: state})
 	}
 	for i, h := range d.Layout.Hosts {
-		add(h.Name, d.net.address(firstHostByte+i, portPeers), "host")
+		add(h.Name, d.net.Address(firstHostByte+i, portPeers), "host")
 	}
 	for _, e := range d.Engines {
 		add(e.Spec.Name, e.RelayAddress, "server")
@@ -299,7 +299,7 @@
 		all := d.Processes()
 		terminateAll(all[:len(d.Hosts)])
 		terminateAll(all[len(d.Hosts):])
-		d.net.release()
+		d.net.Release()
 		if d.tempDir {
 			_ = os.RemoveAll(d.Dir)
 		}
--- a/test/harness/host.go
+++ b/test/harness/host.go
@@ -111,13 +111,13 @@
 		s.Host.DataFolder = filepath.Join(d.Dir, spec.Name+"-data")
 	}
 	lastByte := firstHostByte + i
-	s.Listen.Callers = d.net.address(lastByte, portCallers)
-	s.Listen.Peers = d.net.address(lastByte, portPeers)
-	s.Listen.Admin = d.net.address(lastByte, portAdmin)
-	s.Listen.Metrics = d.net.address(lastByte, portMetrics)
-	s.Platform.URL = "http://" + d.net.address(lastByte, portPlatformRelay)
+	s.Listen.Callers = d.net.Address(lastByte, portCallers)
+	s.Listen.Peers = d.net.Address(lastByte, portPeers)
+	s.Listen.Admin = d.net.Address(lastByte, portAdmin)
+	s.Listen.Metrics = d.net.Address(lastByte, portMetrics)
+	s.Platform.URL = "http://" + d.net.Address(lastByte, portPlatformRelay)
 	for j := range d.Layout.Hosts {
-		s.Peers.Seeds = append(s.Peers.Seeds, d.net.address(firstHostByte+j, portPeers))
+		s.Peers.Seeds = append(s.Peers.Seeds, d.net.Address(firstHostByte+j, portPeers))
 	}
 	s.Peers.Secret = peerSecret
 	s.Admin.Key = OperatorKey
@@ -143,7 +143,7 @@
 			env:     d.opts.HostEnv,
 		},
 		Spec: spec, Settings: s,
-		Callers: d.net.address(lastByte, portCallersRelay),
+		Callers: d.net.Address(lastByte, portCallersRelay),
 		Direct:  s.Listen.Callers, Admin: s.Listen.Admin, Metrics: s.Listen.Metrics,
 	}, nil
 }
