cli: log lines that nobody reads block no host

What operators saw: a host of the product's own way of running whose log lines were not read, with a full pipe behind its standard error, did not react to SIGTERM and had to be killed, which cuts its open requests. Any other goroutine that logs, such as the dispatcher when a server is ejected, would hang in the same way.

Cause: lines were written to standard error by the goroutine that logs. They go through decisionlog.Writer now, as on the platform: a bounded queue that drops lines.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"ragwortstep/internal/decisionlog"
 	"ragwortstep/internal/settings"
 )
 
@@ -58,7 +59,9 @@
 	}
 	ctx, stop := untilStopped(ctx)
 	defer stop()
-	return a.opts.Serve(ctx, s, newLogger(a.err, s))
+	out := decisionlog.NewWriter(a.err)
+	defer out.Close()
+	return a.opts.Serve(ctx, s, newLogger(out, s))
 }
 
 // newLogger returns a logger with the format and level in the settings. Each
--- a/test/integration/signals_test.go
+++ b/test/integration/signals_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"ragwortstep/test/harness"
@@ -17,6 +18,8 @@
 	slowStreamTokens = 300
 	// signalInterval is the time between the signals of a series.
 	signalInterval = 200 * time.Millisecond
+	// pipeBytes is more than a pipe holds.
+	pipeBytes = 4 << 20
 )
 
 // restartWithOutput starts the host again with the pipe's end as its standard output
@@ -29,6 +32,15 @@
 	is.NoErr(writer.Close())
 }
 
+// fill writes to the pipe until it is full.
+func fill(t *testing.T, writer *os.File) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(writer.SetWriteDeadline(time.Now().Add(signalInterval)))
+	_, err := writer.Write(make([]byte, pipeBytes))
+	is.True(errors.Is(err, os.ErrDeadlineExceeded))
+}
+
 // Guards against hosts that end, with all their requests, on SIGHUP: when they serve
 // and while they drain.
 func TestHangupEndsNoHost(t *testing.T) {
@@ -75,3 +87,20 @@
 	is.True(graceful)
 	is.NoErr(h.Status())
 }
+
+// Guards against hosts that hang because nobody reads their log lines.
+func TestUnreadLogBlocksNoHost(t *testing.T) {
+	runParallel(t)
+	is := is.New(t)
+	ctx, d := startDeployment(t, harness.Thies, withHosts(1))
+	h := d.Hosts[0]
+	reader, writer, err := os.Pipe()
+	is.NoErr(err)
+	defer reader.Close()
+	fill(t, writer)
+	restartWithOutput(ctx, t, h, writer)
+	graceful, err := h.Terminate(restartTimeout)
+	is.NoErr(err)
+	is.True(graceful)
+	is.NoErr(h.Status())
+}
