online: slow servers are not given up for one another in turn

What callers saw: on a route whose requests may be repeated, at a service with fewer servers than the route allows attempts, a request that needs more than two seconds was answered late or not at all: 504 at the end of its time, though two servers had been at work on it all the while. The servers counted as failed as well.

Cause: a silent server was given up after three quarters of the callers' patience for the other one, which had been sent the request later and had not answered either. The one that was given up may be asked again, so the two took turns and each run was ended before its answer.

Callers do not leave such a request after a gap, and two servers may work on it. Both are kept now, and the first one is only given up once a server that was not asked before has a place: the number of times is bounded by the route's number of servers.

--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -7,6 +7,7 @@
 
 	"ragwortstep/internal/core/placement"
 	"ragwortstep/internal/core/routing"
+	"ragwortstep/internal/slots"
 	"ragwortstep/internal/upstream"
 )
 
@@ -165,14 +166,14 @@
 		f.setSilenceTimeout(f.silenceTimeout() - f.current.silentFor())
 	case f.other == nil:
 		return f.askAnother()
+	case f.route.Kind != routing.Stream:
+		return f.replaceCurrent()
 	case f.current.silentFor() >= f.giveUpAfter():
 		f.giveUpCurrent("the other server was sent the request later")
 		f.awaitCurrent()
-	case f.route.Kind == routing.Stream:
+	default:
 		f.releaseOther("the other server is silent too")
 		f.awaitCurrent()
-	default:
-		f.awaitOther()
 	}
 	return false
 }
@@ -195,13 +196,48 @@
 		return f.currentHeard(a)
 	default:
 	}
+	f.sendToOther(slot)
+	return false
+}
+
+// replaceCurrent gives the current exchange up if there is a place at a server that
+// was not asked before. Otherwise it keeps both exchanges: their servers may be at
+// work, and would never end it if they were given up for one another in turn. It
+// returns true if the call is finished.
+func (f *forwarding) replaceCurrent() bool {
+	if f.sends >= f.route.MaxAttempts || f.current.silentFor() < f.giveUpAfter() || time.Until(f.deadline) < minTimeLeft {
+		f.awaitOther()
+		return false
+	}
+	request := f.slotRequest()
+	request.Tried = f.tried
+	slot, refusal := f.slot(time.Now().Add(takeOverWait), request)
+	if refusal != nil {
+		f.awaitOther()
+		return false
+	}
+	select {
+	case a := <-f.current.arrivals:
+		slot.Done(placement.Neutral, 0)
+		return f.currentHeard(a)
+	case a := <-f.other.arrivals:
+		slot.Done(placement.Neutral, 0)
+		return f.otherHeard(a)
+	default:
+	}
+	f.giveUpCurrent("a further server has a place")
+	f.sendToOther(slot)
+	return false
+}
+
+// sendToOther sends the call to another server beside the current one.
+func (f *forwarding) sendToOther(slot *slots.Slot) {
 	f.opts.Metrics.Retried(f.route.Name)
 	f.log.Info("asking another server", "event", "retry", "request", f.call.ID, "route", f.route.Name,
 		"server", f.server, "sends", f.sends, "events", f.eventsSent, "silent_ms", f.current.silentFor().Milliseconds(),
 		"left_ms", time.Until(f.deadline).Milliseconds())
 	f.other = f.send(slot)
 	f.awaitOther()
-	return false
 }
 
 // releaseOther drops the other exchange, whose server may be asked again.
