online: a comment that arrives during the wait for a place keeps no stalled stream

What callers saw: a resumable stream whose server had stalled, but went on with comments, was held until the end of its time and then cut, though another server had a place.

Cause: a call that waits for a place at another server looks once more for an answer of its current one when it has the place. A comment that had arrived meanwhile counted as such an answer: the place was given back, and since a comment restarts no timer, the server's silence was not watched any more. The same held for the header of an error.

A comment is relayed and the place is used; whatever else arrives restarts the timer.

TestCommentDuringWaitForPlaceKeepsNoStalledStream: five of its six cases, in which the other server has a place 20 to 95 ms after it is asked, were cut after 2 of 4 events at the end of their 4 s before; all six are complete within 0.7 s now.

--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -46,6 +46,9 @@
 	err   error          // io.EOF at the regular end of a stream
 }
 
+// isComment reports whether the arrival is a comment of a stream, which is no progress.
+func (a arrival) isComment() bool { return a.part == event && a.err == nil && a.event.IsComment }
+
 // part is the part of an answer that arrived.
 type part int
 
--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -96,7 +96,7 @@
 // call is finished.
 func (f *forwarding) otherHeard(a arrival) bool {
 	x := f.other
-	if a.part == event && a.err == nil && a.event.IsComment {
+	if a.isComment() {
 		x.skipped = true
 		return false
 	}
@@ -190,12 +190,22 @@
 		f.awaitCurrent()
 		return false
 	}
+	used := false
+	defer func() {
+		if !used {
+			slot.Done(placement.Neutral, 0)
+		}
+	}()
 	select {
 	case a := <-f.current.arrivals:
-		slot.Done(placement.Neutral, 0)
-		return f.currentHeard(a)
+		x := f.current
+		f.awaitCurrent() // not all arrivals do
+		if done := f.currentHeard(a); done || f.current != x || !a.isComment() {
+			return done
+		}
 	default:
 	}
+	used = true
 	f.sendToOther(slot)
 	return false
 }
@@ -219,9 +229,11 @@
 	select {
 	case a := <-f.current.arrivals:
 		slot.Done(placement.Neutral, 0)
+		f.awaitOther() // not all arrivals restart the timer
 		return f.currentHeard(a)
 	case a := <-f.other.arrivals:
 		slot.Done(placement.Neutral, 0)
+		f.awaitOther()
 		return f.otherHeard(a)
 	default:
 	}
