online: a caller that stops reading holds no server beyond the call's time

What callers saw: a place less at a server, for as long as some other caller of a stream kept its connection open without reading from it. With as many such callers as slots the server answered nobody, whatever the route's timeout said.

Cause: the call waits in the write to its caller, and the end of its time was only looked at between two writes. Meanwhile nothing read the server's answer either, so that the connection to the server stayed open too.

Writes of a stream fail 50 ms after the deadline. A call whose write ended later was aborted before as well.

TestStalledCallerKeepsNoSlot: 0.5 s after the end of the call's 2 s the slot was taken and the server at work in both of its cases before; in none now. TestTimeOfStreamDoesNotBoundNextAnswer passed before too: the HTTP server removes the limit after each answer.

--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -11,6 +11,10 @@
 	"ragwortstep/internal/upstream"
 )
 
+// lateWriteTime is how long after the call's deadline a write to its caller may end. A
+// call that is past its deadline is aborted after the write.
+const lateWriteTime = 50 * time.Millisecond
+
 var errEventOrder = errors.New("missing or duplicate event")
 
 // relayEvent relays a complete event as it arrives, and handles the end of the
@@ -89,13 +93,17 @@
 }
 
 // sendHeader sends the response header before the first event. The headers of
-// servers that continue the stream are not sent.
+// servers that continue the stream are not sent. From then on writes are bounded, so
+// that a caller that stops reading doesn't hold the server beyond the call's time.
 func (f *forwarding) sendHeader(resp *upstream.Response) {
 	if f.headerSent {
 		return
 	}
 	f.headerSent = true
 	f.timeToFirstByte = time.Since(f.call.Arrived)
+	// Fails only for a writer without a connection. The HTTP server removes the limit
+	// after the answer.
+	_ = http.NewResponseController(f.w).SetWriteDeadline(f.deadline.Add(lateWriteTime))
 	copyHeader(f.w.Header(), resp.Header)
 	f.w.WriteHeader(resp.Status)
 }
