upstream: a server at work may send any number of interim responses

What callers saw: 502 for a request whose server reported with interim responses that it was still at work, after the sixth one.

Cause: the interim responses before an answer were bounded by their number. Since responses without end are bounded by the size of a header, interim responses included, the number protects from nothing; a slow series lasts until the call's deadline, like any other silence.

The bound is gone. TestServerAtWorkMaySendManyInterimResponses, twelve interim responses in 6 s on four kinds of route: all four got 502 before, the server's answer now. TestEndlessResponseEnds, whose interim responses never end, passes as before.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -331,14 +331,12 @@
 	return false
 }
 
-// maxInterimResponses bounds the 1xx responses before the final one.
-const maxInterimResponses = 5
-
-// readResponse reads the header of the final response.
+// readResponse reads the header of the final response. A server at work may send any
+// number of interim responses before it, within the bound of a header.
 func (c *conn) readResponse(method string) (*http.Response, error) {
 	c.bounded.limit(maxHeadBytes)
 	defer c.bounded.removeLimit()
-	for range maxInterimResponses {
+	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -350,7 +348,6 @@
 			return nil, errors.New("protocol upgrades are not supported")
 		}
 	}
-	return nil, errors.New("too many interim responses")
 }
 
 // keepAliveTimeout returns the timeout of a Keep-Alive header less idleMargin, at
