slots: requests that wait for one server keep no others from free slots

What callers saw: once four calls of a workspace waited at a host for the server that they had not tried yet, and that was full, its next calls for the same service were held until the four were at the end of their time, beside free slots of the other servers. A server that had been out of use for its failures got no request that could show it sound.

Cause: the queue tests the four requests of a workspace with the earliest deadlines. All of them could be requests that no free server may get.

The queue knows which requests may go to the same servers. It tests one request of each kind, of up to 16 kinds, and takes the one with the earliest deadline that has a place.

--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -8,6 +8,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -32,6 +33,9 @@
 	// LatestStart is when the item must start to end before its deadline; zero
 	// means that it is never overdue.
 	LatestStart time.Time
+	// Needs identifies what the item needs to fit: items with the same needs fit or don't
+	// fit alike. It is set for all items of a queue or for none.
+	Needs string
 	// Weight is the workspace's weight in case it has no queue yet; 0 means 1.
 	Weight float64
 }
@@ -147,10 +151,12 @@
 }
 
 // maxFlowsTried and maxItemsTried bound how many workspaces, and items of each,
-// Pop tests with fits, so that its cost does not grow with the queue.
+// Pop tests with fits, so that its cost does not grow with the queue. Of items whose
+// needs are known, those with maxNeedsTried different ones are tested.
 const (
 	maxFlowsTried = 32
 	maxItemsTried = 4
+	maxNeedsTried = 16
 )
 
 // Pop removes and returns the next item of the class for which fits is true.
@@ -190,6 +196,9 @@
 	if len(f.items) == 1 {
 		return nil
 	}
+	if needs := f.items[0].item.Needs; needs != "" {
+		return f.firstOfOtherNeeds(needs, fits)
+	}
 	var held []*node
 	var found *node
 	for len(f.items) > 0 && len(held) < maxItemsTried {
@@ -206,6 +215,29 @@
 	return found
 }
 
+// firstOfOtherNeeds returns the item that fits with the earliest deadline among those
+// with other needs than the first item, which doesn't fit, or nil. It tests one item
+// for each need.
+func (f *flow) firstOfOtherNeeds(needs string, fits func(Item) bool) *node {
+	tried := []string{needs}
+	for len(tried) <= maxNeedsTried {
+		first := -1
+		for i, n := range f.items {
+			if (first < 0 || f.items.Less(i, first)) && !slices.Contains(tried, n.item.Needs) {
+				first = i
+			}
+		}
+		if first < 0 {
+			return nil
+		}
+		if fits(f.items[first].item) {
+			return f.items[first]
+		}
+		tried = append(tried, f.items[first].item.Needs)
+	}
+	return nil
+}
+
 // remove removes a node from its flow, and the flow from the backlog when it
 // becomes empty; otherwise it restores the order of the backlog.
 func (q *Queue) remove(n *node) {
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -13,6 +13,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -57,6 +58,15 @@
 	LatestStart time.Time
 }
 
+// needs identifies the servers that may be chosen.
+func (r Request) needs() string {
+	only := "any"
+	if r.Only != nil {
+		only = strings.Join(slices.Sorted(slices.Values(r.Only)), ",")
+	}
+	return only + " but " + strings.Join(slices.Sorted(slices.Values(r.Tried)), ",")
+}
+
 // RefusedError reports that no slot becomes free in time.
 type RefusedError struct {
 	Reason string
@@ -303,7 +313,7 @@
 	q.waiting[s.nextID] = w
 	q.order.Push(schedule.Item{
 		ID: s.nextID, Workspace: request.Workspace, Class: classOf(request.Class), Cost: max(request.Cost, 1), Deadline: request.Deadline,
-		LatestStart: request.LatestStart,
+		LatestStart: request.LatestStart, Needs: request.needs(),
 	}, 0)
 	id := s.nextID
 	s.dispatch(request.Service, now)
