online: a server that accepted no connection for a moment is asked again

What callers saw: a call that had begun at a server which then broke off, or stayed silent, was cut or got 502 or 504 while the only other server was silent for a second and took connections again afterwards.

Cause: a server whose connection is not accepted within 0.4 s counted as tried, and was not asked again for the call. No byte of it was sent there.

Once no other server takes a call that has begun, those that accepted no connection in time may be chosen again. A call that no server may have begun is refused as before, so that its caller reaches another host. The number of servers that are sent the call is bounded as before, since one without a connection is not counted.

--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -27,6 +27,7 @@
 	tried           []string // ids of the servers tried
 	full            []string // ids of the servers that rejected the call because they were full
 	askAgain        []string // ids of the servers that were tried and may be asked once more
+	unreached       []string // ids of the servers that accepted no connection in time
 	returning       bool     // the next attempt goes to one of the full servers
 	headerSent      bool     // the response to the caller has started
 	lastEventID     int64    // of the last complete event relayed
@@ -65,6 +66,9 @@
 			f.finishAbandoned()
 			return
 		}
+		if refusal != nil && f.mayReach(refusal) {
+			continue
+		}
 		if refusal != nil {
 			f.fail(refusal)
 			return
@@ -91,6 +95,19 @@
 	return request
 }
 
+// mayReach reports whether a call that no server takes any more may be sent to those
+// that accepted no connection in time: they may have been silent for a moment. A call
+// that no server may have begun is refused instead, so that its caller reaches another
+// host.
+func (f *forwarding) mayReach(refusal *Refusal) bool {
+	if refusal.Code != codeNoSlot || !f.mayRun && f.current == nil || len(f.unreached) == 0 || time.Until(f.deadline) < minTimeLeft {
+		return false
+	}
+	f.tried = slices.DeleteFunc(f.tried, func(id string) bool { return slices.Contains(f.unreached, id) })
+	f.unreached = nil
+	return true
+}
+
 // latestStart returns until when the call waits for a place at a server while none is
 // at work on it. Its caller is told before its own time is over, and earlier if the
 // servers that may be asked were asked before.
@@ -313,6 +330,9 @@
 		f.mayRun = true
 	} else if x.isNew {
 		f.sends--
+		if failure.Silent {
+			f.unreached = append(f.unreached, x.slot.Server.ID)
+		}
 	}
 	f.recordFailure(x, failure)
 	return ended
--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -186,6 +186,9 @@
 		return false
 	}
 	slot, refusal := f.slot(time.Now().Add(takeOverWait), f.nextServers())
+	if refusal != nil && f.mayReach(refusal) {
+		return f.askAnother()
+	}
 	if refusal != nil {
 		f.awaitCurrent()
 		return false
