entry: the end of an outage restores no former list of servers

What callers saw: beside a return of the store, requests went to servers that had left and found no connection there, or not to new ones, until the next change of any server's entry.

Cause: two seconds after the return of the store the list is applied once more without the entries that had expired. The timer for it held the copy of the list as it was when it was set. A newer copy that came in the last millisecond, or while the timer was late, did not stop it and was replaced by the older one.

The timer applies the copy that is the newest when it fires.

TestEndOfOutageRestoresNoFormerEntries, a newer list within 2 ms of the end of that time: three of five cases used the server that had left before; none now.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -159,6 +161,30 @@
 	is.Equal(total, 0)
 }
 
+// TestEndOfOutageRestoresNoFormerEntries guards against a list of servers that is replaced
+// by a former one when the time of expired entries is over: servers that had left were
+// used again, until the next change of any entry.
+func TestEndOfOutageRestoresNoFormerEntries(t *testing.T) {
+	for _, late := range []time.Duration{-time.Millisecond, 0, time.Millisecond / 2, time.Millisecond, 2 * time.Millisecond} {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				l, s := newServerList(t)
+				returned := time.Now().Add(-expiredEntryGrace + 10*time.Millisecond)
+				for _, list := range [][]store.Object{{serverObject("a"), serverObject("b")}, {serverObject("a")}} {
+					next := copyOf(list...)
+					next.StoreReturnedAt = returned
+					l.update(next)
+					time.Sleep(10*time.Millisecond + late)
+				}
+				time.Sleep(time.Second)
+				_, total := s.ServiceLoad("s")
+				is.Equal(total, 8)
+			})
+		})
+	}
+}
+
 // TestRetirementIsRetriedUntilStored guards against a machine that is never
 // removed because reporting its retirement failed once.
 func TestRetirementIsRetriedUntilStored(t *testing.T) {
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -27,6 +27,7 @@
 	log      *slog.Logger
 
 	mu          sync.Mutex
+	copied      informer.Copy           // the newest
 	entries     map[string]store.Object // entries in use, by key
 	undecodable map[string]int64        // versions of entries that could not be decoded, by key
 	timer       *time.Timer
@@ -37,6 +38,12 @@
 func (l *serverList) update(copied informer.Copy) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.copied = copied
+	l.apply(copied)
+}
+
+// apply applies a copy to the entries. The caller holds mu.
+func (l *serverList) apply(copied informer.Copy) {
 	next := maps.Clone(copied.Objects)
 	if left := expiredEntryGrace - time.Since(copied.StoreReturnedAt); !copied.StoreReturnedAt.IsZero() && left > 0 {
 		for key, obj := range l.entries {
@@ -44,19 +51,23 @@
 				next[key] = obj
 			}
 		}
-		l.scheduleUpdate(copied, left)
+		l.scheduleUpdate(left)
 	}
 	l.entries = next
 	l.setServers(copied)
 }
 
-// scheduleUpdate repeats the update with the same copy after the grace time of
-// the expired entries. The caller holds mu.
-func (l *serverList) scheduleUpdate(copied informer.Copy, after time.Duration) {
+// scheduleUpdate applies the copy that is the newest then after the grace time of the
+// expired entries. The caller holds mu.
+func (l *serverList) scheduleUpdate(after time.Duration) {
 	if l.timer != nil {
 		l.timer.Stop()
 	}
-	l.timer = time.AfterFunc(after+time.Millisecond, func() { l.update(copied) })
+	l.timer = time.AfterFunc(after+time.Millisecond, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.apply(l.copied)
+	})
 }
 
 // setServers passes the decodable entries to the scheduler and the upstream
