slots: a call that has begun is not refused for the length of the queue

What callers saw: a call whose server broke off under load was cut, or got 502, at once ("the queue is longer than the deadline allows"), though the other server had a place for it in time.

Cause: a request is refused when the queue is estimated to be longer than its deadline allows, which spares a new one a wait in vain. A call that has begun is due before most that wait and gets one of the next places; the estimate takes it for the last. Its refusal also loses what its first server has done.

Requests say whether a server may have begun them; those wait until they are due.

--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -135,6 +135,7 @@
 func (f *forwarding) slot(until time.Time, request slots.Request) (*slots.Slot, *Refusal) {
 	ctx, cancel := context.WithDeadlineCause(f.ctx, until, errDeadline)
 	defer cancel()
+	request.Begun = f.mayRun || f.current != nil
 	slot, err := f.opts.Slots.Acquire(ctx, request)
 	if err == nil {
 		if refusal := f.recheck(f.admitted); refusal != nil {
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -53,6 +53,9 @@
 	Deadline  time.Time
 	Tried     []string // ids of servers that must not be chosen
 	Only      []string // ids of the servers that may be chosen, nil for all
+	// Begun is set if a server may have begun the request. It is not refused for the
+	// length of the queue: that is an estimate, and refusing it would lose what was done.
+	Begun bool
 	// LatestStart is when a batch item must start to end before its deadline; zero
 	// means that it is never too late.
 	LatestStart time.Time
@@ -329,7 +332,7 @@
 // refuseIfLate refuses an online request if the queue is full or too long for
 // the request to be served before its deadline.
 func (s *Scheduler) refuseIfLate(q *queue, request Request, now time.Time) error {
-	if request.Class == placement.Batch {
+	if request.Class == placement.Batch || request.Begun {
 		return nil
 	}
 	waiting := q.order.Len(schedule.Online)
