callers: a request that arrives at the time-out of its connection is read

What callers saw: one that sent a request on a connection that had been idle for about as long as allowed, by the host or by the configuration, got neither an answer nor a refusal, though its bytes had arrived before the connection was closed. The later the process runs after the time-out, the more requests.

Cause: a read whose deadline has passed returns without a look at the socket.

The connection looks for bytes once more at the end of its idle time, as it did at the end by a drain, after it has asked the configuration for a longer one. The header that it finds has the limit for headers, also over TLS.

--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -196,7 +196,7 @@
 	awaitsRequest bool          // the HTTP server has set the deadline for the wait in phase idle
 	readAt        time.Time     // last, in the phase inHandshake
 	headerBytes   int           // read of the current header
-	firstHeader   time.Duration // allowed for the first header, 0 if there is no limit
+	headerTime    time.Duration // allowed for a header at the start, 0 if there is no limit
 	readDeadline  time.Time     // in force unless the connection is retired
 	retired       bool          // the next read finds the end of the connection, unless it finds bytes
 	isClosed      bool          // by this host
@@ -240,8 +240,8 @@
 	defer c.mu.Unlock()
 	c.noteBufferedRequest()
 	if now := time.Now(); t.After(now) {
-		if c.phase == unused {
-			c.firstHeader = max(t.Sub(now), c.limits().HeaderTime)
+		if c.phase == unused || c.phase == inHandshake {
+			c.headerTime = max(t.Sub(now), c.limits().HeaderTime)
 		}
 		if allowed := now.Add(c.allowedTime()); allowed.After(t) {
 			t = allowed
@@ -326,7 +326,7 @@
 	for errors.Is(err, os.ErrDeadlineExceeded) && c.stayIdle() {
 		n, err = c.Conn.Read(p)
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.isRetired() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.endsUnused() {
 		n, err = c.lastRead(p)
 	}
 	if n > 0 && !c.requestArrives(n) {
@@ -337,14 +337,16 @@
 	return n, err
 }
 
-func (c *connection) isRetired() bool {
+// endsUnused reports whether the connection has reached its end, by retire or by its
+// time-out, without the begin of a request.
+func (c *connection) endsUnused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.retired
+	return c.retired || c.phase == idle || c.phase == unused
 }
 
-// lastRead reads the bytes that have arrived on a retired connection, and returns
-// io.EOF if there are none.
+// lastRead reads the bytes that have arrived on a connection that has reached its end,
+// and returns io.EOF if there are none.
 func (c *connection) lastRead(p []byte) (int, error) {
 	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
 		return 0, err
@@ -386,10 +388,7 @@
 	case inRequest, multiplexed:
 		return true
 	}
-	if c.phase == unused && c.firstHeader > 0 { // the HTTP server's limit began with the connection
-		c.readDeadline = time.Now().Add(c.firstHeader)
-		_ = c.Conn.SetReadDeadline(c.readDeadline) // fails if it is closed
-	}
+	c.boundHeader()
 	c.phase = inHeader
 	if c.owner.limits == nil {
 		return true
@@ -398,6 +397,20 @@
 	return c.headerBytes <= max(c.owner.limits().HeaderBytes, MinHeaderBytes)+readSize
 }
 
+// boundHeader sets the limit for a header that begins to arrive, before the HTTP server
+// does. Its limit for the first one began with the connection, and an idle connection
+// may be at its time-out. The caller holds mu.
+func (c *connection) boundHeader() {
+	if c.headerTime == 0 {
+		return
+	}
+	until := time.Now().Add(c.headerTime)
+	if c.phase == unused || c.phase == idle && !c.readDeadline.IsZero() && c.readDeadline.Before(until) {
+		c.readDeadline = until
+		_ = c.Conn.SetReadDeadline(until) // fails if it is closed
+	}
+}
+
 // Write implements net.Conn.
 func (c *connection) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
