online: a panic in an exchange with a server fails that exchange only

What callers saw: all requests of a host ended without an answer, also those at other servers, when one answer met a fault in the code that sends requests or reads answers.

Cause: an exchange runs in goroutines of its own, which the recovery of the caller's handler does not cover, so that a panic there ends the process.

They recover now. The exchange fails like one whose server broke off: the request may have run, unless there was no connection yet, and its slot and connection are freed. It is logged as exchange_panicked and counted, and says nothing about servers that crash under a request, so that it is not quarantined.

Now repeatable requests are answered by the next server, the others get 502 or a cut stream, and the next request is served.

--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -66,6 +66,7 @@
 		slot: slot, sentAt: now, heardAt: now, arrivals: make(chan arrival), dropped: make(chan struct{}), cancel: cancel,
 	}
 	go func() {
+		defer x.recoverAs(head, nil)
 		resp, err := client.Do(ctx, slot.Server.Address, request)
 		if !x.deliver(arrival{part: head, resp: resp, err: err}) && err == nil {
 			closeBroken(resp)
@@ -84,6 +85,20 @@
 	}
 }
 
+// recoverAs makes a panic the failure of a part of the answer. The server may have run
+// the request. Defer it.
+func (x *exchange) recoverAs(p part, resp *upstream.Response) {
+	panicked := recover()
+	if panicked == nil {
+		return
+	}
+	err := upstream.NewPanicError(panicked)
+	if resp != nil {
+		closeBroken(resp)
+	}
+	x.deliver(arrival{part: p, resp: resp, err: err})
+}
+
 // drop ends the exchange. The server is told by the end of its connection.
 func (x *exchange) drop() {
 	close(x.dropped)
@@ -100,6 +115,7 @@
 func (x *exchange) readBody(resp *upstream.Response) {
 	x.inBody = true
 	go func() {
+		defer x.recoverAs(wholeBody, resp)
 		body, err := readAll(&notingReader{resp.Body, &x.readAt})
 		if err == nil && resp.UntilClose && len(body) == 0 && resp.Status < http.StatusMultipleChoices {
 			err = io.ErrUnexpectedEOF // the server may have ended before the body began
@@ -115,6 +131,7 @@
 // readEvents reads the events of a stream, which arrive one by one.
 func (x *exchange) readEvents(resp *upstream.Response) {
 	go func() {
+		defer x.recoverAs(event, resp)
 		reader := upstream.NewEventReader(resp.Body)
 		begun := false
 		for {
--- a/internal/online/fixture_test.go
+++ b/internal/online/fixture_test.go
@@ -37,6 +37,29 @@
 	url      string
 	leaving  atomic.Bool
 	logs     logBuffer
+	codec    faultyCodec
+}
+
+// faultyCodec is the servers' codec, which panics as long as a field is set.
+type faultyCodec struct {
+	servertest.Codec
+	inHeader, inMeta atomic.Bool
+}
+
+// ServerHeader implements online.Codec.
+func (c *faultyCodec) ServerHeader(call *online.Call, out online.RequestMeta) http.Header {
+	if c.inHeader.Load() {
+		panic("a fault in the header")
+	}
+	return c.Codec.ServerHeader(call, out)
+}
+
+// ResponseMeta implements online.Codec.
+func (c *faultyCodec) ResponseMeta(status int, h http.Header) online.ResponseMeta {
+	if c.inMeta.Load() {
+		panic("a fault in the meta")
+	}
+	return c.Codec.ResponseMeta(status, h)
 }
 
 // logBuffer collects log lines.
@@ -51,6 +74,12 @@
 	return b.lines.Write(p)
 }
 
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.String()
+}
+
 // find returns the fields of the first line with the code.
 func (b *logBuffer) find(t *testing.T, code string) map[string]any {
 	t.Helper()
@@ -141,7 +170,7 @@
 	f.t.Cleanup(cancel)
 	go f.slots.Run(ctx)
 	f.service = online.New(online.Options{
-		Config: f, Codec: servertest.Codec{}, Quotas: quotas.New(c, quotas.Tolerance{}, f.workspace, logger), Slots: f.slots, Upstream: upstream.New(options),
+		Config: f, Codec: &f.codec, Quotas: quotas.New(c, quotas.Tolerance{}, f.workspace, logger), Slots: f.slots, Upstream: upstream.New(options),
 		Suspects: online.NewSuspects(c, logger), Metrics: metrics.New(), Logger: logger, IsLeaving: f.leaving.Load,
 	})
 }
@@ -183,9 +212,13 @@
 // bubble. The servers with the ids, one if there are none, have the script; there
 // is no server if that is nil.
 func newPipedFixture(t *testing.T, script func(*servertest.Conn) bool, ids ...string) *fixture {
+	return newConnectedFixture(t, servertest.NewPiped(t, script).Connect, script, ids...)
+}
+
+// newConnectedFixture is newPipedFixture with connections of its own.
+func newConnectedFixture(t *testing.T, connect func(context.Context, string) (upstream.Conn, error), script func(*servertest.Conn) bool, ids ...string) *fixture {
 	f := &fixture{t: t}
-	server := servertest.NewPiped(t, script)
-	f.build(upstream.Options{Connect: server.Connect}, nil)
+	f.build(upstream.Options{Connect: connect}, nil)
 	if len(ids) == 0 {
 		ids = []string{"a"}
 	}
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -381,6 +381,7 @@
 // about the server's health. An exchange that the caller ended is not counted as
 // a failure of the server, nor is one whose server was at work at the deadline.
 func (f *forwarding) recordFailure(x *exchange, failure *upstream.Error) {
+	panicked := f.logPanic(x, failure)
 	if f.ctx.Err() != nil {
 		outcome := placement.Neutral
 		if errors.Is(context.Cause(f.ctx), errDeadline) && f.isSilent(x) {
@@ -393,7 +394,7 @@
 	if failure.Silent {
 		f.opts.Upstream.CloseIdle(server.Address)
 	}
-	if failure.Stage != upstream.NotSent && !failure.Silent {
+	if failure.Stage != upstream.NotSent && !failure.Silent && !panicked {
 		f.opts.Suspects.ConnectionLost(f.fps, server.ID, x.sentAt, x.isolated, x.answered)
 	}
 	f.release(x, placement.Failed, 0)
@@ -403,6 +404,19 @@
 		"prompt_parts", f.call.SharedParts, "error", failure)
 }
 
+// logPanic logs and counts a failure that is a panic of this host. It reports false for
+// other failures.
+func (f *forwarding) logPanic(x *exchange, failure *upstream.Error) bool {
+	var panicked *upstream.PanicError
+	if !errors.As(failure, &panicked) {
+		return false
+	}
+	f.opts.Metrics.Add("exchange_panics_total", 1)
+	f.log.Error("exchange with a server panicked", "event", "exchange_panicked", "request", f.call.ID, "server", x.slot.Server.ID,
+		"address", x.slot.Server.Address, "stage", int(failure.Stage), "error", panicked, "stack", panicked.Stack)
+	return true
+}
+
 // dropInvalid drops a response that cannot be a valid one of this server to
 // this call.
 func (f *forwarding) dropInvalid(x *exchange, resp *upstream.Response, detail string) verdict {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -165,15 +165,21 @@
 
 // Do sends a request to the server at an address and returns when the response
 // header has been received. ctx bounds the whole exchange, including reading the
-// body. Errors are of type *Error.
-func (c *Client) Do(ctx context.Context, address string, req *Request) (*Response, error) {
+// body. Errors are of type *Error; a panic is one too.
+func (c *Client) Do(ctx context.Context, address string, req *Request) (resp *Response, err error) {
+	var ex *exchange // nil before a byte may be sent
+	defer func() {
+		if panicked := recover(); panicked != nil {
+			resp, err = nil, failPanicked(ex, address, panicked)
+		}
+	}()
 	conn, err := c.connect(ctx, address, req)
 	if err != nil {
 		return nil, err
 	}
-	req.Sends.add(conn)
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	ex := &exchange{conn: conn, ctx: ctx, stop: stop, address: address}
+	ex = &exchange{conn: conn, ctx: ctx, stop: stop, address: address}
+	req.Sends.add(conn)
 	resp, failure := ex.roundTrip(req)
 	if failure != nil {
 		ex.closeConn()
@@ -182,6 +188,16 @@
 	return resp, nil
 }
 
+// failPanicked ends an exchange that panicked; nil if there was no connection yet.
+func failPanicked(ex *exchange, address string, panicked any) error {
+	failure := &Error{Stage: NotSent, Step: "connect to", Peer: address, Err: NewPanicError(panicked)}
+	if ex != nil {
+		ex.closeConn()
+		failure.Stage, failure.Reused, failure.Step = Sent, ex.conn.used, "exchange with"
+	}
+	return failure
+}
+
 // connect returns a pooled connection or dials a new one.
 func (c *Client) connect(ctx context.Context, address string, req *Request) (*conn, error) {
 	p := c.pool(address)
