online: a panic beside an exchange keeps no slot and no connection

What callers saw: after as many such panics as a server has slots for this host, no request got a place there any more until the process ended. A server whose answer had just begun was not told that nobody reads it.

Cause: a slot belongs to its exchange only once the request was built, so that a panic between its grant and that moment freed nothing, and a response belongs to its reader only once its header was understood.

The call holds a granted slot until an exchange does. A response that gets no reader is closed, however the handling of its header ends. A request is built before it counts as the only suspect at its server.

--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -42,6 +42,8 @@
 	// current is the exchange whose answer is relayed, and other the one with a
 	// second server that was asked because the current one is silent.
 	current, other *exchange
+	// granted is a slot that no exchange holds yet.
+	granted *slots.Slot
 	silence        *time.Timer // fires when the current exchange, or the other one, was silent for too long
 
 	connections upstream.Sends // those that the call was sent on
@@ -60,9 +62,6 @@
 	for {
 		slot, refusal := f.slot(f.latestStart(), f.nextServers())
 		if f.callerLeft() {
-			if slot != nil {
-				slot.Done(placement.Neutral, 0)
-			}
 			f.finishAbandoned()
 			return
 		}
@@ -138,8 +137,9 @@
 	request.Begun = f.mayRun || f.current != nil
 	slot, err := f.opts.Slots.Acquire(ctx, request)
 	if err == nil {
+		f.granted = slot
 		if refusal := f.recheck(f.admitted); refusal != nil {
-			slot.Done(placement.Neutral, 0)
+			f.giveBack()
 			return nil, refusal
 		}
 		return slot, nil
@@ -154,6 +154,14 @@
 	return nil, unavailable(codeTimeout, "the caller has left", 0)
 }
 
+// giveBack frees a slot that no exchange has used.
+func (f *forwarding) giveBack() {
+	if slot := f.granted; slot != nil {
+		f.granted = nil
+		slot.Done(placement.Neutral, 0)
+	}
+}
+
 // callerLeft reports whether the caller has disconnected.
 func (f *forwarding) callerLeft() bool {
 	return f.ctx.Err() != nil && !errors.Is(context.Cause(f.ctx), errDeadline)
@@ -233,9 +241,11 @@
 	if f.eventsSent > 0 || f.call.LastEventID > 0 {
 		out.Resume, out.AfterEventID = true, f.lastEventID
 	}
+	request := f.call.request(f.opts.Codec, out, f.route.Repeatable(), &f.connections)
 	isolated := f.opts.Suspects.Start(f.fps, id)
-	x := start(f.ctx, f.opts.Upstream, slot, f.call.request(f.opts.Codec, out, f.route.Repeatable(), &f.connections))
+	x := start(f.ctx, f.opts.Upstream, slot, request)
 	x.isNew, x.isolated = isNew, isolated
+	f.granted = nil
 	return x
 }
 
@@ -267,6 +277,12 @@
 		return f.handleNoResponse(x, a.err)
 	}
 	resp, slot := a.resp, x.slot
+	isRead := false
+	defer func() {
+		if !isRead { // nobody else closes it, also after a panic
+			closeBroken(resp)
+		}
+	}()
 	meta := f.opts.Codec.ResponseMeta(resp.Status, resp.Header)
 	if meta.Load != nil {
 		slot.UpdateServerLoad(meta.Load.Running, meta.Load.Waiting, meta.Load.Slots)
@@ -294,13 +310,15 @@
 	case success && (!meta.Sealed || meta.Encoded):
 		return f.dropInvalid(x, resp, "success response without the server's signature")
 	case success && f.route.Kind == routing.Stream:
-		x.streaming, x.beganAt = true, time.Now()
+		x.streaming, x.beganAt, isRead = true, time.Now(), true
 		x.readEvents(resp)
 		return goesOn
 	case success:
+		isRead = true
 		x.readBody(resp)
 		return goesOn
 	default:
+		isRead = true
 		x.readBody(resp)
 		return awaited
 	}
@@ -368,8 +386,9 @@
 	}
 }
 
-// releaseAll drops the exchanges that the call no longer needs.
+// releaseAll drops what the call no longer needs: its exchanges and a slot without one.
 func (f *forwarding) releaseAll() {
+	f.giveBack()
 	for _, x := range []*exchange{f.current, f.other} {
 		if x != nil {
 			f.release(x, placement.Neutral, 0)
--- a/internal/online/panic_test.go
+++ b/internal/online/panic_test.go
@@ -151,3 +151,33 @@
 	}
 	is.True(strings.Contains(f.logs.String(), `"event":"exchange_panicked"`))
 }
+
+// A call that panicked between the grant of its slot and its exchange, or when the
+// header of an answer had arrived, kept its slot or the connection to its server.
+func TestPanicBesideExchangeKeepsNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		closed := make(chan struct{})
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			c.StartStream()
+			<-c.PeerClosed()
+			close(closed)
+			return false
+		})
+		for _, fault := range []*atomic.Bool{&f.codec.inHeader, &f.codec.inMeta} {
+			for range 4 { // all slots of the server
+				fault.Store(true)
+				status, _ := f.serveWhole("/stream/x", "k")
+				is.Equal(status, 0)
+				load, _ := f.slots.ServiceLoad("s")
+				is.Equal(load, 0)
+				if fault == &f.codec.inMeta {
+					<-closed
+					closed = make(chan struct{})
+				}
+			}
+			fault.Store(false)
+		}
+	})
+}
+
--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -193,12 +193,7 @@
 		f.awaitCurrent()
 		return false
 	}
-	used := false
-	defer func() {
-		if !used {
-			slot.Done(placement.Neutral, 0)
-		}
-	}()
+	defer f.giveBack() // unless it is used
 	select {
 	case a := <-f.current.arrivals:
 		x := f.current
@@ -208,7 +203,6 @@
 		}
 	default:
 	}
-	used = true
 	f.sendToOther(slot)
 	return false
 }
@@ -231,11 +225,11 @@
 	}
 	select {
 	case a := <-f.current.arrivals:
-		slot.Done(placement.Neutral, 0)
+		f.giveBack()
 		f.awaitOther() // not all arrivals restart the timer
 		return f.currentHeard(a)
 	case a := <-f.other.arrivals:
-		slot.Done(placement.Neutral, 0)
+		f.giveBack()
 		f.awaitOther()
 		return f.otherHeard(a)
 	default:
