entry: a panic in a host's own goroutines loses one step, not the process

What callers saw: all requests of a host ended without an answer when an answer of the store, an object or a part of another host's digest met a fault in the code that reads it. An object stays in the store, so that hosts which start again would end too.

Cause: only decoders, receivers of sections and peer calls were recovered. These were not: calls to the store and listeners of copies (informer), providers and mergers of sections, listeners of peers and the acceptance of digests (cluster), the registration, the removal of silent hosts, retirements and the late update of servers (entry).

They are recovered at the point where their result is used: a call to the store counts as failed, a section is left out, a listener keeps its state until the next change. None of the locks of these packages is held there for good, as their callbacks release theirs by defer, but for bulk's headsChanged, which does not. The quotas and the slots have no other goroutines than these and slots.Run, which handles no message; it is unchanged.

The recovery has a package of its own, internal/panics, which exchanges use too.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -279,3 +279,46 @@
 	is.Equal(good, 3)
 	is.Equal(len(c.Alive()), 1)
 }
+
+// A function of another package that panicked while digests were made, merged or
+// received, or after a change of peers, ended the process.
+func TestPanicOfCallbackLosesItsResultOnly(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{Self: Member{Name: "a", Incarnation: 5, Zone: "z", Size: 2}, Logger: slog.New(slog.DiscardHandler)})
+	fault := func() any { panic("a fault") }
+	c.Provide("bad", fault)
+	c.Provide("good", func() any { return 1 })
+	c.Merge("merged", func([]Raw) (any, error) { return fault(), nil })
+	c.Merge("good", mergeNumbers)
+	changed := make(chan struct{}, 1)
+	c.OnChange(func() { fault() })
+	c.OnChange(func() { signal(changed) })
+	var members []Member
+	for i := range maxFullMeshHosts {
+		members = append(members, Member{Name: fmt.Sprint("m", i), Incarnation: 1, Zone: "z", Size: 1})
+	}
+	c.SetMembers(members)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go c.notifyChanges(ctx)
+	for sent := range Instant(3) {
+		d := digest{header{From: members[0], Sent: sent + 1}, body{Sections: sections{"merged": encoded(t, 1), "good": encoded(t, 1)}}}
+		c.accept(d)
+		own := c.ownSections()
+		is.Equal(len(own), 1) // good
+		c.mu.Lock()
+		groups := c.outgoing(own, time.Now())
+		c.mu.Unlock()
+		zone := groups[0].body.Zones[0].Sections
+		is.Equal(len(zone), 1)
+		is.Equal(zone["good"], encoded(t, 2))
+		c.mu.Lock()
+		c.membershipChanged()
+		c.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the second listener was not called")
+		}
+	}
+}
--- a/internal/cluster/delegates.go
+++ b/internal/cluster/delegates.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"ragwortstep/internal/panics"
 )
 
 const (
@@ -231,7 +233,7 @@
 }
 
 func mergeSection(merge MergeFunc, values []Raw) (Raw, error) {
-	merged, err := merge(values)
+	merged, err := panics.Catch(func() (any, error) { return merge(values) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net"
-	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"ragwortstep/internal/bootclock"
+	"ragwortstep/internal/panics"
 )
 
 // sentSections holds the sections of one round of digests.
@@ -70,7 +70,7 @@
 		case <-c.changed:
 		}
 		for _, fn := range c.changeListeners {
-			fn()
+			c.survive("handle change of peers", fn)
 		}
 		select {
 		case <-ctx.Done():
@@ -121,8 +121,8 @@
 func (c *Cluster) ownSections() sections {
 	out := make(sections, len(c.providers))
 	for name, fn := range c.providers {
-		value := fn()
-		if value == nil {
+		var value any
+		if !c.survive("provide section", func() { value = fn() }, "section", name) || value == nil {
 			continue
 		}
 		raw, err := cbor.Marshal(value)
@@ -190,7 +190,7 @@
 			counters.Add("undecodable", 1)
 			continue
 		}
-		c.accept(d)
+		c.survive("accept digest", func() { c.accept(d) }, "peer", d.From.Name)
 	}
 }
 
@@ -258,17 +258,21 @@
 	return true
 }
 
-// deliver passes a section to its receivers. A receiver that panics loses this
-// update only.
+// deliver passes a section to its receivers.
 func (c *Cluster) deliver(section string, n SectionUpdate) {
-	defer func() {
-		if r := recover(); r != nil {
-			counters.Add("receiver_panics", 1)
-			c.opts.Logger.Error("receiver of a digest section panicked", "event", "digest_section_lost", "step", "receive digest",
-				"section", section, "peer", n.From.Name, "panic", r, "stack", string(debug.Stack()))
+	c.survive("receive digest", func() {
+		for _, fn := range c.receivers[section] {
+			fn(n)
 		}
-	}()
-	for _, fn := range c.receivers[section] {
-		fn(n)
+	}, "section", section, "peer", n.From.Name)
+}
+
+// survive calls a function of another package, or one that handles a message. If it
+// panics, only its result is lost. It reports false then.
+func (c *Cluster) survive(step string, fn func(), attributes ...any) bool {
+	ok := panics.Log(c.opts.Logger, "digest_section_lost", step, fn, attributes...)
+	if !ok {
+		counters.Add("receiver_panics", 1)
 	}
+	return ok
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -12,6 +12,7 @@
 	"ragwortstep/internal/bulk"
 	"ragwortstep/internal/cluster"
 	"ragwortstep/internal/informer"
+	"ragwortstep/internal/panics"
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/store"
 )
@@ -59,7 +60,7 @@
 	}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, registrationCallTimeout)
-		err := m.put(callCtx, raw)
+		_, err := panics.Catch(func() (struct{}, error) { return struct{}{}, m.put(callCtx, raw) })
 		cancel()
 		if err == nil {
 			m.log.Info("host registered", "event", "registered", "incarnation", self.Incarnation)
@@ -125,11 +126,11 @@
 
 // run removes the registrations of silent hosts until ctx ends.
 func (m *members) run(ctx context.Context) {
-	runEvery(ctx, sweepInterval, func() { m.removeSilent(ctx, time.Now()) })
+	runEvery(ctx, m.log, sweepInterval, func() { m.removeSilent(ctx, time.Now()) })
 }
 
-// runEvery calls fn at each interval until ctx ends.
-func runEvery(ctx context.Context, interval time.Duration, fn func()) {
+// runEvery calls fn at each interval until ctx ends, also after a panic.
+func runEvery(ctx context.Context, log *slog.Logger, interval time.Duration, fn func()) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -137,7 +138,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			fn()
+			panics.Log(log, "round_lost", "run at intervals", fn)
 		}
 	}
 }
--- a/internal/entry/retirements.go
+++ b/internal/entry/retirements.go
@@ -45,7 +45,7 @@
 
 // run completes pending requests until ctx ends.
 func (r *retirements) run(ctx context.Context) {
-	runEvery(ctx, retirementInterval, func() {
+	runEvery(ctx, r.log, retirementInterval, func() {
 		if r.isReader() {
 			r.completePending(ctx)
 		}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -9,6 +9,7 @@
 
 	"ragwortstep/internal/core/placement"
 	"ragwortstep/internal/informer"
+	"ragwortstep/internal/panics"
 	"ragwortstep/internal/slots"
 	"ragwortstep/internal/store"
 	"ragwortstep/internal/upstream"
@@ -64,12 +65,16 @@
 		l.timer.Stop()
 	}
 	l.timer = time.AfterFunc(after+time.Millisecond, func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.apply(l.copied)
+		panics.Log(l.log, "copy_lost", "apply copy", l.applyNewest)
 	})
 }
 
+func (l *serverList) applyNewest() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.apply(l.copied)
+}
+
 // setServers passes the decodable entries to the scheduler and the upstream
 // client. The caller holds mu.
 func (l *serverList) setServers(copied informer.Copy) {
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -16,6 +16,7 @@
 	"ragwortstep/internal/bootclock"
 	"ragwortstep/internal/cluster"
 	"ragwortstep/internal/core/freshness"
+	"ragwortstep/internal/panics"
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/store"
 )
@@ -317,7 +318,7 @@
 	requestedAt := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, col.Wait+watchSlack)
 	defer cancel()
-	result, err := i.opts.Store.Watch(ctx, col.Prefix, version, col.Wait)
+	result, err := guarded(i.log, "watch", func() (store.WatchResult, error) { return i.opts.Store.Watch(ctx, col.Prefix, version, col.Wait) })
 	if err != nil {
 		return err
 	}
@@ -325,13 +326,24 @@
 	return nil
 }
 
+// guarded calls the store. A panic, such as one of the decoder of its answer, counts as
+// a failed call.
+func guarded[T any](log *slog.Logger, step string, call func() (T, error)) (T, error) {
+	out, err := panics.Catch(call)
+	var panicked *panics.Error
+	if errors.As(err, &panicked) {
+		log.Error("call to the store panicked", "event", "store_call_lost", "step", step, "error", panicked, "stack", panicked.Stack)
+	}
+	return out, err
+}
+
 func (i *Informer) list(ctx context.Context, col *collection) error {
 	requestedAt := bootclock.Now()
 	objects := map[string]store.Object{}
 	version := int64(-1)
 	for after := ""; ; {
 		pageCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		page, err := i.opts.Store.List(pageCtx, col.Prefix, after, pageSize)
+		page, err := guarded(i.log, "list", func() (store.Page, error) { return i.opts.Store.List(pageCtx, col.Prefix, after, pageSize) })
 		cancel()
 		if err != nil {
 			return err
@@ -430,8 +442,8 @@
 	i.publish(col, FromList)
 }
 
-// publish passes the copy to the functions registered with OnChange. If the
-// peers get changes through this host it also sends them, unless they may wait
+// publish passes the copy to the functions registered with OnChange. One that panics
+// is called again with the next copy, so that no object ends the process. If the peers get changes through this host it also sends them, unless they may wait
 // for the next digest.
 func (i *Informer) publish(col *collection, source Source) {
 	if col.Gather == 0 && i.pushes() {
@@ -444,7 +456,7 @@
 	}
 	i.mu.Unlock()
 	for _, fn := range col.onChange {
-		fn(c)
+		panics.Log(i.log, "copy_lost", "apply copy", func() { fn(c) }, "collection", col.Prefix, "copy_version", c.Version, "source", c.Source)
 	}
 	if col.Prefix == i.opts.Members {
 		i.wakeAll() // this host may be the reader of the other collections
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -27,13 +27,23 @@
 	refuse atomic.Bool
 	// silent makes calls hang until their timeout, as in a network partition.
 	silent atomic.Bool
+	// panics is the number of further calls that panic.
+	panics atomic.Int64
 	calls  atomic.Int64
 	// mutateWatch modifies the results of watches.
 	mutateWatch func(store.WatchResult) (store.WatchResult, error)
 }
 
-func (w *storeLink) List(ctx context.Context, prefix, after string, limit int) (store.Page, error) {
+// call counts a call, which may panic.
+func (w *storeLink) call() {
 	w.calls.Add(1)
+	if w.panics.Add(-1) >= 0 {
+		panic("a fault in a call")
+	}
+}
+
+func (w *storeLink) List(ctx context.Context, prefix, after string, limit int) (store.Page, error) {
+	w.call()
 	if w.refuse.Load() {
 		return store.Page{}, store.ErrUnavailable
 	}
@@ -41,7 +51,7 @@
 }
 
 func (w *storeLink) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) (store.WatchResult, error) {
-	w.calls.Add(1)
+	w.call()
 	if w.silent.Load() {
 		<-ctx.Done()
 	}
@@ -67,6 +77,9 @@
 
 const prefix = "things/"
 
+// panicKey is an object that its listener does not survive.
+const panicKey = "panic"
+
 // value returns the host's copy of an object.
 func (h *host) value(key string) string {
 	h.mu.Lock()
@@ -117,6 +130,9 @@
 			Collections: []informer.Collection{collection},
 		})
 		h.informer.OnChange(prefix, func(c informer.Copy) {
+			if _, ok := c.Objects[prefix+panicKey]; ok {
+				panic("a fault in a listener")
+			}
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.copied = map[string]string{}
@@ -322,3 +338,26 @@
 		eventually(t, "partitioned hosts get the change from their peers", 5*time.Second, func() bool { return h.value(prefix+"x") == "2" })
 	}
 }
+
+// An answer of the store that its client did not survive, or an object that a listener
+// did not, ended the process, and that of each host that read it afterwards.
+func TestPanicEndsNoInformer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	fake := storetest.New()
+	hosts := start(t, fake, 2)
+	for _, h := range hosts {
+		h.storeLink.panics.Store(3) // lists and watches
+	}
+	put(t, fake, "x", "1")
+	copied := func(value string) func() bool {
+		return func() bool { return hosts[0].value(prefix+"x") == value && hosts[1].value(prefix+"x") == value }
+	}
+	eventually(t, "a first copy", 5*time.Second, copied("1"))
+	put(t, fake, panicKey, "1")
+	put(t, fake, "x", "2")
+	time.Sleep(time.Second) // until the hosts have it
+	is.True(copied("1")())
+	is.NoErr(fake.Delete(context.Background(), prefix+panicKey, store.AnyVersion))
+	eventually(t, "the copy without the object", 3*time.Second, copied("2"))
+}
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"ragwortstep/internal/panics"
 	"ragwortstep/internal/slots"
 	"ragwortstep/internal/upstream"
 )
@@ -92,7 +93,7 @@
 	if panicked == nil {
 		return
 	}
-	err := upstream.NewPanicError(panicked)
+	err := panics.New(panicked)
 	if resp != nil {
 		closeBroken(resp)
 	}
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -12,6 +12,7 @@
 	"ragwortstep/internal/core/placement"
 	"ragwortstep/internal/core/routing"
 	"ragwortstep/internal/decisionlog"
+	"ragwortstep/internal/panics"
 	"ragwortstep/internal/slots"
 	"ragwortstep/internal/upstream"
 )
@@ -44,7 +45,7 @@
 	current, other *exchange
 	// granted is a slot that no exchange holds yet.
 	granted *slots.Slot
-	silence        *time.Timer // fires when the current exchange, or the other one, was silent for too long
+	silence *time.Timer // fires when the current exchange, or the other one, was silent for too long
 
 	connections upstream.Sends // those that the call was sent on
 }
@@ -426,7 +427,7 @@
 // logPanic logs and counts a failure that is a panic of this host. It reports false for
 // other failures.
 func (f *forwarding) logPanic(x *exchange, failure *upstream.Error) bool {
-	var panicked *upstream.PanicError
+	var panicked *panics.Error
 	if !errors.As(failure, &panicked) {
 		return false
 	}
--- a/internal/online/panic_test.go
+++ b/internal/online/panic_test.go
@@ -180,4 +180,3 @@
 		}
 	})
 }
-
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,6 +22,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/defaults"
+	"ragwortstep/internal/panics"
 	"ragwortstep/internal/rawconn"
 )
 
@@ -190,7 +191,7 @@
 
 // failPanicked ends an exchange that panicked; nil if there was no connection yet.
 func failPanicked(ex *exchange, address string, panicked any) error {
-	failure := &Error{Stage: NotSent, Step: "connect to", Peer: address, Err: NewPanicError(panicked)}
+	failure := &Error{Stage: NotSent, Step: "connect to", Peer: address, Err: panics.New(panicked)}
 	if ex != nil {
 		ex.closeConn()
 		failure.Stage, failure.Reused, failure.Step = Sent, ex.conn.used, "exchange with"
