--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -23,6 +23,10 @@
 	Batch
 )
 
+// MaxSlots is the largest number of slots of a server, because the work of dividing
+// them grows with it.
+const MaxSlots = 1 << 16
+
 // Server is a backend server as described in its announcement.
 type Server struct {
 	ID       string // unique per start of the server
@@ -30,7 +34,7 @@
 	Service  string
 	Address  string // IP and port
 	Zone     string
-	Slots    int  // maximum of concurrent requests, at least 1
+	Slots    int  // maximum of concurrent requests, from 1 to MaxSlots
 	Ready    bool // takes new requests
 }
 
