backend: an overdue exchange ends no stream before its first event

What callers saw, on the own interface: a stream whose server had sent its header, and needed some seconds until the first event, was cut, when another request had waited in vain for a byte at the same server.

Cause: until the first byte of its body, the exchange of an idempotent request counted as one that can be sent again, and was cancelled a second after its connections had been replaced. But once the header has arrived, the dispatcher has passed it on.

An exchange whose header has arrived is treated like one whose body has begun: it stays while polls are answered.

TestOverdueExchangeEndsNoStreamBeforeItsFirstEvent failed before with an unexpected end.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -36,6 +36,7 @@
 	// waitingSince is the client's clock when the wait for the next byte began,
 	// 0 while not waiting for the server.
 	waitingSince atomic.Int64
+	headArrived  atomic.Bool // the response's header has arrived
 	bodyStarted  atomic.Bool // a byte of the response body has arrived
 	silent       atomic.Bool // cancelled by checkDeadlines
 
@@ -66,7 +67,7 @@
 // the request can be retried, or the rest of its response is lost anyway, because
 // polls got no answer on connections of its generation.
 func (ex *exchange) canAbort(unanswered bool) bool {
-	if ex.bodyStarted.Load() {
+	if ex.headArrived.Load() {
 		return unanswered
 	}
 	return ex.idempotent
@@ -106,6 +107,7 @@
 		_ = resp.Body.Close()
 		return nil, failure
 	}
+	ex.headArrived.Store(true)
 	stripHopByHop(resp.Header)
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: newBody(ex, resp, req.Stream)}, nil
 }
--- a/internal/backend/silent_exchange_test.go
+++ b/internal/backend/silent_exchange_test.go
@@ -58,3 +58,48 @@
 	is.Equal(got, "first second third")
 	is.Equal(<-stalled, io.ErrUnexpectedEOF)
 }
+
+// Guards against cutting sound streams whose header has arrived and whose server needs
+// some seconds until the first event, because another exchange with it got no byte
+// within its deadline. Such a stream counted as one that can be sent again.
+func TestOverdueExchangeEndsNoStreamBeforeItsFirstEvent(t *testing.T) {
+	is := is.NewRelaxed(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == loadPath {
+			_, _ = io.WriteString(w, `{"running":1,"slots":8}`)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		if r.URL.Path == "/stalled" {
+			_, _ = io.WriteString(w, "first ")
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+			return
+		}
+		time.Sleep(4 * time.Second)
+		_, _ = io.WriteString(w, "whole")
+	}))
+	defer server.Close()
+	c := newClient(t, server.Listener.Addr().String(), Options{BetweenBytesTimeout: time.Second})
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	read := func(path string) (string, error) {
+		resp, err := c.Do(ctx, "s", &Request{Method: "POST", Path: path, Body: []byte("x"), Idempotent: true})
+		if err != nil {
+			return "", err
+		}
+		defer resp.Body.Close()
+		got, err := io.ReadAll(resp.Body)
+		return string(got), err
+	}
+	stalled := make(chan error, 1)
+	go func() {
+		_, err := read("/stalled")
+		stalled <- err
+	}()
+	got, err := read("/late")
+	is.NoErr(err)
+	is.Equal(got, "whole")
+	is.Equal(<-stalled, io.ErrUnexpectedEOF)
+}
