online: a server's 503 without its statement promises nothing

What callers saw, by a test: a request that a server had run, or begun to run, was answered with 408, 429 or 503, which promise that it has not run and never will. The caller sends it again, and it runs twice.

Cause: only the statement in the answer's header (Not-Executed) says that a request has not run. An answer with such a status but without it counted as an error of a server that may have run the request, and was still passed on with its status.

Such an answer counts as a fault of the server now, and is never passed on: a request that may be repeated goes to another server, otherwise the caller gets 502, or the error of an earlier server, which promise nothing.

--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -448,23 +448,26 @@
 }
 
 // handleServerError handles a complete error response of a server that executed
-// the request.
+// the request, or may have executed it.
 func (f *forwarding) handleServerError(x *exchange, response *bufferedResponse) verdict {
 	outcome := placement.Success
-	serverFault := response.status >= http.StatusInternalServerError
+	passable := !promisesNotRun(response.status)
+	serverFault := !passable || response.status >= http.StatusInternalServerError
 	if serverFault {
 		outcome = placement.Failed
 		f.opts.Metrics.ServerFailed(f.service)
 	}
 	f.release(x, outcome, f.call.Cost)
-	f.failureResponse = response
+	if passable {
+		f.failureResponse = response
+	}
 	mayRetry := serverFault && f.route.Repeatable() && f.sends < f.route.MaxAttempts
 	anotherAtWork := f.current != nil || f.other != nil
 	if mayRetry || anotherAtWork && (serverFault || f.headerSent) {
 		return ended
 	}
-	if f.headerSent {
-		f.fail(&Refusal{Code: codeFailed, Detail: "the server failed the rest of the stream"})
+	if f.headerSent || !passable {
+		f.fail(&Refusal{Status: http.StatusBadGateway, Code: codeFailed, Detail: "the server failed with status " + strconv.Itoa(response.status)})
 		return finished
 	}
 	f.writeResponse(response)
--- a/internal/online/refusal.go
+++ b/internal/online/refusal.go
@@ -43,6 +43,16 @@
 	return &Refusal{Status: http.StatusServiceUnavailable, Code: code, Detail: detail, RetryAfter: after}
 }
 
+// promisesNotRun reports whether callers take a status for the promise that the
+// request was not and will not be executed.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // InternalError answers a request whose handler panicked. It may have been executed.
 func InternalError() *Refusal {
 	return &Refusal{Status: http.StatusInternalServerError, Code: codeInternal, Detail: "the host failed; the request may have been executed"}
