gateway: a refused retry does not say that nothing ran

What callers saw, by a test: a request that a server had run was answered with 503 and Ragwortstep-Executed: no.

Cause: the answer of an idempotent request that is cut off is fetched once more, by a new call of the dispatcher. If that call finds no server, a full queue or the end of its time, it was sent to none, and the dispatcher says so of its own call only.

A refusal of a further attempt says unknown now.

TestRefusalAfterTruncatedAnswerIsNotCalledUnexecuted: "no" before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -237,6 +237,28 @@
 	is.Equal(rec.Code, 200)
 }
 
+// Guards against telling a caller that a request was not executed when a server had run
+// it, its answer was cut off, and no server could take the request once more.
+func TestRefusalAfterTruncatedAnswerIsNotCalledUnexecuted(t *testing.T) {
+	is := is.New(t)
+	calls := 0
+	g, _, _ := newTestGateway(func(ctx context.Context, req *dispatch.Request) (*dispatch.Response, error) {
+		if calls++; calls > 1 {
+			return nil, &dispatch.RefusedError{Status: http.StatusServiceUnavailable, Code: "no_server", Executed: dispatch.ExecutedNo}
+		}
+		resp, err := respondWith(200, "application/json", `{"ok":`)(ctx, req)
+		resp.Body = io.NopCloser(io.MultiReader(resp.Body, errReader{io.ErrUnexpectedEOF}))
+		return resp, err
+	})
+	rec := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"lm","prompt":"x"}`))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	g.ServeHTTP(rec, r)
+	is.Equal(calls, 2)
+	is.Equal(rec.Code, http.StatusServiceUnavailable)
+	is.Equal(rec.Header().Get(headerExecuted), "unknown")
+}
+
 type errReader struct{ err error }
 
 func (r errReader) Read([]byte) (int, error) { return 0, r.err }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -39,13 +39,16 @@
 		attempts = maxTruncatedAttempts
 	}
 	var apiErr *apiError
-	for range attempts {
+	for attempt := range attempts {
 		var response *response
 		response, apiErr = g.fetch(ctx, req)
 		if apiErr == nil {
 			response.send(ctx, w, g)
 			return
 		}
+		if attempt > 0 { // the dispatcher knows of this attempt only
+			apiErr.Executed = dispatch.ExecutedUnknown
+		}
 		if apiErr.Code != codeTruncated {
 			break
 		}
