test: a connection in use stays barred for its request

TestConnectionStaysBarredAfterManySends could not fail: the pool keeps six connections, so that the first one was closed long before it could be forgotten. Another request holds it now until the end. The former checks are kept.

Without the line in Sends.add that bars forgotten connections the request is sent on the first one again: 201 connections instead of 202.

--- a/internal/upstream/sends_test.go
+++ b/internal/upstream/sends_test.go
@@ -47,17 +47,29 @@
 }
 
 // TestConnectionStaysBarredAfterManySends guards against forgetting a connection that
-// carried a request which was sent very often.
+// carried a request which was sent very often. The first one is kept meanwhile by
+// another request, whose response ends late.
 func TestConnectionStaysBarredAfterManySends(t *testing.T) {
 	is := is.New(t)
 	s := servertest.New(t, whole)
 	c := upstream.New(upstream.Options{})
 	var sends upstream.Sends
+	send(t, c, s.Address(), &sends)
+	late, err := c.Do(context.Background(), s.Address(), request())
+	is.NoErr(err)
+	is.Equal(s.AcceptedConnections(), 1) // on the first one
 	for n := range 200 {
 		send(t, c, s.Address(), &sends)
-		is.Equal(s.AcceptedConnections(), n+1)
+		is.Equal(s.AcceptedConnections(), n+2)
 		send(t, c, s.Address(), nil) // keeps a connection in use
 	}
+	_, err = io.ReadAll(late.Body)
+	is.NoErr(err)
+	is.NoErr(late.Body.Close())
+	send(t, c, s.Address(), &sends)
+	is.Equal(s.AcceptedConnections(), 202)
+	send(t, c, s.Address(), nil)
+	is.Equal(s.AcceptedConnections(), 202)
 }
 
 // TestFullPoolKeepsConnectionInUse guards against a new connection for each request
