test: a drain awaits a connection that is being accepted

Without the lock that makes Drain wait for Accept, no test failed. The new one holds an accepted connection back until the drain has begun.

TestDrainKnowsConnectionBeingAccepted: without the lock the drain ends before the connection is known, and the process would cut its request.

--- a/internal/callers/connections_test.go
+++ b/internal/callers/connections_test.go
@@ -51,3 +51,49 @@
 		})
 	}
 }
+
+// lateListener returns an accepted connection only once it is released.
+type lateListener struct {
+	net.Listener
+	accepted chan struct{}
+	release  chan struct{}
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- struct{}{}
+		<-l.release
+	}
+	return c, err
+}
+
+// A connection that was accepted just before a drain, and that the drain did not know,
+// was cut by the end of the process with the request on it.
+func TestDrainKnowsConnectionBeingAccepted(t *testing.T) {
+	is := is.New(t)
+	bound, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	late := lateListener{bound, make(chan struct{}, 1), make(chan struct{})}
+	l := NewListener(late, nil)
+	server := &http.Server{Handler: http.NotFoundHandler(), ConnState: StateChanged, ReadHeaderTimeout: longTime}
+	go func() { _ = server.Serve(l) }() // it ends with the listener
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	<-late.accepted
+	drained := make(chan error, 1)
+	go func() { drained <- l.Drain(t.Context()) }()
+	select {
+	case <-drained:
+		t.Fatal("the drain ended before the connection was known")
+	case <-time.After(shortTime):
+	}
+	close(late.release)
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	is.NoErr(err)
+	answer, err := io.ReadAll(caller)
+	is.NoErr(err)
+	is.True(len(answer) > 0)
+	is.NoErr(<-drained)
+}
