test: idle connections stay as long as a new configuration allows

Without the code that extends the wait of an idle connection, or only that of an unused one, no test failed: in TestIdleConnectionLastsAsLongAsNewlyConfigured the new limits may be there before the wait begins. The new test sets them after that.

TestIdleConnectionStaysAsNewlyConfigured: fails in both states without stayIdle, and in the unused state if that is left out.

--- a/internal/callers/connections_test.go
+++ b/internal/callers/connections_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,36 @@
 	}
 }
 
+// A connection that was idle, before its first request or after one, was closed after
+// the idle time of a former configuration although the present one allows more.
+func TestIdleConnectionStaysAsNewlyConfigured(t *testing.T) {
+	for _, state := range []http.ConnState{http.StateNew, http.StateIdle} {
+		t.Run(state.String(), func(t *testing.T) {
+			is := is.New(t)
+			var limits atomic.Pointer[Limits]
+			limits.Store(&Limits{})
+			bound, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			l := NewListener(bound, func() Limits { return *limits.Load() })
+			defer l.Close()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer caller.Close()
+			accepted, err := l.Accept()
+			is.NoErr(err)
+			c := accepted.(*connection)
+			defer c.Close()
+			StateChanged(c, state)
+			is.NoErr(c.SetReadDeadline(time.Now().Add(shortTime)))
+			limits.Store(&Limits{IdleTime: 5 * longTime})
+			time.AfterFunc(3*shortTime, func() { _, _ = io.WriteString(caller, "GET") }) // the read tells
+			n, err := c.Read(make([]byte, 10))
+			is.NoErr(err)
+			is.Equal(n, len("GET"))
+		})
+	}
+}
+
 // lateListener returns an accepted connection only once it is released.
 type lateListener struct {
 	net.Listener
