--- a/internal/online/fixture_test.go
+++ b/internal/online/fixture_test.go
@@ -98,6 +98,13 @@
 	return nil
 }
 
+// contains reports whether a line contains the text.
+func (b *logBuffer) contains(text string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Contains(b.lines.Bytes(), []byte(text))
+}
+
 func (f *fixture) workspace(name string) (routing.Workspace, bool) {
 	w, ok := f.snapshot.Load().Workspaces[name]
 	return w, ok
