--- a/internal/online/inuse_test.go
+++ b/internal/online/inuse_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/matryer/is"
 
+	"ragwortstep/internal/core/placement"
+	"ragwortstep/internal/core/routing"
 	"ragwortstep/internal/online"
 	"ragwortstep/internal/servertest"
 )
@@ -144,6 +146,77 @@
 	})
 }
 
+// A request that waits for the probe's answer must get its place with it, not later.
+func TestWaitingRequestGetsItsPlaceWithTheProbesAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		sound := false
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			if !sound {
+				return false
+			}
+			if c.ID == "id-1" {
+				return ok(c)
+			}
+			time.Sleep(110 * time.Millisecond)
+			return pausingStream(c, 500*time.Millisecond)
+		})
+		for range 2 {
+			f.serveAborting("/once/1", "k")
+		}
+		sound = true
+		time.Sleep(time.Second)
+		var group sync.WaitGroup
+		group.Go(func() {
+			got, _ := f.serveAs("probe", "/stream/1", "k")
+			is.Equal(got.Code, http.StatusOK)
+		})
+		time.Sleep(100 * time.Millisecond)
+		got, took := f.serve("/get/1", "k")
+		is.Equal(got.Code, http.StatusOK)
+		is.Equal(took, 10*time.Millisecond)
+		group.Wait()
+	})
+}
+
+// Calls whose time ends just after another server has begun its answer to them must not
+// take that one out of use.
+func TestOtherServerThatHasBegunStaysInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		begun := 0
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			if c.Header.Get("X-Instance") == "b" {
+				time.Sleep(300 * time.Millisecond)
+				begun++
+				c.WriteHead(http.StatusOK, "Content-Length: 2")
+			}
+			return hold(c)
+		}, "a", "b")
+		f.setRoutes(func(r *routing.Route) { r.Timeout = 600 * time.Millisecond })
+		request := f.onlineRequest()
+		request.Only = []string{"b"}
+		for range 2 {
+			for range 5 { // 4 slots and one request that waits at the server
+				slot, err := f.slots.Acquire(t.Context(), request)
+				is.NoErr(err)
+				time.AfterFunc(100*time.Millisecond, func() { slot.Done(placement.Neutral, 0) })
+			}
+			got, _ := f.serve("/get/1", "k") // the server b is asked after 250 ms of silence
+			is.Equal(got.Code, http.StatusGatewayTimeout)
+		}
+		is.Equal(begun, 2)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		slot, err := f.slots.Acquire(ctx, request)
+		is.NoErr(err)
+		if err == nil {
+			slot.Done(placement.Neutral, 0)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // A server whose first request after its ejection stays without an answer gets no
 // other meanwhile.
 func TestServerIsProbedByOneRequest(t *testing.T) {
--- a/internal/online/wait_test.go
+++ b/internal/online/wait_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/core/placement"
+	"ragwortstep/internal/core/routing"
 	"ragwortstep/internal/servertest"
 )
 
@@ -71,3 +72,37 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// A call whose server has failed, and that may only return to one that was full, must
+// not wait for a place there until its caller leaves.
+func TestFailedCallWaitsShortlyForFullServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		var first firstAsked
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			if first.is(c) {
+				time.Sleep(time.Second)
+				return false
+			}
+			c.RespondNotRun(http.StatusServiceUnavailable)
+			return true
+		}, "a", "b")
+		f.setRoutes(func(r *routing.Route) { r.Timeout = 8 * time.Second })
+		time.AfterFunc(800*time.Millisecond, func() {
+			request := f.onlineRequest()
+			request.Only = []string{"a"}
+			if *first.id.Load() == "a" {
+				request.Only = []string{"b"}
+			}
+			for range 5 { // 4 slots and one request that waits at the server
+				slot, err := f.slots.Acquire(t.Context(), request)
+				is.NoErr(err)
+				time.AfterFunc(6*time.Second, func() { slot.Done(placement.Success, 1) })
+			}
+		})
+		got, took := f.serve("/get/1", "k")
+		is.Equal(got.Code, http.StatusBadGateway) // the first one may have run it
+		is.True(took < 1500*time.Millisecond)
+		time.Sleep(8 * time.Second)
+	})
+}
