--- a/internal/backend/silent_exchange_test.go
+++ b/internal/backend/silent_exchange_test.go
@@ -103,3 +103,29 @@
 	is.Equal(got, "whole")
 	is.Equal(<-stalled, io.ErrUnexpectedEOF)
 }
+
+// Guards against cutting a sound stream because polls were lost at an earlier time, on
+// connections that were replaced then.
+func TestLostPollsAreForgotten(t *testing.T) {
+	for name, lostAgain := range map[string]bool{"overdue exchange": false, "lost polls": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(Options{})
+			s := newServer("s", "127.0.0.1:1", c.opts)
+			past := int64(c.opts.ReplacedConnGrace) + 1
+			now := time.Now().UnixNano()
+			s.replaceGeneration(s.currentGeneration(), now, true)
+			s.checkDeadlines(now + past)
+			now += 10 * past
+			ex := newExchange(context.Background(), c, s, &Request{})
+			defer ex.cancel(nil)
+			ex.headArrived.Store(true)
+			ex.bodyStarted.Store(true)
+			ex.waitingSince.Store(now)
+			s.register(ex)
+			s.replaceGeneration(s.currentGeneration(), now, lostAgain)
+			overdue, _ := s.findOverdue(now + past)
+			is.Equal(len(overdue) > 0, lostAgain)
+		})
+	}
+}
