storerelay: an error of a peer with an unknown name ends no process

What would happen, by a test: a host whose calls to the store go through a peer ends with a panic, and cuts all of its open requests, if that peer answers with a name of an error that the host does not know. All names are known today, so it takes a peer of another version.

Cause: the name was looked up without a check, and the error marked with nil.

Such a write has an unknown outcome now, and such a read counts as unavailable.

TestUnknownErrorOfPeerIsAnError: nil pointer dereference before.

--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -193,18 +193,31 @@
 	err := s.opts.Peers.Call(ctx, to, relayMethod, r, &a)
 	s.opts.Metrics.Add("store_relayed_total", 1, "op", string(r.Op))
 	if err != nil {
-		fault := store.ErrUnavailable
-		if r.writes() && !errors.Is(err, peer.ErrPeerUnreachable) {
-			fault = store.ErrUnknownOutcome
+		fault := lostResponseError(r)
+		if errors.Is(err, peer.ErrPeerUnreachable) {
+			fault = store.ErrUnavailable
 		}
 		return store.Object{}, errors.Mark(errors.Wrapf(err, "store %s %s through %s", r.Op, r.Key, to), fault)
 	}
 	if a.Error != "" {
-		return a.Object, errors.Mark(errors.Newf("store %s %s through %s: %s", r.Op, r.Key, to, a.Detail), errorsByName[a.Error])
+		fault, ok := errorsByName[a.Error]
+		if !ok { // the peer may run another version
+			fault = lostResponseError(r)
+		}
+		return a.Object, errors.Mark(errors.Newf("store %s %s through %s: %s: %s", r.Op, r.Key, to, a.Error, a.Detail), fault)
 	}
 	return a.Object, nil
 }
 
+// lostResponseError returns the error for a call whose outcome is not known. A lost
+// read changes nothing, so it counts as unavailable.
+func lostResponseError(r request) error {
+	if r.writes() {
+		return store.ErrUnknownOutcome
+	}
+	return store.ErrUnavailable
+}
+
 // serve handles a call relayed by a peer. It only calls the store directly, so
 // calls are not relayed twice.
 func (s *Store) serve(ctx context.Context, _ peer.HostID, raw json.RawMessage) (any, error) {
--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"sync/atomic"
 	"testing"
@@ -137,3 +138,23 @@
 	_, err := s.Put(context.Background(), "k/x", []byte("1"), 0)
 	is.True(errors.Is(err, store.ErrUnavailable))
 }
+
+// Guards against a peer of another version, whose error has a name that is not known
+// here: it ended the process. Whether its write was made cannot be told.
+func TestUnknownErrorOfPeerIsAnError(t *testing.T) {
+	is := is.New(t)
+	network := peertest.New()
+	network.Node("b").Handle("store.call", func(context.Context, peer.HostID, json.RawMessage) (any, error) {
+		return map[string]string{"error": "other"}, nil
+	})
+	direct := &hostStore{Fake: storetest.New()}
+	setFault(direct, store.ErrUnavailable)
+	s := storerelay.New(storerelay.Options{
+		Direct: direct, Peers: network.Node("a"), Metrics: metrics.New(), Logger: slog.New(slog.DiscardHandler),
+		Reachable: func() []peer.HostID { return []peer.HostID{"b"} },
+	})
+	_, err := s.Put(t.Context(), "k/x", []byte("1"), 0)
+	is.True(errors.Is(err, store.ErrUnknownOutcome))
+	_, err = s.Get(t.Context(), "k/x")
+	is.True(errors.Is(err, store.ErrUnavailable))
+}
