store: a write without a version in its answer has an unknown outcome

What operators and owners of jobs would see, by a test: a write that the platform made is reported as failed, with an error that is neither a lost answer nor a refusal, so that it is not looked for in the store. It takes an answer of 200 without ETag, or with one that is no number.

Cause: the error of parsing the version was returned without a mark.

Such a write has an unknown outcome now, and such a read counts as lost.

TestAnswerWithoutVersionIsLost: both of its cases failed before.

--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -48,7 +48,7 @@
 	}
 	version, err := strconv.ParseInt(resp.Header().Get("ETag"), 10, 64)
 	if err != nil {
-		return Object{}, errors.Wrapf(err, "platform get %s: version", key)
+		return Object{}, errors.Mark(errors.Wrapf(err, "platform get %s: version", key), ErrUnavailable)
 	}
 	return Object{Key: key, Version: version, Value: resp.Body()}, nil
 }
@@ -78,7 +78,7 @@
 	}
 	version, err := strconv.ParseInt(resp.Header().Get("ETag"), 10, 64)
 	if err != nil {
-		return Object{}, errors.Wrapf(err, "platform put %s: version", key)
+		return Object{}, errors.Mark(errors.Wrapf(err, "platform put %s: version", key), ErrUnknownOutcome)
 	}
 	return Object{Key: key, Version: version, Value: value}, nil
 }
--- a/internal/store/http_test.go
+++ b/internal/store/http_test.go
@@ -137,3 +137,18 @@
 		is.Equal(call.call(s) == nil, status == 200)
 	}
 }
+
+// A write whose answer says that it was done, but not at which version, must not count as
+// one that failed, nor may such a read count as any other error than a lost one.
+func TestAnswerWithoutVersionIsLost(t *testing.T) {
+	for name, etag := range map[string]string{"no version": "", "no number": "ETag: x\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			p := newCutPlatform(t)
+			s := NewHTTPStore("http://"+p.listener.Addr().String(), "host-1")
+			p.set("HTTP/1.1 200 X\r\n"+etag+"Content-Length: 1\r\n\r\n1", false)
+			is.True(errors.Is(platformWrites["put"].call(s), ErrUnknownOutcome))
+			is.True(errors.Is(platformReads["get"].call(s), ErrUnavailable))
+		})
+	}
+}
