store: an update knows all of its writes whose answers were lost

What callers saw, by a test: an update was made twice. The answers to two or three attempts were lost, and then the first of them took effect, as the platform's store may let a write do seconds later.

Cause: only the last write with an unknown outcome was kept, so that the earlier one was taken for another host's, and the update was made on top of it. Where the change is bound to a state, as that of a job's manifest is, the caller would be told that it failed.

The numbers of all such writes of the update are kept.

TestLateWriteOfEarlierAttemptIsTheUpdate: 2 instead of 1 with two and three lost answers before.

--- a/internal/store/update.go
+++ b/internal/store/update.go
@@ -44,7 +44,7 @@
 // is applied exactly once. After a lost response it reads the object and compares
 // writer and sequence. It returns the object as stored and its data.
 func Update(ctx context.Context, s Store, w *Writer, key string, mutate Mutate) (Object, json.RawMessage, error) {
-	var pending *Envelope // the last write with an unknown outcome
+	pending := map[uint64]bool{} // sequence numbers of the writes with an unknown outcome
 	var lastErr error
 	for attempt := range maxUpdateAttempts {
 		if err := sleepBackoff(ctx, attempt); err != nil {
@@ -58,7 +58,7 @@
 			}
 			continue
 		}
-		if pending != nil && exists && env.Writer == pending.Writer && env.Seq == pending.Seq {
+		if exists && env.Writer == w.ID && pending[env.Seq] {
 			return current, env.Data, nil
 		}
 		next, err := mutate(env.Data, exists)
@@ -74,7 +74,7 @@
 		case err == nil:
 			return stored, next, nil
 		case errors.Is(err, ErrUnknownOutcome):
-			pending = &out
+			pending[out.Seq] = true
 		case !retryable(err):
 			return Object{}, nil, errors.Wrapf(err, "update %s", key)
 		}
