test: a drain ends connections without a request

Without the part of retire that ends unused connections after a while, no test without TLS failed: a host would take its whole grace period to stop.

--- a/internal/callers/connections_test.go
+++ b/internal/callers/connections_test.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -128,3 +129,23 @@
 	is.True(len(answer) > 0)
 	is.NoErr(<-drained)
 }
+
+// A connection on which no request ever came kept a host that was to stop until the end
+// of its time, in which it accepts nothing.
+func TestDrainEndsUnusedConnection(t *testing.T) {
+	is := is.New(t)
+	bound, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := NewListener(bound, nil)
+	server := &http.Server{Handler: http.NotFoundHandler(), ConnState: StateChanged, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(l) }() // it ends with the listener
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	for len(l.list()) == 0 {
+		time.Sleep(time.Millisecond) // it is being accepted
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*newConnectionTime)
+	defer cancel()
+	is.NoErr(l.Drain(ctx))
+}
