bulk: items outlive the arrival of a configuration

An item could be lost without a trace: neither run nor listed, while its host held the job, so that no other host took it over. It looked up its route, found none and could not tell why, because its host had no configuration yet or an old one; then it asked whether it might start, which looked the route up again. If the configuration arrived in between, the item went on with the route that it had not found. The panic ended its goroutine, and the worker pool keeps panics to itself: no log line, no end of the process.

An item now starts only with the route that it has looked up.

--- a/internal/bulk/fixture_test.go
+++ b/internal/bulk/fixture_test.go
@@ -110,11 +110,19 @@
 	mu       sync.Mutex
 	hosts    map[string]*testHost
 	starts   int64
+	flickers atomic.Bool // every other question finds no configuration
+	asked    atomic.Int64
 }
 
-func (f *testFleet) Current() *routing.Snapshot { return f.snapshot.Load() }
-func (f *testFleet) Fresh() bool                { return true }
-func (f *testFleet) Age() time.Duration         { return 0 }
+func (f *testFleet) Current() *routing.Snapshot {
+	if f.flickers.Load() && f.asked.Add(1)%2 == 1 {
+		return nil
+	}
+	return f.snapshot.Load()
+}
+
+func (f *testFleet) Fresh() bool        { return !f.flickers.Load() }
+func (f *testFleet) Age() time.Duration { return 0 }
 
 func newFleet(t *testing.T, servers ...*servertest.Server) *testFleet {
 	f := &testFleet{t: t, store: storetest.New(), network: peertest.New(), servers: servers, hosts: map[string]*testHost{}}
--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -110,7 +110,7 @@
 			r.finish(itemlist.Result{ID: item.ID, State: state}, reason)
 			return
 		}
-		if !s.mayStart(j) {
+		if route == nil || !s.mayStart(j) { // the latter may know a newer configuration
 			_ = pause(ctx, maxRetryDelay) // the loop checks ctx
 			continue
 		}
--- a/internal/bulk/silence_test.go
+++ b/internal/bulk/silence_test.go
@@ -19,6 +19,7 @@
 	"ragwortstep/internal/cluster"
 	"ragwortstep/internal/core/itemlist"
 	"ragwortstep/internal/core/placement"
+	"ragwortstep/internal/core/routing"
 	"ragwortstep/internal/informer"
 	"ragwortstep/internal/metrics"
 	"ragwortstep/internal/peer/peertest"
@@ -36,6 +37,7 @@
 	members []cluster.Member // all hosts, nil if it is alone
 	node    *peertest.Node
 	objects store.Store
+	fleet   *testFleet // has the configuration; nil for that of newFleet
 }
 
 func (h pipedHost) self() cluster.Member {
@@ -47,12 +49,20 @@
 	return cluster.Member{Name: h.name, Incarnation: 1}
 }
 
-// start starts the host with servers that have the ids and the script.
-func (h pipedHost) start(t *testing.T, script func(*servertest.Conn) bool, ids ...string) *bulk.Service {
-	f := newFleet(t)
+// longRoute returns the route of the jobs with a long retention.
+func (f *testFleet) longRoute() routing.Route {
 	r := *f.snapshot.Load().ByName("r")
 	r.Retention = 5 * time.Minute
-	f.setRoutes(r)
+	return r
+}
+
+// start starts the host with servers that have the ids and the script.
+func (h pipedHost) start(t *testing.T, script func(*servertest.Conn) bool, ids ...string) *bulk.Service {
+	f := h.fleet
+	if f == nil {
+		f = newFleet(t)
+		f.setRoutes(f.longRoute())
+	}
 	server := servertest.NewPiped(t, script)
 	logger := slog.New(slog.DiscardHandler)
 	c := cluster.New(cluster.Options{Self: h.self(), Conn: h.conn, Logger: logger})
--- a/internal/bulk/silent_host_test.go
+++ b/internal/bulk/silent_host_test.go
@@ -127,7 +127,7 @@
 	ran := map[string]bool{} // by job
 	hosts := map[string]*bulk.Service{}
 	for _, name := range names {
-		hosts[name] = pipedHost{name, conns[name], members, calls.Node(peer.HostID(name)), objects}.start(t, func(c *servertest.Conn) bool {
+		hosts[name] = pipedHost{name: name, conn: conns[name], members: members, node: calls.Node(peer.HostID(name)), objects: objects}.start(t, func(c *servertest.Conn) bool {
 			job, _, _ := strings.Cut(c.ID, "-")
 			mu.Lock()
 			ran[job] = true
