bulk: items outlive a moment without their route

Items of an accepted job became dead letters when one version of the configuration lacked the job's route and the next one had it again: an item that was about to start in between was given up for good, since a result keeps its content.

Items are now given up once the route has been missing from a configuration that is known to be current for 5 s without a break. Meanwhile none starts. A route that stays away still ends its items soon.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -39,6 +39,9 @@
 	// retentionMargin is added to the route's retention before an item becomes a
 	// dead letter, to allow for differences between the hosts' clocks.
 	retentionMargin = 3 * time.Second
+	// routeGrace is how long a job's route must be missing from the configuration before
+	// items are given up: the next version may bring it back.
+	routeGrace = 5 * time.Second
 	// maxPendingBytes bounds a job's outputs that are not listed yet. Above it no
 	// item of the job starts.
 	maxPendingBytes = 16 << 20
@@ -140,10 +143,10 @@
 // deadLetterReason returns the state DeadLetter and the reason if the item must
 // not be run again, and empty strings otherwise.
 func (r *itemRun) deadLetterReason(route *routing.Route) (itemlist.State, string) {
+	if r.j.lostRoute(route != nil, r.s.opts.Config.Fresh(), time.Now()) {
+		return itemlist.DeadLetter, "the route was removed"
+	}
 	if route == nil {
-		if r.s.opts.Config.Fresh() {
-			return itemlist.DeadLetter, "the route was removed"
-		}
 		return "", ""
 	}
 	if r.failures >= route.MaxAttempts {
@@ -155,6 +158,35 @@
 	return "", ""
 }
 
+// lostRoute notes whether the job's route is in the configuration, and reports whether
+// it has been missing for routeGrace.
+func (j *job) lostRoute(found, fresh bool, now time.Time) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	switch {
+	case found:
+		j.noRouteSince = time.Time{}
+	case !fresh:
+	case j.noRouteSince.IsZero():
+		j.noRouteSince = now
+	default:
+		return now.Sub(j.noRouteSince) >= routeGrace
+	}
+	return false
+}
+
+// checkRoutes notes which jobs that this host runs have their route, so that a return of
+// the route counts also while no item looks.
+func (s *Service) checkRoutes(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, j := range s.jobs {
+		if j.isOwned() {
+			j.lostRoute(s.route(j) != nil, s.opts.Config.Fresh(), now)
+		}
+	}
+}
+
 // mayStart reports whether an item of the job may be sent to a server.
 func (s *Service) mayStart(j *job) bool {
 	if age, ok := s.opts.Informer.Age(headPrefix); !ok || age > maxHeadAge {
--- a/internal/bulk/ownership.go
+++ b/internal/bulk/ownership.go
@@ -258,6 +258,7 @@
 	}
 	ctx, stop := context.WithCancel(s.runCtx)
 	j.owned, j.stop = true, stop
+	j.noRouteSince = time.Time{} // nobody looked before
 	return ctx, true
 }
 
--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -102,6 +102,7 @@
 	lastSynced     time.Time     // start of the last syncSegments that read up to the end
 	segmentLock    chan struct{} // capacity 1; held while segments are read or written
 	accepted       time.Time     // on this host's clock
+	noRouteSince   time.Time     // since when the configuration lacks the job's route; zero if it has it
 }
 
 // New returns a Service that is registered with the cluster, the informer and the
@@ -141,6 +142,7 @@
 		case <-ticker.C:
 			s.recordPartition(time.Now())
 			s.checkOwnership(time.Now())
+			s.checkRoutes(time.Now())
 			s.dropUnused(time.Now())
 		}
 	}
--- a/internal/bulk/silence_test.go
+++ b/internal/bulk/silence_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -49,6 +50,9 @@
 	return cluster.Member{Name: h.name, Incarnation: 1}
 }
 
+// otherService is the service of servers whose ids begin with it; all others are of "s".
+const otherService = "other"
+
 // longRoute returns the route of the jobs with a long retention.
 func (f *testFleet) longRoute() routing.Route {
 	r := *f.snapshot.Load().ByName("r")
@@ -74,7 +78,11 @@
 	scheduler := slots.New(slots.Options{Zone: "z", Cluster: c, Logger: logger})
 	var list []placement.Server
 	for _, id := range ids {
-		list = append(list, placement.Server{ID: id, Instance: id, Service: "s", Address: id, Zone: "z", Slots: 8, Ready: true})
+		service := "s"
+		if strings.HasPrefix(id, otherService) {
+			service = otherService
+		}
+		list = append(list, placement.Server{ID: id, Instance: id, Service: service, Address: id, Zone: "z", Slots: 8, Ready: true})
 	}
 	scheduler.SetServers(list)
 	service := bulk.New(bulk.Options{
