bulk: items that wait for a slot follow their route

An item that waited for a slot kept what it had read before the wait, which had no limit. When a configuration moved the route to another service, or dropped it, the item was sent to a server of the service before once a slot became free there; while none did, it was not sent to the service after, and its retention could pass without its being listed.

A wait ends after a second, and the item looks up its route, retention and the age of its copies again. What it may do is also checked once more when it gets its slot; one that it may not use is given back.

TestWaitingItemsFollowTheirRoute, 40 items at a busy server: 14 listed after 20 s and 26 starts at the service before (route moved) or without a route (route dropped); now all 40 are listed and none starts there. TestWaitingItemsAreGivenUp, 40 items, retention 10 s: fewer than 32 listed after 17 s before, 32 or more now.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -42,6 +42,9 @@
 	// routeGrace is how long a job's route must be missing from the configuration before
 	// items are given up: the next version may bring it back.
 	routeGrace = 5 * time.Second
+	// maxSlotWait is how long an item waits for a slot before its route, which may have
+	// moved to another service, and its retention are checked again.
+	maxSlotWait = time.Second
 	// maxPendingBytes bounds a job's outputs that are not listed yet. Above it no
 	// item of the job starts.
 	maxPendingBytes = 16 << 20
@@ -117,7 +120,10 @@
 			_ = pause(ctx, maxRetryDelay) // the loop checks ctx
 			continue
 		}
-		slot, err := s.opts.Slots.Acquire(ctx, r.slotRequest(route))
+		slot, err := r.acquire(ctx, route)
+		if errors.Is(err, errSlotWait) {
+			continue
+		}
 		if err != nil {
 			if ctx.Err() == nil {
 				r.backOff(ctx)
@@ -125,6 +131,10 @@
 			}
 			continue
 		}
+		if !r.mayUse(slot) {
+			slot.Done(placement.Neutral, 0)
+			continue
+		}
 		if done := r.attempt(ctx, slot); done != nil {
 			r.finish(*done, "a server rejected it permanently")
 			return
@@ -200,6 +210,22 @@
 	return j.list.PendingBytes() < maxPendingBytes
 }
 
+// errSlotWait is the cause of a wait for a slot that took maxSlotWait.
+var errSlotWait = errors.New("no slot became free")
+
+func (r *itemRun) acquire(ctx context.Context, route *routing.Route) (*slots.Slot, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, maxSlotWait, errSlotWait)
+	defer cancel()
+	return r.s.opts.Slots.Acquire(ctx, r.slotRequest(route))
+}
+
+// mayUse reports whether the item may still be sent to the slot's server after its
+// wait for the slot.
+func (r *itemRun) mayUse(slot *slots.Slot) bool {
+	route := r.s.route(r.j)
+	return r.s.mayStart(r.j) && route != nil && route.HasTarget(slot.Server.Service)
+}
+
 func (r *itemRun) slotRequest(route *routing.Route) slots.Request {
 	deadline := r.j.accepted.Add(route.Completion)
 	return slots.Request{
--- a/internal/bulk/route_test.go
+++ b/internal/bulk/route_test.go
@@ -1,6 +1,8 @@
 package bulk_test
 
 import (
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,7 +10,9 @@
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/core/itemlist"
+	"ragwortstep/internal/core/routing"
 	"ragwortstep/internal/peer/peertest"
+	"ragwortstep/internal/servertest"
 	"ragwortstep/internal/store/storetest"
 )
 
@@ -59,6 +63,84 @@
 	})
 }
 
+// Items that wait for a slot must follow a change of their route. They were sent to
+// servers of the service before, or without any route, once a slot became free there,
+// and not to those of the service after.
+func TestWaitingItemsFollowTheirRoute(t *testing.T) {
+	for name, moved := range map[string][]routing.Target{"moved": {{Service: otherService, Weight: 1}}, "removed": nil} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testWaitingItems(t, moved) })
+		})
+	}
+}
+
+func testWaitingItems(t *testing.T, moved []routing.Target) {
+	is := is.NewRelaxed(t)
+	f := newFleet(t)
+	route := f.longRoute()
+	f.setRoutes(route)
+	var mu sync.Mutex
+	changed, started := false, 0
+	service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: storetest.New(), fleet: f}.start(t, func(c *servertest.Conn) bool {
+		instance := c.Header.Get("X-Instance")
+		if strings.HasPrefix(instance, otherService) {
+			return generate(50 * time.Millisecond)(c)
+		}
+		mu.Lock()
+		if changed {
+			t.Errorf("%s starts at %s after the change", c.ID, instance)
+		}
+		started++
+		mu.Unlock()
+		return generate(1500 * time.Millisecond)(c)
+	}, "a", otherService+"1")
+	is.NoErr(service.Submit(t.Context(), submission("job", 40)))
+	time.Sleep(time.Second)
+	mu.Lock()
+	if f.setRoutes(); moved != nil {
+		route.Targets = moved
+		f.setRoutes(route)
+	}
+	changed = true
+	mu.Unlock()
+	time.Sleep(20 * time.Second)
+	page, err := service.Results(t.Context(), "w", "job", 0, 0)
+	is.NoErr(err)
+	is.Equal(len(page.Results), 40)
+	ofState := map[itemlist.State]int{}
+	for _, r := range page.Results {
+		ofState[r.State]++
+	}
+	if moved != nil {
+		is.Equal(ofState[itemlist.Completed], 40)
+	} else {
+		mu.Lock()
+		is.Equal(ofState[itemlist.Completed], started)
+		mu.Unlock()
+	}
+}
+
+// An item that waits for a slot must be given up when its retention is over, as one
+// that runs. It waited until it got a slot.
+func TestWaitingItemsAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		f := newFleet(t)
+		route := f.longRoute()
+		route.Retention = 10 * time.Second
+		f.setRoutes(route)
+		service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: storetest.New(), fleet: f}.start(t, func(c *servertest.Conn) bool {
+			return generate(1900 * time.Millisecond)(c)
+		}, "a")
+		is.NoErr(service.Submit(t.Context(), submission("job", 40)))
+		time.Sleep(17 * time.Second)
+		page, err := service.Results(t.Context(), "w", "job", 0, 0)
+		is.NoErr(err)
+		is.True(len(page.Results) >= 32) // all but those that run
+		time.Sleep(time.Minute)
+	})
+}
+
 // An item that is about to start while its host gets a configuration must be run. Its
 // goroutine panicked without a trace, and the item was never listed.
 func TestItemsOutliveTheArrivalOfAConfiguration(t *testing.T) {
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -71,6 +71,15 @@
 	return r.Targets[0].Service
 }
 
+// HasTarget reports whether Service may select the service.
+func (r *Route) HasTarget(service string) bool {
+	weighted := slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Weight > 0 })
+	if !weighted {
+		return r.Targets[0].Service == service
+	}
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // Workspace is a tenant's quota.
 type Workspace struct {
 	Name     string
