bulk: calls on jobs are answered while their callers wait

Callers got neither an answer nor a refusal when a host or the store was silent for a second or more. Each step of a call had a bound of its own, and none looked at the sum.

Each call has one limit now: the wait that the caller allows and 1.3 s for reads, 1.3 s for bodies, 3 s for the end of a job, and for a submission 0.3 s before its caller's deadline, at most 3.5 s. A submission leaves a second for its head, so that a store that does not take the bodies in time is answered by a refusal that promises that nothing runs, which is true until the head is sent. A call that a peer makes ends when the peer gives up.

--- a/internal/bulk/job.go
+++ b/internal/bulk/job.go
@@ -33,6 +33,7 @@
 	Route     string
 	Host      string // Host header of the items' requests
 	Items     []Item
+	Deadline  time.Time // when the caller gives up, zero if that is not known
 }
 
 // MaxItems is the largest number of items in a job.
--- a/internal/bulk/race_test.go
+++ b/internal/bulk/race_test.go
@@ -4,6 +4,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -26,7 +27,7 @@
 		}
 	})
 	for range 20_000 {
-		_, err := s.localResults(t.Context(), j, "w", 0, 0)
+		_, err := s.localResults(t.Context(), j, "w", 0, time.Now())
 		is.NoErr(err)
 	}
 	read.Store(true)
--- a/internal/bulk/read.go
+++ b/internal/bulk/read.go
@@ -24,9 +24,11 @@
 	// write segments of a job that this host runs: until both hosts have received
 	// each other's claims.
 	reconnectGrace = time.Second
-	// refreshTimeout bounds the reading of segments for a caller, who can call
-	// another host afterwards.
-	refreshTimeout = 1500 * time.Millisecond
+	// answerTime bounds a read, in addition to its wait for results. Callers bear 1.5 s
+	// and can call another host afterwards.
+	answerTime = 1300 * time.Millisecond
+	// endTimeout bounds the end of a job.
+	endTimeout = 3 * time.Second
 	// maxPageBytes bounds the outputs in one page.
 	maxPageBytes = 900 << 10
 	// pollInterval is how often a call that waits for results reads the store.
@@ -65,15 +67,18 @@
 // ErrNoJob or ErrStoreUnavailable.
 func (s *Service) Results(ctx context.Context, workspace, id string, after int, wait time.Duration) (*Page, error) {
 	wait = min(wait, maxResultsWait)
+	waitUntil := time.Now().Add(wait)
+	ctx, cancel := context.WithDeadline(ctx, waitUntil.Add(answerTime))
+	defer cancel()
 	if j := s.localJob(id); j != nil {
-		return s.localResults(ctx, j, workspace, after, wait)
+		return s.localResults(ctx, j, workspace, after, waitUntil)
 	}
 	var response peerResponse
 	request := resultsRequest{id, workspace, after, wait.Milliseconds()}
 	if s.callOwner(ctx, id, resultsMethod, wait+peerTimeout, request, &response) && response.Page != nil {
 		return response.Page, nil
 	}
-	return s.storedResults(ctx, workspace, id, after, wait)
+	return s.storedResults(ctx, workspace, id, after, waitUntil)
 }
 
 // localJob returns the job if this host's list of results is current: because it
@@ -95,21 +100,21 @@
 }
 
 // localResults returns results from the list of a job that localJob returned.
-func (s *Service) localResults(ctx context.Context, j *job, workspace string, after int, wait time.Duration) (*Page, error) {
+func (s *Service) localResults(ctx context.Context, j *job, workspace string, after int, waitUntil time.Time) (*Page, error) {
 	if err := sameWorkspace(j.head.Workspace, workspace); err != nil {
 		return nil, err
 	}
 	if err := s.refreshAfterPartition(ctx, j); err != nil {
 		return nil, err
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(time.Until(waitUntil))
 	defer timer.Stop()
 	for {
 		j.mu.Lock()
 		page, over := j.page(after), j.list.Complete() || j.ended
 		resultsChanged := j.resultsChanged
 		j.mu.Unlock()
-		if len(page.Results) > 0 || over || wait <= 0 {
+		if len(page.Results) > 0 || over || time.Until(waitUntil) <= 0 {
 			return page, nil
 		}
 		select {
@@ -175,19 +180,19 @@
 }
 
 // storedResults returns results from the segments in the store.
-func (s *Service) storedResults(ctx context.Context, workspace, id string, after int, wait time.Duration) (*Page, error) {
+func (s *Service) storedResults(ctx context.Context, workspace, id string, after int, waitUntil time.Time) (*Page, error) {
 	j, err := s.known(ctx, workspace, id)
 	if err != nil {
 		return nil, err
 	}
-	for until := time.Now().Add(wait); ; {
+	for {
 		if err := s.refresh(ctx, j); err != nil {
 			return nil, err
 		}
 		j.mu.Lock()
 		page, over := j.page(after), j.list.Complete() || j.ended
 		j.mu.Unlock()
-		if len(page.Results) > 0 || over || time.Until(until) < pollInterval {
+		if len(page.Results) > 0 || over || time.Until(waitUntil) < pollInterval {
 			return page, nil
 		}
 		if pause(ctx, pollInterval) != nil {
@@ -198,8 +203,6 @@
 
 // refresh reads new segments unless that was done within refreshInterval.
 func (s *Service) refresh(ctx context.Context, j *job) error {
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
-	defer cancel()
 	return s.syncSegments(ctx, j, refreshInterval)
 }
 
@@ -241,6 +244,8 @@
 // Body returns the body of an item that is not listed yet. It fails with
 // ErrNoJob, ErrNoItem or ErrStoreUnavailable.
 func (s *Service) Body(ctx context.Context, workspace, id, item string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
 	if s.localJob(id) == nil {
 		var response peerResponse
 		if s.callOwner(ctx, id, bodyMethod, peerTimeout, bodyRequest{id, workspace, item}, &response) {
@@ -272,6 +277,8 @@
 
 // End ends a job for its caller. It returns nil once the end is in the store.
 func (s *Service) End(ctx context.Context, workspace, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
 	j, err := s.known(ctx, workspace, id)
 	if err != nil {
 		return err
@@ -302,7 +309,10 @@
 	if j == nil {
 		return peerResponse{}, nil
 	}
-	page, err := s.localResults(ctx, j, req.Workspace, req.After, time.Duration(req.WaitMs)*time.Millisecond)
+	wait := time.Duration(req.WaitMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout) // the peer reads the store then
+	defer cancel()
+	page, err := s.localResults(ctx, j, req.Workspace, req.After, time.Now().Add(wait))
 	if err != nil {
 		return peerResponse{}, nil // the peer reads the store instead
 	}
--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -26,6 +26,12 @@
 	// maxOpenItems bounds the unfinished items of the jobs that this host runs.
 	// With a mean body of 1.5 KB and a mean output of 16 KB they take about 18 MB.
 	maxOpenItems = 1000
+	// submitTimeout bounds a submission, and answerMargin is how long before the caller's
+	// deadline its answer is sent. headTime is the part of it reserved for the write of the
+	// head: before that, a refusal promises that the job will not run.
+	submitTimeout = 3500 * time.Millisecond
+	answerMargin  = 300 * time.Millisecond
+	headTime      = time.Second
 	// ownershipInterval is how often the ownership of jobs is checked.
 	ownershipInterval = 250 * time.Millisecond
 	// idleJobTTL is how long a job's results stay in memory after their last use.
@@ -287,7 +293,9 @@
 	if leaving || open+len(sub.Items) > maxOpenItems {
 		return ErrTooManyJobs
 	}
-	parts, err := s.records.writePayload(ctx, sub.ID, sub.Items)
+	ctx, cancel := context.WithDeadline(ctx, sub.answerBy(time.Now()))
+	defer cancel()
+	parts, err := s.writePayload(ctx, sub)
 	if err != nil {
 		// Without its head the job does not exist, whatever parts were written.
 		return errors.Mark(errors.Newf("store payload of job %s: %v", sub.ID, err), ErrStoreUnavailable)
@@ -315,6 +323,26 @@
 	return nil
 }
 
+// answerBy returns when the answer to a submission that arrives now must be sent.
+func (s *Submission) answerBy(now time.Time) time.Time {
+	limit := now.Add(submitTimeout)
+	if own := s.Deadline.Add(-answerMargin); !s.Deadline.IsZero() && own.Before(limit) {
+		return own
+	}
+	return limit
+}
+
+// writePayload writes the payload of a submission in the time that is not reserved for
+// its head.
+func (s *Service) writePayload(ctx context.Context, sub *Submission) (int, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-min(headTime, time.Until(deadline)/2)))
+		defer cancel()
+	}
+	return s.records.writePayload(ctx, sub.ID, sub.Items)
+}
+
 // openItems counts the unfinished items of the jobs that this host runs. The
 // caller holds mu.
 func (s *Service) openItems() int {
--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -141,7 +141,7 @@
 		return a, refusal
 	}
 	a.service = route.Service(rand.Float64())
-	a.deadline = callDeadline(call, route)
+	a.deadline = call.Deadline(route)
 	a.fps = fingerprintsOf(call, workspace.Name)
 	if a.call.Cost <= 0 {
 		a.call.Cost = max(float64(len(call.Body))/bytesPerToken, 1)
@@ -158,13 +158,13 @@
 	return a, nil
 }
 
-// callDeadline applies the shorter of the caller's and the route's timeouts.
-func callDeadline(call *Call, route *routing.Route) time.Time {
+// Deadline applies the shorter of the caller's and the route's timeouts.
+func (c *Call) Deadline(route *routing.Route) time.Time {
 	timeout := routeTimeout(route)
-	if call.CallerTimeout > 0 {
-		timeout = min(timeout, call.CallerTimeout)
+	if c.CallerTimeout > 0 {
+		timeout = min(timeout, c.CallerTimeout)
 	}
-	return call.Arrived.Add(timeout)
+	return c.Arrived.Add(timeout)
 }
 
 func routeTimeout(route *routing.Route) time.Duration {
