bulk: bodies are shown while the store is silent

The host that runs a job read the store for each body that a caller asked for, though it holds all bodies and the current list; when another host asked it, it answered from memory. While the store was silent, callers of that host were refused with 503.

It answers its own callers from memory too.

TestBodyIsShownWhileTheStoreIsSilent: refused before ("platform unavailable"), also for an item that the job does not have; the body, and 404, now.

--- a/internal/bulk/answer_time_test.go
+++ b/internal/bulk/answer_time_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/bulk"
@@ -150,3 +151,24 @@
 	}
 	_ = call("end", writePatience, func(s *bulk.Service) error { return s.End(t.Context(), "w", id) })
 }
+
+// The host that runs a job must show the body of an item while the store is silent, as it
+// does when a peer asks for it. Its callers were refused.
+func TestBodyIsShownWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		objects := &hostStore{Fake: storetest.New()}
+		service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: objects}.start(t, generate(300*time.Millisecond), "s1")
+		is.NoErr(service.Submit(t.Context(), submission("job", 20)))
+		objects.cut.Store(true)
+		body, err := service.Body(t.Context(), "w", "job", "job-19")
+		is.NoErr(err)
+		is.Equal(string(body), "body 19")
+		_, err = service.Body(t.Context(), "other", "job", "job-19")
+		is.True(errors.Is(err, bulk.ErrNoJob))
+		_, err = service.Body(t.Context(), "w", "job", "job-20")
+		is.True(errors.Is(err, bulk.ErrNoItem))
+		objects.cut.Store(false)
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/bulk/read.go
+++ b/internal/bulk/read.go
@@ -246,14 +246,18 @@
 func (s *Service) Body(ctx context.Context, workspace, id, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	if s.localJob(id) == nil {
-		var response peerResponse
-		if s.callOwner(ctx, id, bodyMethod, peerTimeout, bodyRequest{id, workspace, item}, &response) {
-			if !response.Found {
-				return nil, errors.Mark(errors.Newf("item %s has no body to show", item), ErrNoItem)
-			}
-			return response.Body, nil
+	if j := s.localJob(id); j != nil {
+		if err := sameWorkspace(j.head.Workspace, workspace); err != nil {
+			return nil, err
+		}
+		return j.body(item)
+	}
+	var response peerResponse
+	if s.callOwner(ctx, id, bodyMethod, peerTimeout, bodyRequest{id, workspace, item}, &response) {
+		if !response.Found {
+			return nil, errors.Mark(errors.Newf("item %s has no body to show", item), ErrNoItem)
 		}
+		return response.Body, nil
 	}
 	j, err := s.known(ctx, workspace, id)
 	if err != nil {
