bulk: items and lists outlive a panic

A panic while an item ran lost the item: the worker pool recovers panics of its tasks and keeps them to itself, so that there was no log line, and the item was neither run again nor listed, while its host held the job. Its slot stayed taken. A panic while results were listed, or while a job was taken over, ended the process with all its open requests.

The slot of an item is released by a deferred call, and the item starts over, since what it has read may be half noted. Locks that such steps take are released by deferred calls, as a recovered panic would keep them for good.

Not recovered, because they hold the locks of the service or of a job over their work: the checks of ownership, the receipt of new heads, the start of the items of a loaded job.

--- a/internal/bulk/commit.go
+++ b/internal/bulk/commit.go
@@ -28,10 +28,12 @@
 func (s *Service) commitLoop(j *job) {
 	delay := time.Duration(0)
 	for {
-		if j.hasRunningItems() {
-			_ = pause(s.runCtx, s.delayBeforeCommit(j)) // returns at once during shutdown
-		}
-		err := s.commitAll(context.WithoutCancel(s.runCtx), j)
+		err := s.guarded("commit", j.id, func() error {
+			if j.hasRunningItems() {
+				_ = pause(s.runCtx, s.delayBeforeCommit(j)) // returns at once during shutdown
+			}
+			return s.commitAll(context.WithoutCancel(s.runCtx), j)
+		})
 		j.mu.Lock()
 		if err == nil || j.ended || !j.owned {
 			if j.list.Pending() == 0 || j.ended || !j.owned {
@@ -79,9 +81,7 @@
 	}
 	defer j.unlockSegments()
 	for {
-		j.mu.Lock()
-		segment := j.list.NextSegment(maxValueBytes)
-		j.mu.Unlock()
+		segment := j.nextSegment()
 		if segment == nil {
 			return nil
 		}
@@ -91,6 +91,23 @@
 	}
 }
 
+func (j *job) nextSegment() *itemlist.Segment {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.list.NextSegment(maxValueBytes)
+}
+
+// applySegment adds a segment of the store to the list and returns the number of listed
+// items.
+func (j *job) applySegment(segment itemlist.Segment) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.list.ApplySegment(segment) {
+		j.notifyReaders()
+	}
+	return j.list.Len()
+}
+
 // commit writes one segment. If another host has written a segment with this
 // number, that one is applied to the list instead.
 func (s *Service) commit(ctx context.Context, j *job, segment *itemlist.Segment) error {
@@ -104,11 +121,7 @@
 			return errors.Wrapf(err, "decode segment %d of job %s", segment.Number, j.id)
 		}
 	}
-	j.mu.Lock()
-	j.list.ApplySegment(applied)
-	listed := j.list.Len()
-	j.notifyReaders()
-	j.mu.Unlock()
+	listed := j.applySegment(applied)
 	s.log.Info("results listed", "event", "listed", "job", j.id, "segment", applied.Number, "results", len(applied.Results), "listed", listed, "own", written)
 	return nil
 }
--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -107,39 +107,49 @@
 	progressed  bool           // the current run has made an event
 }
 
-// runItem runs an item until it has ended or ctx ends.
+// runItem runs an item until it has ended or ctx ends. After a panic the item starts over:
+// the worker pool would drop its task without a trace.
 func (s *Service) runItem(ctx context.Context, j *job, item *Item) {
 	r := &itemRun{s: s, j: j, item: item, patience: 1}
-	for ctx.Err() == nil {
-		route := s.route(j)
-		if state, reason := r.deadLetterReason(route); state != "" {
-			r.finish(itemlist.Result{ID: item.ID, State: state}, reason)
-			return
-		}
-		if route == nil || !s.mayStart(j) { // the latter may know a newer configuration
-			_ = pause(ctx, maxRetryDelay) // the loop checks ctx
-			continue
-		}
-		slot, err := r.acquire(ctx, route)
-		if errors.Is(err, errSlotWait) {
-			continue
-		}
+	for ended := false; !ended && ctx.Err() == nil; {
+		err := s.guarded("run item", j.id, func() error {
+			ended = r.step(ctx)
+			return nil
+		})
 		if err != nil {
-			if ctx.Err() == nil {
-				r.backOff(ctx)
-				r.tried = nil
-			}
-			continue
-		}
-		if !r.mayUse(slot) {
-			slot.Done(placement.Neutral, 0)
-			continue
+			r.startOver()
+			_ = pause(ctx, maxRetryDelay) // the loop checks ctx
 		}
-		if done := r.attempt(ctx, slot); done != nil {
-			r.finish(*done, "a server rejected it permanently")
-			return
+	}
+}
+
+// step waits for a slot and runs the item once. It reports whether the item has ended.
+func (r *itemRun) step(ctx context.Context) (ended bool) {
+	route := r.s.route(r.j)
+	if state, reason := r.deadLetterReason(route); state != "" {
+		r.finish(itemlist.Result{ID: r.item.ID, State: state}, reason)
+		return true
+	}
+	if route == nil || !r.s.mayStart(r.j) { // the latter may know a newer configuration
+		_ = pause(ctx, maxRetryDelay) // the caller checks ctx
+		return false
+	}
+	slot, err := r.acquire(ctx, route)
+	if errors.Is(err, errSlotWait) {
+		return false
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			r.backOff(ctx)
+			r.tried = nil
 		}
+		return false
 	}
+	if done := r.attempt(ctx, slot); done != nil {
+		r.finish(*done, "a server rejected it permanently")
+		return true
+	}
+	return false
 }
 
 // route returns the job's route in the current configuration, or nil.
@@ -241,14 +251,20 @@
 	if result.State == itemlist.DeadLetter {
 		s.log.Warn("item is a dead letter", "event", "item_dead_letter", "job", j.id, "item", result.ID, "reason", reason, "failures", r.failures)
 	}
+	if j.addResult(result) {
+		go s.commitLoop(j)
+	}
+}
+
+// addResult adds the result of an item to the pending ones. It reports whether the
+// caller must run a commitLoop.
+func (j *job) addResult(result itemlist.Result) bool {
 	j.mu.Lock()
+	defer j.mu.Unlock()
 	added := !j.ended && j.list.Add(result)
 	run := added && !j.committing && j.owned
 	j.committing = j.committing || run
-	j.mu.Unlock()
-	if run {
-		go s.commitLoop(j)
-	}
+	return run
 }
 
 // backOff pauses after a failed run, with exponential delays.
@@ -258,8 +274,21 @@
 }
 
 // attempt runs the item, or the rest of it, at one server. It returns the result
-// if the item has ended, otherwise nil.
+// if the item has ended, otherwise nil. The slot is released, also after a panic.
 func (r *itemRun) attempt(ctx context.Context, slot *slots.Slot) *itemlist.Result {
+	released := false
+	release := func(outcome placement.Outcome, units float64) {
+		released = true
+		slot.Done(outcome, units)
+	}
+	defer func() {
+		if !released {
+			release(placement.Neutral, 0)
+		}
+	}()
+	if !r.mayUse(slot) {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, itemTimeout)
 	defer cancel()
 	preemption := make(chan struct{})
@@ -281,7 +310,7 @@
 		}
 	default:
 	}
-	slot.Done(outcome, units)
+	release(outcome, units)
 	switch {
 	case result != nil:
 		return result
@@ -393,12 +422,17 @@
 		return
 	}
 	if r.lostRests++; r.lostRests >= maxLostRests {
-		r.output.Reset()
-		r.eventCount, r.lastEventID, r.lostRests = 0, 0, 0
+		r.startOver()
 		r.waitLonger() // all events may have been there, and the end come late
 	}
 }
 
+// startOver drops the output, so that the next run begins with the first event.
+func (r *itemRun) startOver() {
+	r.output.Reset()
+	r.eventCount, r.lastEventID, r.lostRests = 0, 0, 0
+}
+
 // isEmptyOutput reports whether an answer without an event, and the ones before it,
 // show that the item's output is empty. A single one may be a fault of its server.
 func (r *itemRun) isEmptyOutput(resp *upstream.Response, hasComments bool) bool {
--- a/internal/bulk/ownership.go
+++ b/internal/bulk/ownership.go
@@ -118,7 +118,8 @@
 		s.release(j)
 	}
 	go func() {
-		if err := s.syncSegments(s.runCtx, j, 0); err != nil {
+		err := s.guarded("read segments", j.id, func() error { return s.syncSegments(s.runCtx, j, 0) })
+		if err != nil {
 			s.log.Warn("cannot read results", "step", "read segments", "job", j.id, "error", err)
 		}
 	}()
@@ -265,7 +266,7 @@
 // resume loads the job and runs its remaining items, unless the claim ends before.
 func (s *Service) resume(ctx context.Context, j *job) {
 	for {
-		err := s.load(ctx, j)
+		err := s.guarded("load job", j.id, func() error { return s.load(ctx, j) })
 		if err == nil {
 			break
 		}
@@ -322,20 +323,18 @@
 		if err != nil {
 			return errors.Wrapf(err, "segment %d", next)
 		}
-		j.mu.Lock()
-		if !ok {
-			j.lastSynced = started
-			missing := j.head.Done // all segments of a done job exist
-			j.mu.Unlock()
-			if missing {
-				return errors.Mark(errors.Newf("segment %d of complete job %s is missing", next, j.id), ErrStoreUnavailable)
-			}
-			return nil
-		}
-		if j.list.ApplySegment(segment) {
-			j.notifyReaders()
+		if ok {
+			j.applySegment(segment)
+			continue
 		}
+		j.mu.Lock()
+		j.lastSynced = started
+		missing := j.head.Done // all segments of a done job exist
 		j.mu.Unlock()
+		if missing {
+			return errors.Mark(errors.Newf("segment %d of complete job %s is missing", next, j.id), ErrStoreUnavailable)
+		}
+		return nil
 	}
 }
 
--- a/internal/bulk/silence_test.go
+++ b/internal/bulk/silence_test.go
@@ -38,7 +38,8 @@
 	members []cluster.Member // all hosts, nil if it is alone
 	node    *peertest.Node
 	objects store.Store
-	fleet   *testFleet // has the configuration; nil for that of newFleet
+	fleet   *testFleet     // has the configuration; nil for that of newFleet
+	items   bulk.ItemCodec // nil for that of servertest
 }
 
 func (h pipedHost) self() cluster.Member {
@@ -67,6 +68,9 @@
 		f = newFleet(t)
 		f.setRoutes(f.longRoute())
 	}
+	if h.items == nil {
+		h.items = servertest.Codec{}
+	}
 	server := servertest.NewPiped(t, script)
 	logger := slog.New(slog.DiscardHandler)
 	c := cluster.New(cluster.Options{Self: h.self(), Conn: h.conn, Logger: logger})
@@ -86,7 +90,7 @@
 	}
 	scheduler.SetServers(list)
 	service := bulk.New(bulk.Options{
-		Store: h.objects, Cluster: c, Informer: inf, Peers: h.node, Config: f, Codec: servertest.Codec{}, Items: servertest.Codec{},
+		Store: h.objects, Cluster: c, Informer: inf, Peers: h.node, Config: f, Codec: servertest.Codec{}, Items: h.items,
 		Slots: scheduler, Upstream: upstream.New(upstream.Options{Connect: server.Connect}), Metrics: metrics.New(), Logger: logger,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
