--- a/internal/bulk/answer_time_test.go
+++ b/internal/bulk/answer_time_test.go
@@ -45,7 +45,7 @@
 		silences: &hostSilences{until: map[string]time.Time{}}, calls: peertest.New(), names: []string{"a", "b", "c"}, hosts: map[string]*bulk.Service{},
 		served: map[string]int{},
 	}
-	network := &memoryNetwork{f.silences, map[string]*memoryConn{}}
+	network := &memoryNetwork{silences: f.silences, conns: map[string]*memoryConn{}}
 	var members []cluster.Member
 	conns := map[string]*memoryConn{}
 	for i, name := range f.names {
--- a/internal/bulk/silence_test.go
+++ b/internal/bulk/silence_test.go
@@ -61,8 +61,28 @@
 	return r
 }
 
+// startedHost is a host that a test may stop before its end.
+type startedHost struct {
+	*bulk.Service
+	cluster *cluster.Cluster
+	stop    func() // ends all but the service
+}
+
 // start starts the host with servers that have the ids and the script.
 func (h pipedHost) start(t *testing.T, script func(*servertest.Conn) bool, ids ...string) *bulk.Service {
+	started := h.startStoppable(t, script, ids...)
+	t.Cleanup(func() {
+		ended, cancelEnded := context.WithCancel(context.Background())
+		cancelEnded()
+		started.Close(ended)
+		started.stop()
+	})
+	time.Sleep(time.Second) // the copy of the heads is loaded
+	return started.Service
+}
+
+// startStoppable starts the host, which the test stops, and returns at once.
+func (h pipedHost) startStoppable(t *testing.T, script func(*servertest.Conn) bool, ids ...string) startedHost {
 	f := h.fleet
 	if f == nil {
 		f = newFleet(t)
@@ -94,23 +114,19 @@
 		Slots: scheduler, Upstream: upstream.New(upstream.Options{Connect: server.Connect}), Metrics: metrics.New(), Logger: logger,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(func() {
-		ended, cancelEnded := context.WithCancel(context.Background())
-		cancelEnded()
-		service.Close(ended)
+	stop := func() {
 		cancel()
 		if h.conn != nil {
 			_ = h.conn.Close()
 		}
-	})
+	}
 	if h.conn != nil {
 		go c.Run(ctx)
 	}
 	go inf.Run(ctx)
 	go scheduler.Run(ctx)
 	go service.Run(ctx)
-	time.Sleep(time.Second) // the copy of the heads is loaded
-	return service
+	return startedHost{service, c, stop}
 }
 
 // Items at sound servers that fall silent before any event, all at once or in turn,
--- a/internal/bulk/silent_host_test.go
+++ b/internal/bulk/silent_host_test.go
@@ -44,6 +44,7 @@
 // arrives once its silence is over.
 type memoryNetwork struct {
 	silences *hostSilences
+	mu       sync.Mutex
 	conns    map[string]*memoryConn // by address
 }
 
@@ -65,6 +66,8 @@
 	c := &memoryConn{
 		network: n, host: host, address: &net.UDPAddr{IP: net.IPv4(10, 0, 0, 1), Port: port}, in: make(chan packet, 1000), closed: make(chan struct{}),
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.conns[c.address.String()] = c
 	return c
 }
@@ -79,7 +82,9 @@
 }
 
 func (c *memoryConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	c.network.mu.Lock()
 	other, ok := c.network.conns[to.String()]
+	c.network.mu.Unlock()
 	if !ok {
 		return len(p), nil
 	}
@@ -115,7 +120,7 @@
 func testSilentHosts(t *testing.T, seed uint64) {
 	objects := &silentStore{Fake: storetest.New(), rng: rand.New(rand.NewPCG(seed, 4))}
 	silences := &hostSilences{until: map[string]time.Time{}}
-	network, calls := &memoryNetwork{silences, map[string]*memoryConn{}}, peertest.New()
+	network, calls := &memoryNetwork{silences: silences, conns: map[string]*memoryConn{}}, peertest.New()
 	names := []string{"a", "b", "c"}
 	var members []cluster.Member
 	conns := map[string]*memoryConn{}
