informer: a host whose peers do not answer reads the store

A host kept an old copy of the configuration, the servers or the heads of jobs for as long as its connection to the peer with a newer one was silent, although it reached the store: it refused keys and acted on a former configuration, and did not learn of ended jobs. Each digest of the peer, four a second, told it of the newer copy, and it called the peer for it, for 0.7 s each time, before it looked at how old its own copy was. Changes of up to 8 KB are part of the digests; configurations of large sites are larger.

A call for a newer copy that fails is followed by a read of the store now, if the last call to the store succeeded. Otherwise the age of the copy decides, as before.

TestReadsStoreWhilePeersDoNotAnswerCalls, two hosts, a change of 20 KB while calls to the reader get no answer: not there within 3.2 s before; there now, and the copy does not age.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -214,11 +214,13 @@
 		if i.applyPushed(col) {
 			continue
 		}
-		if from, ok := i.takeNewerPeer(col); ok {
-			i.fetch(ctx, col, from)
+		from, newer := i.takeNewerPeer(col)
+		if newer && i.fetch(ctx, col, from) {
 			continue
 		}
-		if wait := i.delayBeforeRead(col); wait > 0 {
+		// What the peer has is also in the store.
+		outdated := newer && i.StoreReachable()
+		if wait := i.delayBeforeRead(col); wait > 0 && !outdated {
 			sleep(ctx, col.wake, wait)
 			continue
 		}
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -109,7 +110,11 @@
 
 func startWith(t *testing.T, fake *storetest.Fake, n int, collection informer.Collection) []*host {
 	t.Helper()
-	network := peertest.New()
+	return startAt(t, fake, n, peertest.New(), collection)
+}
+
+func startAt(t *testing.T, fake *storetest.Fake, n int, network *peertest.Network, collection informer.Collection) []*host {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	var hosts []*host
@@ -361,3 +366,28 @@
 	is.NoErr(fake.Delete(context.Background(), prefix+panicKey, store.AnyVersion))
 	eventually(t, "the copy without the object", 3*time.Second, copied("2"))
 }
+
+// A host whose calls to the peer with a newer copy get no answer must read the store
+// itself once its copy is old. It called that peer again and again, since each digest
+// told it of the newer copy, and kept its old one.
+func TestReadsStoreWhilePeersDoNotAnswerCalls(t *testing.T) {
+	is := is.New(t)
+	fake := storetest.New()
+	put(t, fake, "a", "1")
+	network := peertest.New()
+	hosts := startAt(t, fake, 2, network, informer.Collection{Prefix: prefix, Wait: informer.PromptWait, TakeOver: informer.PromptTakeOver})
+	for _, h := range hosts {
+		eventually(t, "copy", 5*time.Second, func() bool { return h.value(prefix+"a") == "1" })
+	}
+	eventually(t, "one reader", 5*time.Second, func() bool { return hosts[0].informer.IsReader() && !hosts[1].informer.IsReader() })
+	time.Sleep(time.Second) // its first watch has ended
+	network.DropMessages("b", "a", true)
+	large := strings.Repeat("x", 20<<10) // too large for a digest
+	put(t, fake, "a", large)
+	eventually(t, "the reader has the change", time.Second, func() bool { return hosts[0].value(prefix+"a") == large })
+	eventually(t, "the other host has it", 2*informer.PromptTakeOver, func() bool { return hosts[1].value(prefix+"a") == large })
+	for range 30 { // and its copy does not get old
+		is.True(hosts[1].age() < 2*informer.PromptTakeOver)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/internal/informer/relay.go
+++ b/internal/informer/relay.go
@@ -283,8 +283,9 @@
 	return out, nil
 }
 
-// fetch updates the copy from a peer that has a newer one.
-func (i *Informer) fetch(ctx context.Context, col *collection, from peer.HostID) {
+// fetch updates the copy from a peer that has a newer one. It reports whether the peer
+// answered.
+func (i *Informer) fetch(ctx context.Context, col *collection, from peer.HostID) bool {
 	requestedAt := bootclock.Now()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
@@ -294,10 +295,10 @@
 	var resp copyResponse
 	if err := i.opts.Peers.Call(ctx, from, copyMethod, request, &resp); err != nil {
 		i.log.Warn("cannot fetch copy", "event", "copy_not_fetched", "step", "fetch copy", "peer", from, "collection", strings.TrimSuffix(col.Prefix, "/"), "error", err)
-		return
+		return false
 	}
 	if !resp.Known {
-		return
+		return true
 	}
 	i.mu.Lock()
 	newer := col.applyCopy(resp)
@@ -308,6 +309,7 @@
 	if newer {
 		i.publish(col, FromPeer)
 	}
+	return true
 }
 
 // applyCopy applies a peer's copy, or the changes that lead to it. It reports
