bulk: an item is patient only while its servers are silent

An item that servers had kept waiting three times waited 16 s for each event until it ended, though its servers were sound since: one that was lost without a notice later held the item for these 16 s, nearly as long as a job may take.

What silences add to the waits is halved again by each eight events in a row that came within the usual gap. What the item waits longer because it was run from the start stays: there all events come in time and only the end is late.

TestItemIsLessPatientAfterCalmEvents, three silent runs, then 40 events, then a lost server: the item went on after 16.0 s before, after 2.0 s now.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -26,10 +26,12 @@
 	// byte and next event, after which the item continues at another server. They
 	// double, up to maxPatience times, when a run ends by them without any event or the
 	// item is run from the start, so that an item completes also if all servers are
-	// silent for longer.
+	// silent for longer. What silences have added is halved again by calmEvents events in
+	// a row that came within eventGapTimeout.
 	firstByteTimeout = 5 * time.Second
 	eventGapTimeout  = 2 * time.Second
 	maxPatience      = 8
+	calmEvents       = 8
 	// minRetryDelay and maxRetryDelay bound the delay after a failed run.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = time.Second
@@ -103,14 +105,16 @@
 	retryDelay  time.Duration
 	tried       []string       // servers that failed since the last progress
 	connections upstream.Sends // those that the item was sent on
-	patience    time.Duration  // factor of the waits for a server
+	silences    time.Duration  // factor of the waits for a server, from its silences
+	lateEnds    time.Duration  // the same, from runs from the start
+	calm        int            // events in a row that came within eventGapTimeout
 	progressed  bool           // the current run has made an event
 }
 
 // runItem runs an item until it has ended or ctx ends. After a panic the item starts over:
 // the worker pool would drop its task without a trace.
 func (s *Service) runItem(ctx context.Context, j *job, item *Item) {
-	r := &itemRun{s: s, j: j, item: item, patience: 1}
+	r := &itemRun{s: s, j: j, item: item, silences: 1, lateEnds: 1}
 	for ended := false; !ended && ctx.Err() == nil; {
 		err := s.guarded("run item", j.id, func() error {
 			ended = r.step(ctx)
@@ -330,7 +334,7 @@
 	resume := r.eventCount > 0
 	header := s.opts.Items.ItemHeader(r.item, r.j.head.Workspace, slot.Server.Instance, itemTimeout, resume, r.lastEventID)
 	resp, err := s.opts.Upstream.Do(ctx, slot.Server.Address, &upstream.Request{
-		Method: http.MethodPost, Target: r.item.Path, Host: r.j.head.Host, Header: header, Body: r.item.Body, FirstByteTimeout: r.patience * firstByteTimeout,
+		Method: http.MethodPost, Target: r.item.Path, Host: r.j.head.Host, Header: header, Body: r.item.Body, FirstByteTimeout: r.patience() * firstByteTimeout,
 		Sends: &r.connections,
 	})
 	if err != nil && ctx.Err() != nil {
@@ -364,7 +368,7 @@
 
 // handleServerError handles an error response of a server.
 func (r *itemRun) handleServerError(slot *slots.Slot, resp *upstream.Response, meta online.ResponseMeta) (*itemlist.Result, placement.Outcome, float64) {
-	resp.Body.SetReadTimeout(r.patience * eventGapTimeout)
+	resp.Body.SetReadTimeout(r.patience() * eventGapTimeout)
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, drainLimit))
 	if err == nil && !meta.Sealed {
 		err = errors.New("response without the server's signature")
@@ -388,8 +392,9 @@
 	var failure *upstream.Error
 	if errors.As(err, &failure) && failure.Silent {
 		r.s.opts.Upstream.CloseIdle(slot.Server.Address)
+		r.calm = 0
 		if !r.progressed && failure.Stage != upstream.NotSent {
-			r.waitLonger()
+			r.silences = min(2*r.silences, maxPatience)
 		}
 	}
 	r.tried = []string{slot.Server.ID}
@@ -423,7 +428,7 @@
 	}
 	if r.lostRests++; r.lostRests >= maxLostRests {
 		r.startOver()
-		r.waitLonger() // all events may have been there, and the end come late
+		r.lateEnds = min(2*r.lateEnds, maxPatience) // all events may have been there, and the end come late
 	}
 }
 
@@ -443,8 +448,19 @@
 	return r.empty >= emptyAnswers
 }
 
-// waitLonger doubles the waits for the servers of the item.
-func (r *itemRun) waitLonger() { r.patience = min(2*r.patience, maxPatience) }
+// patience returns the factor of the waits for the servers of the item.
+func (r *itemRun) patience() time.Duration { return max(r.silences, r.lateEnds) }
+
+// noteWait notes how long the server took for an event.
+func (r *itemRun) noteWait(took time.Duration) {
+	if took > eventGapTimeout {
+		r.calm = 0
+		return
+	}
+	if r.calm++; r.calm >= calmEvents {
+		r.calm, r.silences = 0, max(r.silences/2, 1)
+	}
+}
 
 // collect reads complete events until the regular end of the stream. One that ends
 // without an event is no output, unless isEmptyOutput says so.
@@ -453,11 +469,12 @@
 	got, hasComments := 0, false
 	began := time.Now()
 	defer func() { r.s.pace.recordRun(got, time.Since(began)) }()
-	resp.Body.SetReadTimeout(r.patience * eventGapTimeout)
+	resp.Body.SetReadTimeout(r.patience() * eventGapTimeout)
 	for {
 		if !reader.Buffered() && time.Since(began) >= readTickAfter {
 			r.s.awaitReadTick(ctx)
 		}
+		asked := time.Now()
 		event, err := reader.Next()
 		if err == io.EOF && got == 0 && !r.isEmptyOutput(resp, hasComments) {
 			err = errNoEvent
@@ -482,11 +499,12 @@
 			r.noteLostRest(err)
 			return nil, outcome, 0
 		}
+		r.noteWait(time.Since(asked))
 		r.appendEvent(event)
 		if got++; got == 1 {
 			slot.Answers()
 		}
-		resp.Body.SetReadTimeout(r.patience * eventGapTimeout)
+		resp.Body.SetReadTimeout(r.patience() * eventGapTimeout)
 	}
 }
 
--- a/internal/bulk/silence_test.go
+++ b/internal/bulk/silence_test.go
@@ -261,3 +261,55 @@
 		})
 	}
 }
+
+// An item that was silent three times must not wait long for each event until it ends: a
+// server that is lost without a notice later held it for 16 s.
+func TestItemIsLessPatientAfterCalmEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		const events, lost = 60, 40
+		var mu sync.Mutex
+		runs := 0
+		var silentSince, resumed time.Time
+		service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: storetest.New()}.start(t, func(c *servertest.Conn) bool {
+			mu.Lock()
+			runs++
+			silent, first := runs <= 3, silentSince.IsZero()
+			if !silent && !first && resumed.IsZero() {
+				resumed = time.Now()
+			}
+			mu.Unlock()
+			if silent {
+				<-c.PeerClosed()
+				return false
+			}
+			c.StartStream()
+			for id := c.After + 1; id <= events; id++ {
+				c.WriteEvent(id)
+				time.Sleep(20 * time.Millisecond)
+				if first && id == lost {
+					mu.Lock()
+					silentSince = time.Now()
+					mu.Unlock()
+					<-c.PeerClosed()
+					return false
+				}
+			}
+			c.EndStream()
+			return true
+		}, "a", "b")
+		is.NoErr(service.Submit(t.Context(), submission("job", 1)))
+		time.Sleep(3 * time.Minute)
+		page, err := service.Results(t.Context(), "w", "job", 0, 0)
+		is.NoErr(err)
+		is.Equal(len(page.Results), 1)
+		for _, r := range page.Results {
+			is.Equal(r.State, itemlist.Completed)
+			is.Equal(strings.Count(r.Output, "token"), events)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		is.True(resumed.Sub(silentSince) < 4*time.Second)
+		t.Log("resumed after", resumed.Sub(silentSince))
+	})
+}
