bulk: items that cannot start delay no other job

The items of a job were not run, with free servers, while other jobs of the same host could not start: their service had no servers, or the configuration lacked their route.

An item that no server takes, or that has no route, goes back behind the items that wait for a worker after its delay of up to a second. One that waits for a slot of a busy server keeps its worker, so that under load items still run in the order of their jobs.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -87,7 +87,7 @@
 	}
 	s.opts.Cluster.SendNow()
 	for _, item := range todo {
-		s.pool.Submit(func() { s.runItem(ctx, j, item) })
+		s.submitItem(ctx, &itemRun{s: s, j: j, item: item, silences: 1, lateEnds: 1})
 	}
 }
 
@@ -111,49 +111,73 @@
 	progressed  bool           // the current run has made an event
 }
 
-// runItem runs an item until it has ended or ctx ends. After a panic the item starts over:
-// the worker pool would drop its task without a trace.
-func (s *Service) runItem(ctx context.Context, j *job, item *Item) {
-	r := &itemRun{s: s, j: j, item: item, silences: 1, lateEnds: 1}
-	for ended := false; !ended && ctx.Err() == nil; {
-		err := s.guarded("run item", j.id, func() error {
-			ended = r.step(ctx)
+// submitItem passes an item to the workers.
+func (s *Service) submitItem(ctx context.Context, r *itemRun) {
+	s.pool.Submit(func() { s.runItem(ctx, r) })
+}
+
+// runItem runs an item until it has ended or ctx ends. One that cannot start for now lets
+// items go first that wait for a worker. After a panic the item starts over: the worker
+// pool would drop its task without a trace.
+func (s *Service) runItem(ctx context.Context, r *itemRun) {
+	for ctx.Err() == nil {
+		state := itemBlocked
+		err := s.guarded("run item", r.j.id, func() error {
+			state = r.step(ctx)
 			return nil
 		})
 		if err != nil {
 			r.startOver()
 			_ = pause(ctx, maxRetryDelay) // the loop checks ctx
 		}
+		if state == itemEnded {
+			return
+		}
+		if state == itemBlocked && s.pool.WaitingTasks() > 0 {
+			s.submitItem(ctx, r)
+			return
+		}
 	}
 }
 
-// step waits for a slot and runs the item once. It reports whether the item has ended.
-func (r *itemRun) step(ctx context.Context) (ended bool) {
+// itemState is the state of an item after a step.
+type itemState int
+
+const (
+	itemBlocked itemState = iota // it has no route, or no server takes it
+	itemWaiting                  // for a slot or its next run
+	itemEnded
+)
+
+// step waits for a slot and runs the item once.
+func (r *itemRun) step(ctx context.Context) itemState {
 	route := r.s.route(r.j)
 	if state, reason := r.deadLetterReason(route); state != "" {
 		r.finish(itemlist.Result{ID: r.item.ID, State: state}, reason)
-		return true
+		return itemEnded
 	}
 	if route == nil || !r.s.mayStart(r.j) { // the latter may know a newer configuration
 		_ = pause(ctx, maxRetryDelay) // the caller checks ctx
-		return false
+		return itemBlocked
 	}
 	slot, err := r.acquire(ctx, route)
 	if errors.Is(err, errSlotWait) {
-		return false
+		return itemWaiting
 	}
-	if err != nil {
-		if ctx.Err() == nil {
-			r.backOff(ctx)
-			r.tried = nil
-		}
-		return false
+	if err != nil && r.tried == nil {
+		r.backOff(ctx)
+		return itemBlocked
+	}
+	if err != nil { // perhaps one of those that were tried takes it
+		r.backOff(ctx)
+		r.tried = nil
+		return itemWaiting
 	}
 	if done := r.attempt(ctx, slot); done != nil {
 		r.finish(*done, "a server rejected it permanently")
-		return true
+		return itemEnded
 	}
-	return false
+	return itemWaiting
 }
 
 // route returns the job's route in the current configuration, or nil.
--- a/internal/bulk/route_test.go
+++ b/internal/bulk/route_test.go
@@ -1,6 +1,7 @@
 package bulk_test
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -162,3 +163,35 @@
 		}
 	})
 }
+
+// The items of a job that cannot start, because their service has no servers or their
+// route is missing, must not keep those of other jobs from running. They held all
+// workers, one after the other until their retention was over.
+func TestItemsThatCannotStartDelayNoOtherJob(t *testing.T) {
+	for name, targets := range map[string][]routing.Target{"no server": {{Service: "gone", Weight: 1}}, "no route": nil} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				f := newFleet(t)
+				route := f.longRoute()
+				blocked := route
+				blocked.Name, blocked.Prefix, blocked.Targets = "blocked", "/blocked/", targets
+				if f.setRoutes(route); targets != nil {
+					f.setRoutes(route, blocked)
+				}
+				service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: storetest.New(), fleet: f}.start(t, generate(50*time.Millisecond), "a")
+				for i := range 2 {
+					stuck := submission(fmt.Sprint("stuck", i), 150)
+					stuck.Route = "blocked"
+					is.NoErr(service.Submit(t.Context(), stuck))
+				}
+				is.NoErr(service.Submit(t.Context(), submission("job", 20)))
+				time.Sleep(4 * time.Second)
+				page, err := service.Results(t.Context(), "w", "job", 0, 0)
+				is.NoErr(err)
+				is.Equal(len(page.Results), 20)
+				time.Sleep(10 * time.Minute)
+			})
+		})
+	}
+}
