bulk: a stopping host shows the results of its successor

A result that one host had shown was missing at another one: a host in a planned stop gave its jobs up to the others at once, but went on answering reads from its own list until it had written its last results, for seconds if the store did not answer, while the successor listed further ones.

From the start of its stop a host asks the host that runs the job, or reads the store, unless its own list is complete.

TestStoppingHostShowsResultsOfItsSuccessor, the stopping host's writes hang: fewer results than at the successor half a second later before, as many now.

--- a/internal/bulk/read.go
+++ b/internal/bulk/read.go
@@ -82,7 +82,8 @@
 }
 
 // localJob returns the job if this host's list of results is current: because it
-// runs the job or because the list is complete.
+// runs the job or because the list is complete. During a shutdown other hosts run the
+// jobs and list results.
 func (s *Service) localJob(id string) *job {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,7 +94,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.lastUsed = time.Now()
-	if (j.owned && j.loaded) || j.list.Complete() {
+	if (j.owned && j.loaded && !s.leaving) || j.list.Complete() {
 		return j
 	}
 	return nil
--- a/internal/bulk/stops_test.go
+++ b/internal/bulk/stops_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
 
 	"ragwortstep/internal/bulk"
 	"ragwortstep/internal/cluster"
@@ -28,13 +30,18 @@
 // lostStore is one host's path to the store, which ends with the host.
 type lostStore struct {
 	*silentStore
-	lost atomic.Bool
+	lost  atomic.Bool
+	hangs atomic.Bool // writes get no answer and are not done
 }
 
 func (s *lostStore) Put(ctx context.Context, key string, value []byte, v int64) (store.Object, error) {
 	if s.lost.Load() {
 		return store.Object{}, store.ErrUnavailable
 	}
+	if s.hangs.Load() {
+		<-ctx.Done()
+		return store.Object{}, store.ErrUnknownOutcome
+	}
 	return s.silentStore.Put(ctx, key, value, v)
 }
 
@@ -69,7 +76,8 @@
 	}
 }
 
-func testStopsAndChanges(t *testing.T, seed uint64) {
+// newStoppingFleet starts the hosts.
+func newStoppingFleet(t *testing.T, seed uint64) *stoppingFleet {
 	f := &stoppingFleet{
 		T: t, config: newFleet(t), objects: &silentStore{Fake: storetest.New(), rng: rand.New(rand.NewPCG(seed, 6))},
 		silences: &hostSilences{until: map[string]time.Time{}}, calls: peertest.New(), names: []string{"a", "b", "c"},
@@ -81,6 +89,11 @@
 		f.start(name)
 	}
 	time.Sleep(2 * time.Second)
+	return f
+}
+
+func testStopsAndChanges(t *testing.T, seed uint64) {
+	f := newStoppingFleet(t, seed)
 	ctx, cancel := context.WithCancel(t.Context())
 	var disturbances, callers sync.WaitGroup
 	disturbances.Go(func() { silenceHosts(ctx, f.objects, f.silences, f.calls, f.names) })
@@ -96,16 +109,25 @@
 	callers.Wait()
 	cancel()
 	disturbances.Wait()
-	f.objects.mu.Lock()
-	f.objects.off = true
-	f.objects.mu.Unlock()
+	f.end()
+}
+
+// end ends all silences and stops the hosts.
+func (f *stoppingFleet) end() {
+	f.objects.calm()
 	time.Sleep(time.Minute)
-	for _, name := range f.names {
+	for name := range maps.Clone(f.hosts) {
 		f.stop(name, false)
 	}
 	time.Sleep(time.Minute)
 }
 
+func (s *silentStore) calm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.off = true
+}
+
 // start starts a host, as a new process.
 func (f *stoppingFleet) start(name string) {
 	f.mu.Lock()
@@ -309,3 +331,30 @@
 	}
 	f.Errorf("%s: %s denies the body of %s, which is not listed", id, name, item)
 }
+
+// A host in a planned stop must not show a shorter list of results than the host that
+// took its job over, while the store does not answer its own writes.
+func TestStoppingHostShowsResultsOfItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		f := newStoppingFleet(t, 1)
+		f.objects.calm()
+		is.NoErr(f.hosts["a"].Submit(t.Context(), submission("job", 40)))
+		stopping := f.hosts["a"]
+		f.stores["a"].hangs.Store(true)
+		time.Sleep(1500 * time.Millisecond) // some items have ended
+		var stopped sync.WaitGroup
+		stopped.Go(func() { f.stop("a", true) })
+		time.Sleep(4 * time.Second)
+		page, err := f.hosts["b"].Results(t.Context(), "w", "job", 0, 0)
+		is.NoErr(err)
+		known := len(page.Results)
+		is.True(known > 0)
+		time.Sleep(settleTime / 2)
+		page, err = stopping.Results(t.Context(), "w", "job", 0, 0)
+		is.NoErr(err)
+		is.True(len(page.Results) >= known)
+		stopped.Wait()
+		f.end()
+	})
+}
