slots: a request that no server may take is refused at once

Callers saw: a retry, or a call that returns to servers that were full, waited until its time was over and got 503 then, although the only server that it might use had said that it was leaving, or was draining by its entry.

Cause: only the four earliest requests of a workspace are offered to the servers at each turn. A request behind them learned that no server may take it when it was among those, which takes as long as the servers are full. It also held a place in the queue, which lengthens the advised delays of others.

Fix: when a server leaves and when the list changes, each waiting request whose remaining servers are all gone is refused; one that arrives without any is not queued. Now all four cases are refused within no time on the test's clock. A request that any ready server may take is not affected, however full the servers are.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -283,18 +283,6 @@
 	return s.cfg.Ready && !now.Before(s.ejectedUntil) && !s.probeInFlight && !now.Before(s.rejectedUntil)
 }
 
-// Query describes the request for which a server is chosen.
-type Query struct {
-	Service string
-	Class   Class
-	Tried   []string // IDs of servers that must not be chosen
-	Only    []string // IDs of the servers that may be chosen, nil for all
-}
-
-func (q Query) excludes(id string) bool {
-	return slices.Contains(q.Tried, id) || q.Only != nil && !slices.Contains(q.Only, id)
-}
-
 // Verdict is the result of a choice.
 type Verdict int
 
--- a/internal/slots/leaving_test.go
+++ b/internal/slots/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
@@ -174,3 +175,47 @@
 		is.Equal(preempted, map[string]int{"c": 3})
 	})
 }
+
+// A request that only servers may take which are leaving, or draining by their
+// entries, can't be served any more. It must be refused at once, also behind requests
+// of its workspace that wait for other servers, and when it arrives behind them.
+func TestRequestWithoutServerIsRefusedBehindOthers(t *testing.T) {
+	for name, leave := range map[string]func(*slots.Scheduler, *slots.Slot){
+		"by its answer": func(_ *slots.Scheduler, slot *slots.Slot) { slot.MarkLeaving("r") },
+		"by its entry": func(s *slots.Scheduler, _ *slots.Slot) {
+			draining := readyServers("a", "b")
+			draining[0].Ready = false
+			s.SetServers(draining)
+		},
+	} {
+		for _, class := range []placement.Class{placement.Online, placement.Batch} {
+			t.Run(fmt.Sprint(name, ", class ", class), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					s := scheduler(t, 0, 0)
+					s.SetServers(readyServers("a", "b"))
+					held := map[string]*slots.Slot{}
+					for range 10 {
+						slot := acquire(t, s, request(placement.Online, "o"))
+						held[slot.Server.ID] = slot
+					}
+					for range 6 {
+						earlier := request(class, "o")
+						earlier.Deadline = time.Now().Add(time.Second)
+						_, _ = queueRequest(t, s, earlier)
+					}
+					retry, returning := request(class, "o"), request(class, "o")
+					retry.Tried, returning.Only = []string{"b"}, []string{"a"}
+					var refused *slots.RefusedError
+					started := time.Now()
+					_, failed := queueRequest(t, s, retry)
+					leave(s, held["a"])
+					is.True(errors.As(<-failed, &refused))
+					_, failed = queueRequest(t, s, returning)
+					is.True(errors.As(<-failed, &refused))
+					is.Equal(time.Since(started), time.Duration(0))
+				})
+			})
+		}
+	}
+}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -142,7 +142,8 @@
 	load, slots := s.placer.ServiceLoad(slot.Server.Service, now)
 	s.opts.Logger.Info("server is leaving", "event", "server_leaving", "server", slot.Server.ID, "service", slot.Server.Service, "request", request,
 		"took_ms", now.Sub(slot.startedAt).Milliseconds(), "list_age_ms", now.Sub(s.serversSetAt).Milliseconds(), "load_left", load, "slots_left", slots)
-	s.dispatch(slot.Server.Service, now) // refuses waiting requests if no server is left
+	s.refuseUnservable(s.queue(slot.Server.Service))
+	s.dispatch(slot.Server.Service, now)
 }
 
 // waiter is a request that waits for a slot.
@@ -152,6 +153,10 @@
 	granted    chan *Slot // capacity 1; receives nil if no server can take the request
 }
 
+func (w *waiter) query() placement.Query {
+	return placement.Query{Service: w.request.Service, Class: w.request.Class, Tried: w.request.Tried, Only: w.request.Only}
+}
+
 // queue holds the waiting requests of one service.
 type queue struct {
 	order            *schedule.Queue
@@ -245,7 +250,8 @@
 	for _, server := range servers {
 		s.idsByShortID[shortID(server.ID)] = server.ID
 	}
-	for name := range s.queues {
+	for name, q := range s.queues {
+		s.refuseUnservable(q)
 		s.dispatch(name, now)
 	}
 }
@@ -313,6 +319,10 @@
 	}
 	s.nextID++
 	w := &waiter{request: request, enqueuedAt: now, granted: make(chan *Slot, 1)}
+	if !s.placer.HasServer(w.query()) {
+		w.granted <- nil
+		return w, s.nextID, nil
+	}
 	q.waiting[s.nextID] = w
 	q.order.Push(schedule.Item{
 		ID: s.nextID, Workspace: request.Workspace, Class: classOf(request.Class), Cost: max(request.Cost, 1), Deadline: request.Deadline,
@@ -414,14 +424,26 @@
 	}
 }
 
+// refuseUnservable refuses the waiting requests that no server may take any more.
+// Only the first ones of a queue are offered to servers, so the others would wait
+// until they are among those. The caller holds mu.
+func (s *Scheduler) refuseUnservable(q *queue) {
+	for id, w := range q.waiting {
+		if !s.placer.HasServer(w.query()) {
+			q.order.Remove(id)
+			delete(q.waiting, id)
+			w.granted <- nil
+		}
+	}
+}
+
 // startNext starts the next request of a class. It reports false if none can
 // start.
 func (s *Scheduler) startNext(q *queue, class schedule.Class, now time.Time) bool {
 	var server placement.Server
 	verdict := placement.Full
 	item, ok := q.order.Pop(class, func(it schedule.Item) bool {
-		request := q.waiting[it.ID].request
-		server, verdict = s.placer.Pick(placement.Query{Service: request.Service, Class: request.Class, Tried: request.Tried, Only: request.Only}, now)
+		server, verdict = s.placer.Pick(q.waiting[it.ID].query(), now)
 		return verdict != placement.Full
 	})
 	if !ok {
