placement: a leaving server is known by a start that the list lacked

Callers saw nothing; a server did: requests reached it from hosts that had passed on its answer with the header by which it says that it is leaving.

Cause: a mark holds for the start of the server that the request was meant for. A server may restart under its name and at its address while the hosts cannot read the store. They go on using the entry of its earlier start, which no check can tell apart, because requests name the server and not its start. When it then said that it is leaving, the earlier start was marked, and the new one was used once the list had it.

TestLeavingServerIsKnownByItsLaterStart and TestLeavingServerIsNotUsedWhenItsRestartIsKnown fail without the comparison of starts, the first in four of its seven cases.

Fix: a mark also remembers when the answer came and when the list was last known to be the newest. A start of the same server in between may be the one that answered and is taken out of use too. All other starts are used: one after the answer is a restart after it had left, and an earlier one would be in the list. The clocks of host and server are compared for this short span only, so that a clock that is off takes no server out of use in general.

--- a/internal/core/placement/leaving.go
+++ b/internal/core/placement/leaving.go
@@ -1,48 +1,97 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// leavingRetention is how long a server that said it is leaving is remembered
-// while it is not in the list. Its entry can only come back while it runs, and it
-// ends soon after it can report to the store again; the longest losses of
-// connectivity last about an hour.
-const leavingRetention = 6 * time.Hour
+const (
+	// leavingRetention is how long a server that said it is leaving is remembered
+	// while it is not in the list. Its entry can only come back while it runs, and it
+	// ends soon after it can report to the store again; the longest losses of
+	// connectivity last about an hour.
+	leavingRetention = 6 * time.Hour
+	// registrationDelay bounds the time from the start of a server until its entry is
+	// in the store, while the server reaches it.
+	registrationDelay = 2 * time.Second
+)
 
-// leavingServers holds, by ID, since when a leaving server has not been in the
-// list; the zero time while it is.
-type leavingServers map[string]time.Time
+// leavingServers holds what is known of servers that are leaving, by ID.
+type leavingServers map[string]leavingServer
+
+type leavingServer struct {
+	instance string
+	// A server of this instance that started after startedAfter and not after saidAt
+	// may be the one that said it is leaving: the list may not have had it yet.
+	startedAfter, saidAt time.Time
+	unlistedSince        time.Time // zero while it is in the list
+}
 
 func (l leavingServers) contains(id string) bool {
 	_, ok := l[id]
 	return ok
 }
 
+// mayHaveSaid reports whether it may have been this start of the server that said
+// it is leaving, in an answer to a request for an earlier start.
+func (l leavingServers) mayHaveSaid(s Server) bool {
+	if s.Instance == "" || s.StartedAt.IsZero() {
+		return false
+	}
+	for _, said := range l {
+		if said.instance == s.Instance && s.StartedAt.After(said.startedAfter) && !s.StartedAt.After(said.saidAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // update records a new list of servers and removes those that have been out of it
 // for longer than leavingRetention.
 func (l leavingServers) update(listed map[string]*server, now time.Time) {
-	for id, since := range l {
+	for id, s := range l {
 		_, ok := listed[id]
 		switch {
 		case ok:
-			l[id] = time.Time{}
-		case since.IsZero():
-			l[id] = now
-		case now.Sub(since) > leavingRetention:
+			s.unlistedSince = time.Time{}
+		case s.unlistedSince.IsZero():
+			s.unlistedSince = now
+		case now.Sub(s.unlistedSince) > leavingRetention:
 			delete(l, id)
+			continue
 		}
+		l[id] = s
 	}
 }
 
 // MarkLeaving takes a server that said it is leaving out of use. No later list of
 // servers puts it back; after a restart it has another ID. Requests in flight are
-// not affected. It returns false if the server was marked before.
-func (p *Placement) MarkLeaving(id string) bool {
+// not affected. listConfirmedAt is when the list was last known to be the newest,
+// zero if it never was: the answer may have come from a later start of the server.
+// It returns false if the server was marked before.
+func (p *Placement) MarkLeaving(id string, listConfirmedAt, now time.Time) bool {
 	if p.leaving.contains(id) {
 		return false
 	}
-	p.leaving[id] = time.Time{}
+	said := leavingServer{saidAt: now}
 	if s, ok := p.servers[id]; ok {
+		said.instance = s.cfg.Instance
+		if slices.Contains(p.byService[s.cfg.Service], s) && !listConfirmedAt.IsZero() {
+			said.startedAfter = listConfirmedAt.Add(-registrationDelay)
+		}
 		s.cfg.Ready = false
 	}
+	p.leaving[id] = said
+	for _, s := range p.servers {
+		p.keepOut(&s.cfg)
+	}
 	return true
 }
+
+// keepOut makes an entry not ready if its server is leaving.
+func (p *Placement) keepOut(cfg *Server) {
+	if !p.leaving.contains(cfg.ID) && p.leaving.mayHaveSaid(*cfg) {
+		p.leaving[cfg.ID] = leavingServer{}
+	}
+	cfg.Ready = cfg.Ready && !p.leaving.contains(cfg.ID)
+}
--- a/internal/core/placement/leaving_test.go
+++ b/internal/core/placement/leaving_test.go
@@ -53,7 +53,7 @@
 				m.SetServers(list, m.now)
 			case "leave":
 				id := m.server(rapid.IntRange(0, 3).Draw(t, "server")).ID
-				if first := m.MarkLeaving(id); first == m.said[id] {
+				if first := m.MarkLeaving(id, m.now, m.now); first == m.said[id] {
 					t.Fatalf("%s: first mark %v, marked before %v", id, first, m.said[id])
 				}
 				m.said[id] = true
@@ -107,8 +107,8 @@
 	for i := range 1000 {
 		id := fmt.Sprint("s@", i)
 		p.SetServers([]Server{testServer("stays", 8), testServer(id, 8)}, now)
-		p.MarkLeaving("stays")
-		p.MarkLeaving(id)
+		p.MarkLeaving("stays", now, now)
+		p.MarkLeaving(id, now, now)
 		now = now.Add(leavingRetention / 4)
 		if len(p.leaving) > 8 {
 			t.Fatalf("%d servers are remembered after %d have left", len(p.leaving), i)
@@ -128,10 +128,68 @@
 	p := newTestPlacement(testServer("a", 8))
 	p.Start("a", Online, start)
 	p.Start("a", Batch, start)
-	p.MarkLeaving("a")
+	p.MarkLeaving("a", start, start)
 	is.Equal(p.OwnInFlight(), map[string]InFlight{"a": {Online: 1, Batch: 1}})
 	p.SetServers(nil, start)
 	p.Finish("a", Online, Success, time.Millisecond, 1, start)
 	p.Finish("a", Batch, Success, time.Millisecond, 1, start)
 	is.Equal(len(p.OwnInFlight()), 0)
 }
+
+// TestLeavingServerIsKnownByItsLaterStart guards against requests to a server that
+// said it is leaving while this host knew an earlier start of it only, because the
+// list was old, and against taking a server out of use that restarted after it had
+// left.
+func TestLeavingServerIsKnownByItsLaterStart(t *testing.T) {
+	const said = time.Hour // from start until the server said that it is leaving
+	entry := func(startedAt time.Duration) Server {
+		s := testServer(fmt.Sprint("s@", startedAt), 8)
+		s.Instance, s.StartedAt = "s", start.Add(startedAt)
+		return s
+	}
+	for name, c := range map[string]struct {
+		confirmed time.Duration // from start until the list was last known to be the newest
+		unknown   bool          // the list never was known to be the newest
+		changed   bool          // the list had the later start when the answer came
+		startedAt time.Duration // from start to the later start
+		usable    bool
+	}{
+		"started since the list was confirmed":          {confirmed: said - time.Minute, startedAt: said - 30*time.Second},
+		"the list was never confirmed":                  {unknown: true, startedAt: said - 50*time.Minute},
+		"registered late":                               {confirmed: said - time.Second, startedAt: said - 2*time.Second},
+		"in the list when the answer came":              {confirmed: said, changed: true, startedAt: said - 30*time.Second},
+		"started before, by its clock":                  {confirmed: said - time.Second, startedAt: said - 30*time.Second, usable: true},
+		"restarted after it had left":                   {confirmed: said - time.Minute, startedAt: said + 1, usable: true},
+		"restarted after it had left, in the list then": {confirmed: said, changed: true, startedAt: said + 1, usable: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newTestPlacement(entry(0))
+			p.Start("s@0s", Online, start)
+			later, now, confirmedAt := entry(c.startedAt), start.Add(said), start.Add(c.confirmed)
+			if c.unknown {
+				confirmedAt = time.Time{}
+			}
+			if c.changed {
+				p.SetServers([]Server{later}, now)
+			}
+			p.MarkLeaving("s@0s", confirmedAt, now)
+			for range 2 {
+				_, verdict := p.Pick(Query{Service: "s"}, now)
+				if c.changed {
+					is.Equal(verdict == Chosen, c.usable)
+				} else {
+					is.Equal(verdict, NoServer)
+				}
+				c.changed = true
+				p.SetServers([]Server{later, testServer("other", 8)}, now)
+				p.SetServers([]Server{later}, now)
+			}
+			restarted := entry(said + time.Minute)
+			p.SetServers([]Server{restarted}, now)
+			got, verdict := p.Pick(Query{Service: "s"}, now)
+			is.Equal(verdict, Chosen)
+			is.Equal(got.ID, restarted.ID)
+		})
+	}
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -29,13 +29,14 @@
 
 // Server is a backend server as described in its announcement.
 type Server struct {
-	ID       string // unique per start of the server
-	Instance string // the server's own name for itself
-	Service  string
-	Address  string // IP and port
-	Zone     string
-	Slots    int  // maximum of concurrent requests, from 1 to MaxSlots
-	Ready    bool // takes new requests
+	ID        string    // unique per start of the server
+	Instance  string    // the server's own name for itself
+	StartedAt time.Time // by the server's clock, zero if unknown
+	Service   string
+	Address   string // IP and port
+	Zone      string
+	Slots     int  // maximum of concurrent requests, from 1 to MaxSlots
+	Ready     bool // takes new requests
 }
 
 // InFlight counts requests at one server by class.
@@ -183,7 +184,7 @@
 	p.byService = map[string][]*server{}
 	for _, cfg := range list {
 		cfg.Slots = max(cfg.Slots, 1)
-		cfg.Ready = cfg.Ready && !p.leaving.contains(cfg.ID)
+		p.keepOut(&cfg)
 		s, ok := old[cfg.ID]
 		if !ok {
 			s = &server{}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -106,7 +106,10 @@
 	})
 	client := upstream.New(upstream.Options{})
 	h.config = &configuration{platform: h.platform, informer: h.informer, prefix: at.Config, keyAge: h.settings.KeyAge, log: h.log}
-	h.slots = slots.New(slots.Options{Zone: h.settings.Zone, Cluster: h.cluster, Logger: h.log})
+	h.slots = slots.New(slots.Options{
+		Zone: h.settings.Zone, Cluster: h.cluster, Logger: h.log,
+		ListAge: func() (time.Duration, bool) { return h.informer.Age(at.Servers) },
+	})
 	h.online = online.New(online.Options{
 		Config: h.config, Codec: h.platform, Quotas: quotas.New(h.cluster, h.settings.QuotaTolerance, h.config.workspace, h.log), Slots: h.slots, Upstream: client,
 		Suspects: online.NewSuspects(h.cluster, h.log), Metrics: h.metrics, Logger: h.log, IsLeaving: h.leaving.Load,
--- a/internal/slots/leaving_test.go
+++ b/internal/slots/leaving_test.go
@@ -219,3 +219,27 @@
 		}
 	}
 }
+
+// The server had restarted under its name when it said that it is leaving, while the
+// store could not be reached and the host's list had its earlier start. It must get no
+// request when the list has its new start. Once it has left, its next start is used.
+func TestLeavingServerIsNotUsedWhenItsRestartIsKnown(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(cluster.Options{Self: cluster.Member{Name: "a", Incarnation: 1}, Logger: slog.New(slog.DiscardHandler)})
+	s := slots.New(slots.Options{Zone: "z", Cluster: c, ListAge: func() (time.Duration, bool) { return time.Minute, true }})
+	entry := func(startedAt time.Time) []placement.Server {
+		list := readyServers(fmt.Sprint("a@", startedAt.UnixMilli()))
+		list[0].Instance, list[0].StartedAt = "a", startedAt
+		return list
+	}
+	s.SetServers(entry(time.Now().Add(-time.Hour)))
+	slot := acquire(t, s, request(placement.Online, "o"))
+	slot.MarkLeaving("r")
+	slot.Done(placement.Success, 1)
+	s.SetServers(entry(time.Now().Add(-30 * time.Second)))
+	_, err := s.Acquire(context.Background(), request(placement.Online, "o"))
+	var refused *slots.RefusedError
+	is.True(errors.As(err, &refused))
+	s.SetServers(entry(time.Now().Add(time.Second)))
+	acquire(t, s, request(placement.Online, "o")).Done(placement.Success, 1)
+}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -129,23 +129,6 @@
 	}
 }
 
-// MarkLeaving takes the server out of use on this host for its lifetime, because it
-// said in its answer to the request that it is leaving. Requests in flight go on.
-func (slot *Slot) MarkLeaving(request string) {
-	s, now := slot.s, time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.placer.MarkLeaving(slot.Server.ID) {
-		return
-	}
-	counters.Add("servers_leaving", 1)
-	load, slots := s.placer.ServiceLoad(slot.Server.Service, now)
-	s.opts.Logger.Info("server is leaving", "event", "server_leaving", "server", slot.Server.ID, "service", slot.Server.Service, "request", request,
-		"took_ms", now.Sub(slot.startedAt).Milliseconds(), "list_age_ms", now.Sub(s.serversSetAt).Milliseconds(), "load_left", load, "slots_left", slots)
-	s.refuseUnservable(s.queue(slot.Server.Service))
-	s.dispatch(slot.Server.Service, now)
-}
-
 // waiter is a request that waits for a slot.
 type waiter struct {
 	request    Request
@@ -171,6 +154,9 @@
 type Options struct {
 	Zone    string
 	Cluster *cluster.Cluster
+	// ListAge returns the time since the list of servers was last known to be the
+	// newest, and false if it never was. Nil means that it always is the newest.
+	ListAge func() (time.Duration, bool)
 	Logger  *slog.Logger
 }
 
@@ -424,19 +410,6 @@
 	}
 }
 
-// refuseUnservable refuses the waiting requests that no server may take any more.
-// Only the first ones of a queue are offered to servers, so the others would wait
-// until they are among those. The caller holds mu.
-func (s *Scheduler) refuseUnservable(q *queue) {
-	for id, w := range q.waiting {
-		if !s.placer.HasServer(w.query()) {
-			q.order.Remove(id)
-			delete(q.waiting, id)
-			w.granted <- nil
-		}
-	}
-}
-
 // startNext starts the next request of a class. It reports false if none can
 // start.
 func (s *Scheduler) startNext(q *queue, class schedule.Class, now time.Time) bool {
--- a/test/coop/client.go
+++ b/test/coop/client.go
@@ -33,8 +33,9 @@
 // LeavingAnswer is an answer, passed on by a host, of a server that says it is
 // leaving.
 type LeavingAnswer struct {
-	Host, Route string
-	At          time.Time // when the caller had its head
+	SentRequest
+	Server     string    // start of the server
+	AnsweredAt time.Time // when the caller had its head
 }
 
 // NewLedger returns an empty ledger.
@@ -55,10 +56,10 @@
 	l.Sent[id] = SentRequest{host, route, time.Now()}
 }
 
-func (l *Ledger) recordLeaving(host, route string) {
+func (l *Ledger) recordLeaving(id, server string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.Leaving = append(l.Leaving, LeavingAnswer{host, route, time.Now()})
+	l.Leaving = append(l.Leaving, LeavingAnswer{l.Sent[id], server, time.Now()})
 }
 
 func (l *Ledger) recordAnswer(route, id string, status int, whole bool) {
@@ -119,9 +120,6 @@
 		c.Ledger.recordAnswer(route, id, 0, false)
 		return 0
 	}
-	if resp.Header.Get("Server-Leaving") != "" {
-		c.Ledger.recordLeaving(host, route)
-	}
 	c.receive(route, id, resp)
 	return resp.StatusCode
 }
@@ -149,6 +147,9 @@
 // is whole.
 func (c *Client) receive(route, id string, resp *http.Response) bool {
 	defer resp.Body.Close()
+	if resp.Header.Get("Server-Leaving") != "" {
+		c.Ledger.recordLeaving(id, resp.Header.Get(headerStart))
+	}
 	body, err := io.ReadAll(resp.Body)
 	c.Ledger.recordAnswer(route, id, resp.StatusCode, err == nil)
 	if resp.StatusCode != http.StatusOK || err != nil {
--- a/test/coop/fleet.go
+++ b/test/coop/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -29,9 +30,15 @@
 	settingsPath string
 	log          *os.File
 
-	restartMu sync.Mutex // one restart at a time
-	mu        sync.Mutex
-	cmd       *exec.Cmd
+	restartMu   sync.Mutex // one restart at a time
+	mu          sync.Mutex
+	cmd         *exec.Cmd
+	ended       chan struct{} // closed at the end of the process
+	exit        error         // valid once ended is closed
+	stopping    bool          // the process got a signal to end
+	stoppedAt   time.Time     // when a process got its last such signal
+	disturbedAt []time.Time   // ends, pauses and continuations of processes
+	ownEnds     []error       // of processes that ended without a signal
 }
 
 // Fleet is a group of hosts that use one store. Each host reaches it through
@@ -110,26 +117,65 @@
 
 // Start starts the host's process.
 func (h *Host) Start() error {
+	cmd := exec.Command(h.program, "platform", "serve", "--settings", h.settingsPath)
+	cmd.Stdout, cmd.Stderr = h.log, h.log
+	ended := make(chan struct{})
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.cmd = exec.Command(h.program, "platform", "serve", "--settings", h.settingsPath)
-	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
-	return errors.Wrapf(h.cmd.Start(), "start %s", h.Name)
+	if err := cmd.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", h.Name)
+	}
+	h.cmd, h.ended, h.stopping = cmd, ended, false
+	go func() {
+		err := cmd.Wait()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.exit = err
+		h.disturbedAt = append(h.disturbedAt, time.Now())
+		if !h.stopping {
+			h.ownEnds = append(h.ownEnds, errors.Newf("%s ended without a signal: %v", h.Name, err))
+		}
+		close(ended)
+	}()
+	return nil
 }
 
 // Signal sends a signal to the host's process.
 func (h *Host) Signal(sig syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	switch sig {
+	case syscall.SIGTERM, syscall.SIGKILL:
+		h.stopping, h.stoppedAt = true, time.Now()
+	case syscall.SIGSTOP, syscall.SIGCONT:
+		h.disturbedAt = append(h.disturbedAt, time.Now())
+	}
 	_ = h.cmd.Process.Signal(sig) // it may have ended
 }
 
 // Wait waits until the process has ended and returns its error.
 func (h *Host) Wait() error {
 	h.mu.Lock()
-	cmd := h.cmd
+	ended := h.ended
 	h.mu.Unlock()
-	return cmd.Wait()
+	<-ended
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.exit
+}
+
+// Disturbed reports whether a process of the host ended or was paused in a time.
+func (h *Host) Disturbed(from, to time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.disturbedAt, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
+// OwnEnds returns the ends of processes that had got no signal to end.
+func (h *Host) OwnEnds() []error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.ownEnds)
 }
 
 // Restart ends the process by a signal, waits for its end and starts another.
--- a/test/coop/leaving_test.go
+++ b/test/coop/leaving_test.go
@@ -18,28 +18,20 @@
 	lapseTime = 700 * time.Millisecond
 	// changeTime bounds the time until all hosts act on a change of the servers.
 	changeTime = 8 * time.Second
+	// listTime is how long hosts go on after an outage of the store, so that they have
+	// the new list of servers for most of it.
+	listTime = 2 * time.Second
 )
 
-// serviceOf returns the service of a route, see Configure.
-func serviceOf(route string) string {
-	if route == "plain" || route == "once" {
-		return "app"
-	}
-	return "llm"
-}
-
-// learnedAt returns when each host first passed on an answer of the service in
-// which a server said that it is leaving.
-func (l *Ledger) learnedAt(service string) map[string]time.Time {
+// learnedAt returns when each host first passed on an answer in which the start of
+// the server said that it is leaving.
+func (l *Ledger) learnedAt(server string) map[string]time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := map[string]time.Time{}
 	for _, answer := range l.Leaving {
-		if serviceOf(answer.Route) != service {
-			continue
-		}
-		if at, ok := out[answer.Host]; !ok || answer.At.Before(at) {
-			out[answer.Host] = answer.At
+		if at, ok := out[answer.Host]; answer.Server == server && (!ok || answer.AnsweredAt.Before(at)) {
+			out[answer.Host] = answer.AnsweredAt
 		}
 	}
 	return out
@@ -78,7 +70,8 @@
 // lapses and comes back. Callers keep using their open connections. drainTime after
 // a host has passed on such an answer, no request of a caller and no item of a job
 // may reach the server from that host. After a restart under its name it is used
-// again.
+// again, and the same holds for a start of which the hosts hear only after it has said
+// that it is leaving, because the store is down.
 func TestLeavingServerGetsNoRequests(t *testing.T) {
 	run := newSoakRun(t, 14)
 	leaving := map[string]*Server{}
@@ -102,10 +95,8 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	registerOthers("draining") // so that each host has to ask the leaving ones
-	for service := range leaving {
-		run.awaitTrue(changeTime, "hosts pass on answers of the leaving server of "+service, func() bool {
-			return len(run.ledger.learnedAt(service)) == len(run.fleet.Hosts)
-		})
+	for _, s := range leaving {
+		run.awaitLearned(s)
 	}
 	client := NewClient(run.ledger)
 	for i, h := range run.fleet.Hosts {
@@ -116,11 +107,13 @@
 		})
 	}
 	registerOthers("ready")
+	time.Sleep(drainTime)
 	for i, h := range run.fleet.Hosts {
-		if status := client.Submit(h.Callers, fmt.Sprint("job", i), callerKey, 20); status != http.StatusAccepted {
+		job := &soakJob{id: fmt.Sprint("job", i), items: 20, accepted: true, sentAt: time.Now()}
+		if status := client.Submit(h.Callers, job.id, callerKey, job.items); status != http.StatusAccepted {
 			t.Errorf("job at %s: status %d", h.Name, status)
 		}
-		run.jobs[fmt.Sprint("job", i)] = &soakJob{id: fmt.Sprint("job", i), items: 20, accepted: true}
+		run.jobs[job.id] = job
 	}
 	for _, outage := range []bool{false, true} {
 		for _, s := range leaving {
@@ -130,7 +123,6 @@
 	}
 	restartedAt := time.Now()
 	for _, s := range leaving {
-		run.checkLeavingRuns(s)
 		s.Crash()
 		s.SetLeaving(false)
 		s.Start(run.store)
@@ -142,10 +134,23 @@
 		})
 	}
 	registerOthers("ready")
+	run.store.SetDown(true)
+	for _, s := range leaving {
+		s.Crash()
+		s.SetLeaving(true)
+		if err := s.StartAtSameAddress(run.store); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, s := range leaving {
+		run.awaitLearned(s)
+	}
+	run.store.SetDown(false)
+	time.Sleep(listTime)
 	close(run.stop)
 	run.group.Wait()
 	run.awaitJobsAndCheck()
-	run.checkLeavingLogged(len(leaving))
+	run.checkLeavingLogged(2 * len(leaving))
 	for _, failure := range run.ledger.Failures {
 		t.Error(failure)
 	}
@@ -155,29 +160,12 @@
 	t.Logf("served %d of %d requests", run.ledger.Served, len(run.ledger.Answers))
 }
 
-// checkLeavingRuns compares the requests that reached a server that is leaving
-// with what hosts have passed on.
-func (run *soakRun) checkLeavingRuns(s *Server) {
-	learned := run.ledger.learnedAt(s.Service)
-	late := 0
-	for _, r := range s.Runs() {
-		if strings.HasPrefix(r.ID, "job") {
-			run.ledger.AddFailure("item %s reached %s after all hosts had passed on that it is leaving", r.ID, s.Name)
-			continue
-		}
-		request, known := run.ledger.sent(r.ID)
-		if !known {
-			continue // sent before the test, to wait for the hosts
-		}
-		if after := request.At.Sub(learned[request.Host]); after > drainTime {
-			if late++; late <= 3 {
-				run.ledger.AddFailure("%s reached %s, sent %v after its host had passed on that the server is leaving", r.ID, s.Name, after)
-			}
-		}
-	}
-	if late > 0 {
-		run.ledger.AddFailure("%d requests reached %s late", late, s.Name)
-	}
+// awaitLearned waits until each host has passed on an answer in which the current
+// start of the server says that it is leaving.
+func (run *soakRun) awaitLearned(s *Server) {
+	run.awaitTrue(changeTime, "all hosts pass on answers of "+s.start(), func() bool {
+		return len(run.ledger.learnedAt(s.start())) == len(run.fleet.Hosts)
+	})
 }
 
 // hostsSince returns the hosts from which requests have reached a server since then.
--- a/test/coop/server.go
+++ b/test/coop/server.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Server is a backend server. It answers requests with a Token-Count by a
@@ -30,19 +33,23 @@
 
 	mu      sync.Mutex
 	runs    []Run
-	crashed bool
 	leaving bool
 }
 
 // Run is one request that a server began to run.
 type Run struct {
 	ID        string
+	Start     string // of the server, see Server.start
 	After     int64
 	Tenant    string
 	KeyLeaked bool // the caller's key reached the server
 	At        time.Time
 }
 
+// headerStart names the start of the server that answers. Hosts pass it on like any
+// other header.
+const headerStart = "Instance-Id"
+
 // slots is the number of concurrent requests that a server reports as its capacity.
 const slots = 8
 
@@ -55,23 +62,55 @@
 
 // Start starts the server and registers it in the store.
 func (s *Server) Start(store *Store) {
-	s.StartedAtMS = time.Now().UnixMilli()
+	s.noteStart()
 	s.server = httptest.NewServer(s)
 	s.Register(store, "ready")
 }
 
+// StartAtSameAddress starts a server that has ended again at its address, and
+// registers it in the store.
+func (s *Server) StartAtSameAddress(store *Store) error {
+	listener, err := net.Listen("tcp", s.address())
+	if err != nil {
+		return errors.Wrapf(err, "start %s again", s.Name)
+	}
+	s.noteStart()
+	next := httptest.NewUnstartedServer(s)
+	_ = next.Listener.Close() // nothing uses it
+	next.Listener = listener
+	next.Start()
+	s.server = next
+	s.Register(store, "ready")
+	return nil
+}
+
+func (s *Server) noteStart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.StartedAtMS = time.Now().UnixMilli()
+}
+
+// start names the current start of the server.
+func (s *Server) start() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%s@%d", s.Name, s.StartedAtMS)
+}
+
+func (s *Server) address() string { return strings.TrimPrefix(s.server.URL, "http://") }
+
 // Register writes the server's entry.
 func (s *Server) Register(store *Store, state string) {
 	store.Set("servers", s.Name, map[string]any{
-		"service": s.Service, "address": strings.TrimPrefix(s.server.URL, "http://"), "zone": "z1", "slots": slots, "state": state, "born": s.StartedAtMS,
+		"service": s.Service, "address": s.address(), "zone": "z1", "slots": slots, "state": state, "born": s.StartedAtMS,
 	})
 }
 
+// Stop ends the server once its open requests have ended.
+func (s *Server) Stop() { s.server.Close() }
+
 // Crash resets all connections and stops the server.
 func (s *Server) Crash() {
-	s.mu.Lock()
-	s.crashed = true
-	s.mu.Unlock()
 	s.server.CloseClientConnections()
 	s.server.Close()
 }
@@ -124,7 +163,9 @@
 // ServeHTTP implements the server's protocol.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Attempt-Id")
+	start := s.start()
 	w.Header().Set("Attempt-Id", id)
+	w.Header().Set(headerStart, start)
 	w.Header().Set("Server-Load", fmt.Sprintf("1,0,%d", slots))
 	if s.isLeaving() {
 		w.Header().Set("Server-Leaving", "1")
@@ -141,7 +182,7 @@
 	}
 	after, _ := strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64) // 0 without one
 	s.mu.Lock()
-	s.runs = append(s.runs, Run{ID: id, After: after, Tenant: r.Header.Get("Tenant"), KeyLeaked: r.Header.Get("Authorization") != "", At: time.Now()})
+	s.runs = append(s.runs, Run{ID: id, Start: start, After: after, Tenant: r.Header.Get("Tenant"), KeyLeaked: r.Header.Get("Authorization") != "", At: time.Now()})
 	s.mu.Unlock()
 	w.Header().Set("Response-Seal", fmt.Sprintf("%x", idHash(id)))
 	if r.Header.Get("Token-Count") == "" {
--- a/test/coop/soak_test.go
+++ b/test/coop/soak_test.go
@@ -90,6 +90,7 @@
 // soakJob is a job and the results read so far.
 type soakJob struct {
 	id          string
+	sentAt      time.Time // first, zero if that is not known
 	items       int
 	accepted    bool
 	refused     int // attempts answered 503 or 429, which mean that nothing ran
@@ -221,7 +222,7 @@
 	run.group.Go(func() {
 		client := NewClient(run.ledger)
 		for i := 0; run.sleepRandom(100*time.Millisecond, 500*time.Millisecond); i++ {
-			j := &soakJob{id: fmt.Sprint("job", i), items: 1 + run.randN(6)}
+			j := &soakJob{id: fmt.Sprint("job", i), items: 1 + run.randN(6), sentAt: time.Now()}
 			run.jobs[j.id] = j
 			for try := 0; try < 6 && !j.accepted; try++ {
 				switch client.Submit(run.randomHost().Callers, j.id, callerKey, j.items) {
@@ -356,6 +357,7 @@
 
 // checkRuns compares the requests that the servers ran with the answers to callers.
 func (run *soakRun) checkRuns() {
+	run.checkLeaving()
 	runs := map[string]int{}
 	for _, s := range run.allServers {
 		for _, r := range s.Runs() {
