test: the fault soak has servers that say they are leaving

Until now the soak's servers left by crashing only, its fleet always had three hosts, and TestSoak had no callers that stay with a host and use their connections until the process is gone.

In TestSoak and TestPlannedStopsCutNoRequest servers now say in their answers that they are leaving while their entries stay ready, lapse and come back. They end without a report, after `draining` or after their entry is gone, and start again under their name, at their address or another one, or are replaced. In TestSoak they also do so beside outages of the store, some of them in a start that hosts can't know of. All of this overlaps with changes of the configuration, SIGTERM amid SIGHUP, kills, pauses and silences of 0.5 to 2 s. `make soak-platform` runs both.

New checks: a request or an item reaches a server later than 0.2 s after its host had passed on that the server is leaving, unless the host was restarted or paused since; a request that a host has read gets no whole answer, unless the host or a server was ended or paused meanwhile (in TestSoak too); a process ends that got no signal; one outlasts its grace period (in TestSoak too).

--- a/Makefile
+++ b/Makefile
@@ -61,4 +61,4 @@
 # make soak-platform SEEDS=50 DURATION=6s
 SEEDS ?= 5
 soak-platform:
-	SOAK_SEEDS=$(SEEDS) SOAK_DURATION=$(DURATION) $(GO) test -count=1 -timeout 3600s -run TestSoak -v ./test/coop
+	SOAK_SEEDS=$(SEEDS) SOAK_DURATION=$(DURATION) $(GO) test -count=1 -timeout 3600s -run 'TestSoak|TestPlannedStops' -v ./test/coop
--- a/test/coop/fleet.go
+++ b/test/coop/fleet.go
@@ -30,15 +30,16 @@
 	settingsPath string
 	log          *os.File
 
-	restartMu   sync.Mutex // one restart at a time
-	mu          sync.Mutex
-	cmd         *exec.Cmd
-	ended       chan struct{} // closed at the end of the process
-	exit        error         // valid once ended is closed
-	stopping    bool          // the process got a signal to end
-	stoppedAt   time.Time     // when a process got its last such signal
-	disturbedAt []time.Time   // ends, pauses and continuations of processes
-	ownEnds     []error       // of processes that ended without a signal
+	restartMu sync.Mutex // one restart at a time
+	mu        sync.Mutex
+	cmd       *exec.Cmd
+	ended     chan struct{} // closed at the end of the process
+	exit      error         // valid once ended is closed
+	stopping  bool          // the process got a signal to end
+	stoppedAt time.Time     // when a process got its last SIGTERM
+	endedAt   []time.Time   // ends of processes, and signals that end one at once
+	pausedAt  []time.Time   // pauses and continuations of processes
+	ownEnds   []error       // of processes that ended without a signal
 }
 
 // Fleet is a group of hosts that use one store. Each host reaches it through
@@ -131,7 +132,7 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.exit = err
-		h.disturbedAt = append(h.disturbedAt, time.Now())
+		h.endedAt = append(h.endedAt, time.Now())
 		if !h.stopping {
 			h.ownEnds = append(h.ownEnds, errors.Newf("%s ended without a signal: %v", h.Name, err))
 		}
@@ -144,11 +145,14 @@
 func (h *Host) Signal(sig syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := time.Now()
 	switch sig {
-	case syscall.SIGTERM, syscall.SIGKILL:
-		h.stopping, h.stoppedAt = true, time.Now()
+	case syscall.SIGTERM:
+		h.stopping, h.stoppedAt = true, now
+	case syscall.SIGKILL:
+		h.stopping, h.endedAt = true, append(h.endedAt, now)
 	case syscall.SIGSTOP, syscall.SIGCONT:
-		h.disturbedAt = append(h.disturbedAt, time.Now())
+		h.pausedAt = append(h.pausedAt, now)
 	}
 	_ = h.cmd.Process.Signal(sig) // it may have ended
 }
@@ -168,7 +172,25 @@
 func (h *Host) Disturbed(from, to time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return slices.ContainsFunc(h.disturbedAt, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+	return anyWithin(h.endedAt, from, to) || anyWithin(h.pausedAt, from, to)
+}
+
+// Paused reports whether a pause of a process of the host began or ended in a time.
+func (h *Host) Paused(from, to time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return anyWithin(h.pausedAt, from, to)
+}
+
+func anyWithin(times []time.Time, from, to time.Time) bool {
+	return slices.ContainsFunc(times, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
+// StoppedAt returns when a process of the host got its last SIGTERM.
+func (h *Host) StoppedAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stoppedAt
 }
 
 // OwnEnds returns the ends of processes that had got no signal to end.
--- a/test/coop/leaving_check_test.go
+++ b/test/coop/leaving_check_test.go
@@ -1,6 +1,7 @@
 package coop
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -49,23 +50,26 @@
 	for _, s := range run.allServers {
 		for _, r := range s.Runs() {
 			var answer LeavingAnswer
+			var sentAt time.Time
 			isLate := false
 			if request, known := run.ledger.sent(r.ID); known {
-				answer, isLate = answers.forbid(hosts[request.Host], r.Start, request.At, r.At)
+				sentAt = request.At
+				answer, isLate = answers.forbid(hosts[request.Host], r.Start, sentAt, r.At)
 			} else if job := run.jobOf(r.ID); job != nil && !job.sentAt.IsZero() {
-				isLate = true
-				for _, h := range run.fleet.Hosts {
-					if answer, isLate = answers.forbid(h, r.Start, job.sentAt, r.At); !isLate {
-						break
-					}
-				}
+				sentAt = job.sentAt
+				isLate = !slices.ContainsFunc(run.fleet.Hosts, func(h *Host) bool {
+					var forbidden bool
+					answer, forbidden = answers.forbid(h, r.Start, sentAt, r.At)
+					return !forbidden
+				})
 			}
 			checked++
-			if isLate {
-				if late++; late <= maxReported {
-					run.ledger.AddFailure("%s reached %s at %v, host %s had passed on at %v that it is leaving (answer to a request of %v)",
-						r.ID, r.Start, r.At, answer.Host, answer.AnsweredAt, answer.At)
-				}
+			if !isLate {
+				continue
+			}
+			if late++; late <= maxReported {
+				run.ledger.AddFailure("%s reached %s at %s, sent %v after %s had passed on that the server is leaving",
+					r.ID, r.Start, r.At.UTC().Format(time.RFC3339Nano), sentAt.Sub(answer.AnsweredAt), hosts[answer.Host].Name)
 			}
 		}
 	}
--- a/test/coop/server.go
+++ b/test/coop/server.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,12 @@
 	At        time.Time
 }
 
+// A server tries to listen at the address that it had for a second.
+const (
+	maxListenTries = 50
+	listenPause    = 20 * time.Millisecond
+)
+
 // headerStart names the start of the server that answers. Hosts pass it on like any
 // other header.
 const headerStart = "Instance-Id"
@@ -60,19 +67,31 @@
 	return s
 }
 
-// Start starts the server and registers it in the store.
+// Start starts the server at a new address and registers it in the store.
 func (s *Server) Start(store *Store) {
-	s.noteStart()
-	s.server = httptest.NewServer(s)
-	s.Register(store, "ready")
+	ports, err := freePorts(1)
+	if err == nil {
+		err = s.startAt(store, fmt.Sprintf("127.0.0.1:%d", ports[0]))
+	}
+	if err != nil {
+		panic(err) // no port is free
+	}
 }
 
-// StartAtSameAddress starts a server that has ended again at its address, and
-// registers it in the store.
+// StartAtSameAddress starts a server that has ended again at its address.
 func (s *Server) StartAtSameAddress(store *Store) error {
-	listener, err := net.Listen("tcp", s.address())
+	return s.startAt(store, s.address())
+}
+
+func (s *Server) startAt(store *Store, address string) error {
+	listener, err := net.Listen("tcp", address)
+	// A process that is being started holds copies of all sockets for a moment.
+	for tries := 0; errors.Is(err, syscall.EADDRINUSE) && tries < maxListenTries; tries++ {
+		time.Sleep(listenPause)
+		listener, err = net.Listen("tcp", address)
+	}
 	if err != nil {
-		return errors.Wrapf(err, "start %s again", s.Name)
+		return errors.Wrapf(err, "start %s", s.Name)
 	}
 	s.noteStart()
 	next := httptest.NewUnstartedServer(s)
--- a/test/coop/silence_test.go
+++ b/test/coop/silence_test.go
@@ -15,6 +15,7 @@
 	silenceTestCallers = 12
 	minSilence         = 500 * time.Millisecond
 	maxSilence         = 1500 * time.Millisecond
+	maxSoakSilence     = 2 * time.Second
 )
 
 // silentParts returns a function for Server.Silence. The server falls silent in two
--- a/test/coop/soak_test.go
+++ b/test/coop/soak_test.go
@@ -75,14 +75,16 @@
 	t          *testing.T
 	seed       uint64
 	rng        *rand.Rand
-	mu         sync.Mutex // of rng
+	mu         sync.Mutex // of rng, servers and allServers
 	store      *Store
 	fleet      *Fleet
 	ledger     *Ledger
-	servers    []*Server
-	allServers []*Server // including those that crashed
+	servers    []*Server // that are neither leaving nor being replaced
+	allServers []*Server // including those that have ended
+	size       fleetSize
 	stop       chan struct{}
 	group      sync.WaitGroup
+	crashes    []crash // of servers, guarded by mu
 	jobs       map[string]*soakJob
 	silence    func(id string, part int64) time.Duration // of servers that are added; see Server.Silence
 }
@@ -119,24 +121,48 @@
 
 const callerKey = "key-of-w"
 
+// fleetSize is the number of processes and servers of a run, and its load.
+type fleetSize struct {
+	hosts, llm, app        int // hosts, and servers by service
+	callers, callersOfHost int // callers that change hosts, and those that stay at one
+	changing               int // hosts that are stopped, or series of faults
+	leaving                int // servers that leave at the same time, at most
+}
+
+var (
+	smallFleet = fleetSize{hosts: 3, llm: 3, app: 2, callers: 6, callersOfHost: 2, changing: 3, leaving: 2}
+	largeFleet = fleetSize{hosts: 24, llm: 24, app: 12, callers: 24, callersOfHost: 1, changing: 8, leaving: 6}
+)
+
+// largeFleetEvery is how often a seed has the large fleet.
+const largeFleetEvery = 8
+
+func sizeOf(seed uint64) fleetSize {
+	if seed%largeFleetEvery == 0 {
+		return largeFleet
+	}
+	return smallFleet
+}
+
 func newSoakRun(t *testing.T, seed uint64) *soakRun {
 	t.Helper()
-	return newSilentSoakRun(t, seed, nil)
+	return newSilentSoakRun(t, seed, smallFleet, nil)
 }
 
-// newSilentSoakRun is newSoakRun with servers that fall silent; see Server.Silence.
-func newSilentSoakRun(t *testing.T, seed uint64, silence func(id string, part int64) time.Duration) *soakRun {
+// newSilentSoakRun is newSoakRun for a fleet of any size with servers that fall silent;
+// see Server.Silence.
+func newSilentSoakRun(t *testing.T, seed uint64, size fleetSize, silence func(id string, part int64) time.Duration) *soakRun {
 	t.Helper()
-	run := &soakRun{silence: silence, t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), store: NewStore(seed), ledger: NewLedger(), stop: make(chan struct{}), jobs: map[string]*soakJob{}}
+	run := &soakRun{size: size, silence: silence, t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), store: NewStore(seed), ledger: NewLedger(), stop: make(chan struct{}), jobs: map[string]*soakJob{}}
 	Configure(run.store, 1, callerKey)
-	for i := range 3 {
+	for i := range size.llm {
 		run.addServer(fmt.Sprint("llm-", i), "llm", 5*time.Millisecond)
 	}
-	for i := range 2 {
+	for i := range size.app {
 		run.addServer(fmt.Sprint("app-", i), "app", 0)
 	}
 	var err error
-	if run.fleet, err = NewFleet(programPath, t.TempDir(), run.store, 3); err != nil {
+	if run.fleet, err = NewFleet(programPath, t.TempDir(), run.store, size.hosts); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { run.fleet.Close(); run.store.Close() })
@@ -147,6 +173,8 @@
 func (run *soakRun) addServer(name, service string, pause time.Duration) {
 	s := &Server{Name: name, Service: service, Pause: pause, Silence: run.silence}
 	s.Start(run.store)
+	run.mu.Lock()
+	defer run.mu.Unlock()
 	run.servers = append(run.servers, s)
 	run.allServers = append(run.allServers, s)
 }
@@ -213,7 +241,7 @@
 	if h%10 != 0 || int64(h/10%uint64(2*EventCount(id)+2)) != part {
 		return 0
 	}
-	return minSilence + time.Duration(h/1000%uint64(maxSilence-minSilence))
+	return minSilence + time.Duration(h/1000%uint64(maxSoakSilence-minSilence))
 }
 
 // startSubmitter submits jobs until stop is closed, retries those that are not
@@ -268,22 +296,23 @@
 	return status
 }
 
-// startFaults injects faults until stop is closed, in three concurrent series.
+// startFaults injects faults until stop is closed, in concurrent series.
 func (run *soakRun) startFaults() {
-	for range 2 {
+	for range run.size.changing - 1 {
 		run.group.Go(func() {
 			for run.sleepRandom(200*time.Millisecond, 900*time.Millisecond) {
 				run.injectFault()
 			}
 		})
 	}
-	run.group.Go(func() { // replaces servers; only this goroutine uses the list
+	run.group.Go(func() { // replaces servers
 		for n := 0; run.sleepRandom(500*time.Millisecond, 1500*time.Millisecond); n++ {
-			i := run.randN(len(run.servers))
-			old := run.servers[i]
-			old.Crash()
+			old := run.takeServer()
+			if old == nil {
+				continue
+			}
+			run.crash(old)
 			run.store.Remove("servers", old.Name)
-			run.servers = append(run.servers[:i], run.servers[i+1:]...)
 			run.addServer(fmt.Sprintf("%s-%d", old.Service, 100+n), old.Service, old.Pause)
 		}
 	})
@@ -293,7 +322,11 @@
 	h := run.randomHost()
 	link := "store-" + h.Name
 	silent, open := "both", ""
-	switch run.randN(9) {
+	switch run.randN(10) {
+	case 9:
+		if err := run.stopAmidSignals(h); err != nil {
+			run.ledger.AddFailure("%s does not start: %v", h.Name, err)
+		}
 	case 0, 1:
 		if err := h.Restart([]syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[run.randN(2)]); err != nil {
 			run.ledger.AddFailure("%s does not start: %v", h.Name, err)
@@ -358,6 +391,11 @@
 // checkRuns compares the requests that the servers ran with the answers to callers.
 func (run *soakRun) checkRuns() {
 	run.checkLeaving()
+	for _, h := range run.fleet.Hosts {
+		for _, err := range h.OwnEnds() {
+			run.ledger.AddFailure("%v", err)
+		}
+	}
 	runs := map[string]int{}
 	for _, s := range run.allServers {
 		for _, r := range s.Runs() {
@@ -401,11 +439,13 @@
 	list, duration := soakSettings(t)
 	for _, seed := range list {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			run := newSilentSoakRun(t, seed, occasionalSilence)
+			run := newSilentSoakRun(t, seed, sizeOf(seed), occasionalSilence)
 			run.startChanges()
-			run.startCallers(6)
+			run.startCallers(run.size.callers)
+			count := run.startStopCallers(run.size.callersOfHost, false)
 			run.startSubmitter()
 			run.startFaults()
+			leavings := run.startLeaving(true)
 			time.Sleep(duration)
 			close(run.stop)
 			run.group.Wait()
@@ -419,7 +459,8 @@
 			if t.Failed() {
 				run.keepLogs()
 			}
-			t.Logf("served %d of %d requests, %d jobs, %d store calls", run.ledger.Served, len(run.ledger.Answers), len(run.jobs), run.store.Calls())
+			t.Logf("served %d of %d requests, %d answers cut by faults, %d jobs, %d leaving servers, %d answers that say so, %d store calls",
+				run.ledger.Served, len(run.ledger.Answers), count.excused, len(run.jobs), leavings.Load(), len(run.ledger.Leaving), run.store.Calls())
 		})
 	}
 }
--- a/test/coop/stop_test.go
+++ b/test/coop/stop_test.go
@@ -38,16 +38,19 @@
 	reader *bufio.Reader
 	sent   int
 	count  *stopCounts
+	// planned is set if the run has planned work only, which excuses nothing but what
+	// stopCounts.allowCut allows.
+	planned bool
 }
 
 // stopCounts are the stops and the requests without a whole answer.
 type stopCounts struct {
 	mu          sync.Mutex
 	stops       int
-	stoppedAt   map[*Host]time.Time // when it got its last SIGTERM
-	unanswered  []string            // ids of requests that the host had not read
-	outOfTime   int                 // answers cut at the end of the route's time
-	atGraceEnds int                 // answers cut in the last sixth of the grace period
+	unanswered  []string // ids of requests that the host had not read
+	outOfTime   int      // answers cut at the end of the route's time
+	atGraceEnds int      // answers cut in the last sixth of the grace period
+	excused     int      // answers cut or lost by a fault
 }
 
 // allowCut reports whether an answer that has just been cut may be, at the end of the
@@ -56,7 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	grace := shutdownGraceSeconds * time.Second
-	stopping := time.Since(s.stoppedAt[h])
+	stopping := time.Since(h.StoppedAt())
 	switch {
 	case time.Since(sentAt) >= shortestTimeout:
 		s.outOfTime++
@@ -92,6 +95,7 @@
 			return
 		}
 		ids, routes = append(ids, id), append(routes, route)
+		c.ledger.recordSent(c.host.Callers, route, id)
 	}
 	sentAt := time.Now()
 	whole := c.write(text.Bytes())
@@ -137,7 +141,7 @@
 	resp, err := http.ReadResponse(c.reader, nil)
 	if err == nil {
 		whole := c.client.receive(route, id, resp)
-		if !whole && !c.count.allowCut(c.host, sentAt) {
+		if !whole && !c.excused(sentAt) && !c.count.allowCut(c.host, sentAt) {
 			c.ledger.AddFailure("%s %s at %s: answer %d is cut after %v", route, id, c.host.Name, resp.StatusCode, time.Since(sentAt))
 		}
 		if !whole || resp.Close {
@@ -150,13 +154,25 @@
 		time.Sleep(resetDelay)
 		wasRead = c.socketError() == 0
 	}
-	if wasRead {
+	if wasRead && !c.excused(sentAt) {
 		c.ledger.AddFailure("%s %s at %s: read and not answered: %v", route, id, c.host.Name, err)
 	}
 	c.close()
 	c.lose(route, id)
 }
 
+// excused reports whether a fault since then may have cut an answer or a connection:
+// the end or a pause of the host, or the crash of a server.
+func (c *stopCaller) excused(since time.Time) bool {
+	if c.planned || !c.host.Disturbed(since, time.Now()) && !c.crashedSince(since) {
+		return false
+	}
+	c.count.mu.Lock()
+	defer c.count.mu.Unlock()
+	c.count.excused++
+	return true
+}
+
 func (c *stopCaller) close() {
 	_ = c.conn.Close() // it may have ended
 	c.conn = nil
@@ -183,28 +199,52 @@
 	return code
 }
 
-// startStops stops and starts a host until stop is closed, with SIGHUP before and
-// after each SIGTERM.
+// startStopCallers starts n callers of each host that use their connections until stop
+// is closed.
+func (run *soakRun) startStopCallers(n int, planned bool) *stopCounts {
+	count := &stopCounts{}
+	for i, h := range run.fleet.Hosts {
+		for n := range n {
+			c := &stopCaller{soakRun: run, client: NewClient(run.ledger), host: h, name: fmt.Sprintf("stop-%d-%d", i, n), count: count, planned: planned}
+			run.group.Go(func() {
+				for run.sleepRandom(time.Millisecond, 30*time.Millisecond) {
+					c.send()
+				}
+			})
+		}
+	}
+	return count
+}
+
+// stopAmidSignals stops a host by SIGTERM, with SIGHUP before and after it, and starts
+// it again. The process must end by itself within its grace period.
+func (run *soakRun) stopAmidSignals(h *Host) error {
+	h.restartMu.Lock()
+	defer h.restartMu.Unlock()
+	var signals sync.WaitGroup
+	for range run.randN(4) {
+		delay := time.Duration(run.randN(int(2 * time.Second)))
+		signals.Go(func() { time.Sleep(delay); h.Signal(syscall.SIGHUP) })
+	}
+	time.Sleep(time.Duration(run.randN(int(100 * time.Millisecond))))
+	h.Signal(syscall.SIGTERM)
+	began := time.Now()
+	err := h.Wait()
+	if took := time.Since(began); (err != nil || took > shutdownGraceSeconds*time.Second) && !h.Paused(began, time.Now()) {
+		run.ledger.AddFailure("%s ended with %v after %v", h.Name, err, took)
+	}
+	signals.Wait() // before the next process, which may not handle them yet
+	return h.Start()
+}
+
+// startStops stops and starts a host until stop is closed.
 func (run *soakRun) startStops(h *Host, count *stopCounts) {
 	run.group.Go(func() {
 		for run.sleepRandom(300*time.Millisecond, 1500*time.Millisecond) {
-			var signals sync.WaitGroup
-			for range run.randN(4) {
-				delay := time.Duration(run.randN(int(2 * time.Second)))
-				signals.Go(func() { time.Sleep(delay); h.Signal(syscall.SIGHUP) })
-			}
-			time.Sleep(time.Duration(run.randN(int(100 * time.Millisecond))))
-			h.Signal(syscall.SIGTERM)
-			began := time.Now()
 			count.mu.Lock()
 			count.stops++
-			count.stoppedAt[h] = began
 			count.mu.Unlock()
-			if err := h.Wait(); err != nil || time.Since(began) > shutdownGraceSeconds*time.Second {
-				run.ledger.AddFailure("%s ended with %v after %v", h.Name, err, time.Since(began))
-			}
-			signals.Wait() // before the next process, which may not handle them yet
-			if err := h.Start(); err != nil {
+			if err := run.stopAmidSignals(h); err != nil {
 				run.ledger.AddFailure("%s does not start: %v", h.Name, err)
 			}
 		}
@@ -222,19 +262,16 @@
 	for _, seed := range list {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			is := is.NewRelaxed(t)
-			run := newSilentSoakRun(t, seed, occasionalSilence)
-			count := &stopCounts{stoppedAt: map[*Host]time.Time{}}
+			run := newSilentSoakRun(t, seed, sizeOf(seed), occasionalSilence)
+			callers := stopCallers
+			if run.size == largeFleet {
+				callers = run.size.callersOfHost
+			}
 			run.startChanges()
-			for i, h := range run.fleet.Hosts {
+			count := run.startStopCallers(callers, true)
+			leavings := run.startLeaving(false)
+			for _, h := range run.fleet.Hosts[:run.size.changing] {
 				run.startStops(h, count)
-				for n := range stopCallers {
-					c := &stopCaller{soakRun: run, client: NewClient(run.ledger), host: h, name: fmt.Sprintf("stop-%d-%d", i, n), count: count}
-					run.group.Go(func() {
-						for run.sleepRandom(time.Millisecond, 30*time.Millisecond) {
-							c.send()
-						}
-					})
-				}
 			}
 			time.Sleep(duration)
 			close(run.stop)
@@ -255,9 +292,10 @@
 			for _, status := range run.ledger.Answers {
 				statuses[status]++
 			}
-			t.Logf("%d stops, answers by status: %v, cut at the end of their time: %d, of the grace period: %d", count.stops, statuses, count.outOfTime, count.atGraceEnds)
+			t.Logf("%d stops, %d leaving servers, %d answers that say so, answers by status: %v, cut at the end of their time: %d, of the grace period: %d",
+				count.stops, leavings.Load(), len(run.ledger.Leaving), statuses, count.outOfTime, count.atGraceEnds)
 			is.Equal(run.ledger.Failures, nil)
-			is.True(count.stops >= len(run.fleet.Hosts))
+			is.True(count.stops >= run.size.changing)
 			is.True(statuses[http.StatusOK] > 100)
 			if t.Failed() {
 				run.keepLogs()
