test: what a planned stop may cut is what the rule allows

Trace: the host got SIGTERM at 04:40:06.68 and the request 1.5 s later, on an open connection. Each of the three servers that it asked was silent for 2 s before its first event, so none had answered when the grace period was over (`answer_cut` by `grace_period` at 11.98 after 3,804 ms, status 0). The rule allows this: a server was at work in the last sixth of the grace period on a request that was sent no later than 3 s after the signal. The check allowed it for answers that had begun only, which no longer is enough with silences of 2 s.

The check was too lenient elsewhere: it allowed the end of the grace period to cut requests that were sent later than 3 s after the signal. Both kinds of end, before the answer and within it, are now held to the rule.

--- a/test/coop/stop_test.go
+++ b/test/coop/stop_test.go
@@ -25,6 +25,9 @@
 	pipelineDepth = 2
 	// shortestTimeout is the shortest time-out of a route.
 	shortestTimeout = 4 * time.Second
+	// lastSendAfterStop is how long after SIGTERM a request may be sent that may last
+	// beyond the end of the grace period.
+	lastSendAfterStop = 3 * time.Second
 )
 
 // stopCaller sends requests on connections of its own to one host, and opens new
@@ -49,25 +52,34 @@
 	stops       int
 	unanswered  []string // ids of requests that the host had not read
 	outOfTime   int      // answers cut at the end of the route's time
-	atGraceEnds int      // answers cut in the last sixth of the grace period
+	atGraceEnds int      // answers cut, or requests not answered, in the last sixth of the grace period
 	excused     int      // answers cut or lost by a fault
 }
 
 // allowCut reports whether an answer that has just been cut may be, at the end of the
 // route's time or of the host's grace period.
 func (s *stopCounts) allowCut(h *Host, sentAt time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	grace := shutdownGraceSeconds * time.Second
-	stopping := time.Since(h.StoppedAt())
-	switch {
-	case time.Since(sentAt) >= shortestTimeout:
+	if time.Since(sentAt) >= shortestTimeout {
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.outOfTime++
-	case stopping >= grace*5/6 && stopping <= grace+time.Second:
-		s.atGraceEnds++
-	default:
+		return true
+	}
+	return s.atGraceEnd(h, sentAt)
+}
+
+// atGraceEnd reports whether the host ends its grace period, so that it may end a
+// request that was sent soon enough after the signal and has lasted until then.
+func (s *stopCounts) atGraceEnd(h *Host, sentAt time.Time) bool {
+	grace := shutdownGraceSeconds * time.Second
+	stoppedAt := h.StoppedAt()
+	stopping := time.Since(stoppedAt)
+	if stopping < grace*5/6 || stopping > grace+time.Second || sentAt.Sub(stoppedAt) > lastSendAfterStop {
 		return false
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.atGraceEnds++
 	return true
 }
 
@@ -154,10 +166,14 @@
 		time.Sleep(resetDelay)
 		wasRead = c.socketError() == 0
 	}
+	c.close()
+	if wasRead && c.count.atGraceEnd(c.host, sentAt) {
+		c.ledger.recordAnswer(route, id, 0, false)
+		return
+	}
 	if wasRead && !c.excused(sentAt) {
-		c.ledger.AddFailure("%s %s at %s: read and not answered: %v", route, id, c.host.Name, err)
+		c.ledger.AddFailure("%s %s at %s: read and not answered after %v: %v", route, id, c.host.Name, time.Since(sentAt), err)
 	}
-	c.close()
 	c.lose(route, id)
 }
 
