online: calls that are open when a host ends are answered

Callers saw a connection that ended without a byte: a call that was still open at the end of the grace period, on a connection that stayed in use after SIGTERM. They could not tell whether it had run.

Cause: at the end of the drain the host closed all connections. The handlers of open calls learned of it from the close, when it was too late for an answer.

Fix: at the end of the drain, and before connections are closed, the host ends the calls whose answers have not begun, as it does at their deadline. One that was not sent to a server gets 503, which is true and lets its caller send it again; one that may have run gets 504. Streams that have begun go on for the 0.3 s that the answers have, taken from the reserve for the last steps, so no call has less time than before.

The check of planned stops is as strict as it was for calls without an answer.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -43,6 +43,9 @@
 	// shutdownMargin is the part of the grace period reserved for the final steps
 	// of the shutdown.
 	shutdownMargin = 700 * time.Millisecond
+	// lastAnswersTime is the part of shutdownMargin in which calls that are still open
+	// are answered and their connections closed.
+	lastAnswersTime = 300 * time.Millisecond
 	// headerTimeout and idleTimeout bound callers' connections, unless the
 	// configuration allows callers more.
 	headerTimeout = 10 * time.Second
@@ -252,13 +255,16 @@
 		h.jobs.Close(ctx)
 	}()
 	time.Sleep(min(deregisterDelay, max(time.Until(deadline)/2, 0)))
+	defer time.AfterFunc(time.Until(deadline), h.online.EndCalls).Stop()
+	drainCtx, cancelDrain := context.WithDeadline(context.Background(), deadline.Add(lastAnswersTime))
+	defer cancelDrain()
 	var group sync.WaitGroup
 	for _, s := range servers {
 		if s.name != "callers" {
 			continue // readiness and metrics are served until the process ends
 		}
 		group.Go(func() {
-			if err := s.listener.Drain(ctx); err != nil {
+			if err := s.listener.Drain(drainCtx); err != nil {
 				h.calls.cutOpen()
 				h.log.Warn("requests aborted at the end of the grace period", "event", "drain_incomplete", "server", s.name, "error", err)
 			}
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,17 +24,17 @@
 	*admitted
 	ctx             context.Context
 	w               http.ResponseWriter
-	sends           int      // servers that were sent at least one byte of the request, each counted once
-	mayRun          bool     // a server may have executed the request
-	tried           []string // ids of the servers tried
-	full            []string // ids of the servers that rejected the call because they were full
-	askAgain        []string // ids of the servers that were tried and may be asked once more
-	unreached       []string // ids of the servers that accepted no connection in time
-	returning       bool     // the next attempt goes to one of the full servers
-	headerSent      bool     // the response to the caller has started
-	lastEventID     int64    // of the last complete event relayed
-	eventsSent      int      // complete events relayed
-	takeOvers       int      // exchanges that another server took over from a silent one
+	sends           int         // servers that were sent at least one byte of the request, each counted once
+	mayRun          bool        // a server may have executed the request
+	tried           []string    // ids of the servers tried
+	full            []string    // ids of the servers that rejected the call because they were full
+	askAgain        []string    // ids of the servers that were tried and may be asked once more
+	unreached       []string    // ids of the servers that accepted no connection in time
+	returning       bool        // the next attempt goes to one of the full servers
+	headerSent      atomic.Bool // the response to the caller has started
+	lastEventID     int64       // of the last complete event relayed
+	eventsSent      int         // complete events relayed
+	takeOvers       int         // exchanges that another server took over from a silent one
 	timeToFirstByte time.Duration
 	slotWait        time.Duration // total wait for slots
 	server          string        // of the current exchange, or of the last one
@@ -116,7 +117,7 @@
 	switch {
 	case f.returning:
 		return earlier(until, f.returnUntil())
-	case f.sends >= f.route.MaxAttempts && f.headerSent:
+	case f.sends >= f.route.MaxAttempts && f.headerSent.Load():
 		return earlier(until, time.Now().Add(f.giveUpAfter()))
 	case f.sends >= f.route.MaxAttempts:
 		return earlier(until, time.Now().Add(takeOverWait))
@@ -210,7 +211,7 @@
 	if !f.mayRun {
 		f.opts.Quotas.ReturnToken(f.workspace)
 	}
-	if f.headerSent {
+	if f.headerSent.Load() {
 		f.opts.Metrics.ResponseAborted(f.route.Name)
 		f.log.Warn("response aborted", "event", "broken_off", "request", f.call.ID, "route", f.route.Name, "server", f.server,
 			"sends", f.sends, "events", f.eventsSent, "code", r.Code, "detail", r.Detail, "held_ms", time.Since(f.call.Arrived).Milliseconds())
@@ -463,10 +464,10 @@
 	}
 	mayRetry := serverFault && f.route.Repeatable() && f.sends < f.route.MaxAttempts
 	anotherAtWork := f.current != nil || f.other != nil
-	if mayRetry || anotherAtWork && (serverFault || f.headerSent) {
+	if mayRetry || anotherAtWork && (serverFault || f.headerSent.Load()) {
 		return ended
 	}
-	if f.headerSent || !passable {
+	if f.headerSent.Load() || !passable {
 		f.fail(&Refusal{Status: http.StatusBadGateway, Code: codeFailed, Detail: "the server failed with status " + strconv.Itoa(response.status)})
 		return finished
 	}
--- a/internal/online/refusal.go
+++ b/internal/online/refusal.go
@@ -35,6 +35,7 @@
 	codeFailed      = "server_failed"
 	codeSuspect     = "crashes_servers"
 	codeTooLarge    = "body_too_large"
+	codeStopping    = "host_stops"
 	codeInternal    = "internal_error"
 )
 
--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -52,17 +52,25 @@
 
 // Service serves online requests. It is safe for concurrent use.
 type Service struct {
-	opts Options
-	log  *slog.Logger
+	opts     Options
+	log      *slog.Logger
+	ending   context.Context // ends with EndCalls
+	endCalls context.CancelFunc
 }
 
 func New(opts Options) *Service {
 	if opts.Logger == nil {
 		opts.Logger = slog.Default()
 	}
-	return &Service{opts: opts, log: opts.Logger}
+	ending, endCalls := context.WithCancel(context.Background())
+	return &Service{opts: opts, log: opts.Logger, ending: ending, endCalls: endCalls}
 }
 
+// EndCalls ends the calls whose answers have not begun, and those that come later. They
+// get an answer that says whether they may have run. The host calls it shortly before
+// it closes its connections.
+func (s *Service) EndCalls() { s.endCalls() }
+
 // admitted is a call that passed admission and may be sent to servers.
 type admitted struct {
 	call      *Call
@@ -114,6 +122,10 @@
 	if s.opts.IsLeaving() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.ending.Err() != nil {
+		s.refuse(w, call, &admitted{call: call}, unavailable(codeStopping, "the host stops", rejectedRetryAfter), 0)
+		return
+	}
 	a, refusal := s.admit(call)
 	if refusal != nil {
 		s.refuse(w, call, a, refusal, 0)
@@ -121,13 +133,24 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, a.deadline, errDeadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	f := &forwarding{Service: s, admitted: a, ctx: ctx, w: w}
+	defer context.AfterFunc(s.ending, func() {
+		if !f.headerSent.Load() {
+			end(errHostEnds)
+		}
+	})()
 	defer f.releaseAll() // nothing is left but after a panic
 	f.run()
 }
 
-// errDeadline is the cause of contexts that ended at the call's deadline.
-var errDeadline = errors.New("call deadline exceeded")
+var (
+	// errDeadline is the cause of contexts that ended at the call's deadline.
+	errDeadline = errors.New("call deadline exceeded")
+	// errHostEnds is that of calls which the host can't serve until their deadline.
+	errHostEnds = errors.Wrap(errDeadline, "the host stops")
+)
 
 // admit runs all checks that involve no server.
 func (s *Service) admit(call *Call) (*admitted, *Refusal) {
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -65,7 +65,7 @@
 // server has sent the next event, nothing tells its answer from one that is no part of
 // the stream, so none of it is relayed.
 func (f *forwarding) joins(x *exchange) bool {
-	return !x.relayed && (f.headerSent || x == f.other || x.skipped)
+	return !x.relayed && (f.headerSent.Load() || x == f.other || x.skipped)
 }
 
 // checkEventOrder checks that an event directly follows the last one. Event ids
@@ -96,10 +96,10 @@
 // servers that continue the stream are not sent. From then on writes are bounded, so
 // that a caller that stops reading doesn't hold the server beyond the call's time.
 func (f *forwarding) sendHeader(resp *upstream.Response) {
-	if f.headerSent {
+	if f.headerSent.Load() {
 		return
 	}
-	f.headerSent = true
+	f.headerSent.Store(true)
 	f.timeToFirstByte = time.Since(f.call.Arrived)
 	// Fails only for a writer without a connection. The HTTP server removes the limit
 	// after the answer.
--- a/test/coop/shutdown_test.go
+++ b/test/coop/shutdown_test.go
@@ -12,9 +12,14 @@
 	"github.com/matryer/is"
 )
 
+// lateCallTime is how long after SIGTERM a call comes on an open connection. A server
+// that is silent for as long again and more does not answer it in the grace period.
+const lateCallTime = 2 * time.Second
+
 // Signals overlap: the settings file changes (SIGHUP) while a host drains after
 // SIGTERM. The host must finish its streams and end by itself; it would cut them if
-// a signal ended the process.
+// a signal ended the process. A call that arrives on an open connection, and that its
+// server can't answer in the grace period, was closed without an answer.
 func TestSettingsSignalDuringShutdown(t *testing.T) {
 	is := is.New(t)
 	run := newSoakRun(t, 12)
@@ -25,7 +30,16 @@
 	}
 	run.addServer("slow", "llm", 60*time.Millisecond) // streams last 0.3 to 1.5 s
 	run.awaitStreams()
+	run.silence = func(string, int64) time.Duration { return 2 * lateCallTime }
+	for _, s := range run.servers {
+		if s.Service == "app" {
+			run.store.Remove("servers", s.Name)
+		}
+	}
+	run.addServer("silent", "app", 0)
 	leaving := run.fleet.Hosts[0]
+	lateCaller := NewClient(run.ledger)
+	lateCaller.Results(leaving.Callers, "none", callerKey, 0) // opens a connection
 	var group sync.WaitGroup
 	for i := range 10 {
 		group.Go(func() {
@@ -36,6 +50,12 @@
 	}
 	time.Sleep(30 * time.Millisecond)
 	leaving.Signal(syscall.SIGTERM)
+	group.Go(func() {
+		time.Sleep(lateCallTime)
+		if status := lateCaller.Call(leaving.Callers, "once", "late", callerKey); status != http.StatusGatewayTimeout {
+			t.Errorf("a call that is open at the end of the grace period got status %d", status)
+		}
+	})
 	for range 5 {
 		time.Sleep(40 * time.Millisecond)
 		leaving.Signal(syscall.SIGHUP)
--- a/test/coop/stop_test.go
+++ b/test/coop/stop_test.go
@@ -52,34 +52,27 @@
 	stops       int
 	unanswered  []string // ids of requests that the host had not read
 	outOfTime   int      // answers cut at the end of the route's time
-	atGraceEnds int      // answers cut, or requests not answered, in the last sixth of the grace period
+	atGraceEnds int      // answers cut in the last sixth of the grace period
 	excused     int      // answers cut or lost by a fault
 }
 
 // allowCut reports whether an answer that has just been cut may be, at the end of the
-// route's time or of the host's grace period.
+// route's time or of the host's grace period. The latter holds for requests that were
+// sent soon enough after the signal and have lasted until then.
 func (s *stopCounts) allowCut(h *Host, sentAt time.Time) bool {
-	if time.Since(sentAt) >= shortestTimeout {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.outOfTime++
-		return true
-	}
-	return s.atGraceEnd(h, sentAt)
-}
-
-// atGraceEnd reports whether the host ends its grace period, so that it may end a
-// request that was sent soon enough after the signal and has lasted until then.
-func (s *stopCounts) atGraceEnd(h *Host, sentAt time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	grace := shutdownGraceSeconds * time.Second
 	stoppedAt := h.StoppedAt()
 	stopping := time.Since(stoppedAt)
-	if stopping < grace*5/6 || stopping > grace+time.Second || sentAt.Sub(stoppedAt) > lastSendAfterStop {
+	switch {
+	case time.Since(sentAt) >= shortestTimeout:
+		s.outOfTime++
+	case stopping >= grace*5/6 && stopping <= grace+time.Second && sentAt.Sub(stoppedAt) <= lastSendAfterStop:
+		s.atGraceEnds++
+	default:
 		return false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.atGraceEnds++
 	return true
 }
 
@@ -167,10 +160,6 @@
 		wasRead = c.socketError() == 0
 	}
 	c.close()
-	if wasRead && c.count.atGraceEnd(c.host, sentAt) {
-		c.ledger.recordAnswer(route, id, 0, false)
-		return
-	}
 	if wasRead && !c.excused(sentAt) {
 		c.ledger.AddFailure("%s %s at %s: read and not answered after %v: %v", route, id, c.host.Name, time.Since(sentAt), err)
 	}
