online: the end of a leaving server is no crash by its last requests

Callers saw 503 with the code crashes_servers for ten minutes, on all hosts, for a request that crashes nothing.

Cause: servers that leave end with requests in flight. The host takes each connection that breaks without an answer for a possible crash by the request on it. Two of them at two servers quarantine the request, and three a part of its prompt that other requests share. When a service is rolled, the request that is sent again after the first server has left is often at the next one that leaves.

Evidence: TestEndOfLeavingServerIsNoCrash failed for servers that say so in an answer and for those that say so by their entry: 503 for the same request afterwards. A third case holds servers that crash, where it is still 503.

Fix: a connection that breaks at a server which has said that it is leaving counts neither against the request nor against the parts of its prompt. A server that is only missing in the list counts as before, since a server that hangs under a request may disappear from it too.

--- a/internal/core/placement/leaving.go
+++ b/internal/core/placement/leaving.go
@@ -76,7 +76,7 @@
 	said := leavingServer{saidAt: now}
 	if s, ok := p.servers[id]; ok {
 		said.instance = s.cfg.Instance
-		if slices.Contains(p.byService[s.cfg.Service], s) && !listConfirmedAt.IsZero() {
+		if p.isListed(s) && !listConfirmedAt.IsZero() {
 			said.startedAfter = listConfirmedAt.Add(-registrationDelay)
 		}
 		s.cfg.Ready = false
@@ -88,6 +88,15 @@
 	return true
 }
 
+// Leaves reports whether a server has said that it is leaving, in an answer or by its
+// entry. One that is not in the list any more has not.
+func (p *Placement) Leaves(id string) bool {
+	s, ok := p.servers[id]
+	return p.leaving.contains(id) || ok && !s.cfg.Ready && p.isListed(s)
+}
+
+func (p *Placement) isListed(s *server) bool { return slices.Contains(p.byService[s.cfg.Service], s) }
+
 // keepOut makes an entry not ready if its server is leaving.
 func (p *Placement) keepOut(cfg *Server) {
 	if !p.leaving.contains(cfg.ID) && p.leaving.mayHaveSaid(*cfg) {
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -400,7 +400,8 @@
 
 // recordFailure releases the slot and records what a failed exchange says
 // about the server's health. An exchange that the caller ended is not counted as
-// a failure of the server, nor is one whose server was at work at the deadline.
+// a failure of the server, nor is one whose server was at work at the deadline. A
+// server that is leaving was not crashed by its last requests.
 func (f *forwarding) recordFailure(x *exchange, failure *upstream.Error) {
 	panicked := f.logPanic(x, failure)
 	if f.ctx.Err() != nil {
@@ -415,7 +416,7 @@
 	if failure.Silent {
 		f.opts.Upstream.CloseIdle(server.Address)
 	}
-	if failure.Stage != upstream.NotSent && !failure.Silent && !panicked {
+	if failure.Stage != upstream.NotSent && !failure.Silent && !panicked && !x.slot.ServerLeaves() {
 		f.opts.Suspects.ConnectionLost(f.fps, server.ID, x.sentAt, x.isolated, x.answered)
 	}
 	f.release(x, placement.Failed, 0)
--- a/internal/online/leaving_test.go
+++ b/internal/online/leaving_test.go
@@ -144,3 +144,54 @@
 	}
 	is.Equal(len(s.ReceivedRequests()), 4)
 }
+
+// A server that has said it is leaving, in an answer or by its entry, ends with requests
+// in flight. The loss of its connections must not count as crashes by these requests:
+// after the second one the same request was refused on all hosts for ten minutes.
+func TestEndOfLeavingServerIsNoCrash(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		says, drains bool
+		status       int // of the same request afterwards
+	}{
+		{"by its answer", true, false, http.StatusOK},
+		{"by its entry", false, true, http.StatusOK},
+		{"it crashes", false, false, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				f := newPipedFixture(t, func(conn *servertest.Conn) bool {
+					switch {
+					case conn.ID == "leaving":
+						return leavingAnswers["success"](conn)
+					case conn.Header.Get("X-Instance") == "c":
+						conn.Respond(http.StatusOK, "ok")
+						return true
+					}
+					time.Sleep(100 * time.Millisecond) // until the server ends
+					return false
+				})
+				setEntry := func(id string, ready bool) {
+					f.slots.SetServers([]placement.Server{{ID: id, Instance: id, Service: "s", Address: id, Zone: "z", Slots: 4, Ready: ready}})
+				}
+				for _, id := range []string{"a", "b"} {
+					setEntry(id, true)
+					status := make(chan int)
+					go func() { got, _ := f.serveAs("lost", "/once/1", "k"); status <- got.Code }()
+					synctest.Wait()
+					if c.says {
+						got, _ := f.serveAs("leaving", "/get/1", "k")
+						is.Equal(got.Code, http.StatusOK)
+					}
+					setEntry(id, !c.drains)
+					is.Equal(<-status, http.StatusBadGateway)
+				}
+				setEntry("c", true)
+				time.Sleep(time.Second) // in which other hosts would have reported the same losses
+				got, _ := f.serveAs("again", "/once/1", "k")
+				is.Equal(got.Code, c.status)
+			})
+		})
+	}
+}
--- a/internal/slots/leaving.go
+++ b/internal/slots/leaving.go
@@ -20,6 +20,13 @@
 	s.dispatch(slot.Server.Service, now)
 }
 
+// ServerLeaves reports whether the server has said that it is leaving.
+func (slot *Slot) ServerLeaves() bool {
+	slot.s.mu.Lock()
+	defer slot.s.mu.Unlock()
+	return slot.s.placer.Leaves(slot.Server.ID)
+}
+
 // listConfirmedAt returns when the list of servers was last known to be the newest,
 // zero if it never was.
 func (s *Scheduler) listConfirmedAt(now time.Time) time.Time {
