test: servers of coop fleets have ports of their own; one changing configuration

Hosts have addresses of their own since; servers get ports below the range of ephemeral ports at an address of their process, none of them twice.

--- a/test/coop/server.go
+++ b/test/coop/server.go
@@ -10,10 +10,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"ragwortstep/test/harness"
 )
 
 // Server is a backend server. It answers requests with a Token-Count by a
@@ -67,14 +70,26 @@
 	return s
 }
 
+// serverNetwork is that of all servers of this process.
+var serverNetwork = sync.OnceValues(harness.ReserveNetwork)
+
+// Servers listen at ports from firstServerPort on, below the range of ephemeral ports.
+// None is used for two servers, as a server may start again at its address.
+const (
+	serverByte      = 2 // last byte of the address
+	firstServerPort = 20_000
+)
+
+var serversStarted atomic.Int64
+
 // Start starts the server at a new address and registers it in the store.
 func (s *Server) Start(store *Store) {
-	ports, err := freePorts(1)
+	network, err := serverNetwork()
 	if err == nil {
-		err = s.startAt(store, fmt.Sprintf("127.0.0.1:%d", ports[0]))
+		err = s.startAt(store, network.Address(serverByte, firstServerPort+int(serversStarted.Add(1))))
 	}
 	if err != nil {
-		panic(err) // no port is free
+		panic(err) // no address is free
 	}
 }
 
