online: a call that was lost with a kept connection uses no other old one

What callers saw: 502 for a call that two sound servers in turn had closed their kept connections to, and then 503 ("servers broke down under this request") for each request with the same path and body, at all hosts, for up to ten minutes.

Cause: a connection that the server closes as idle while a request is under way looks like one that a crash has ended. The next server was asked on a kept connection too, and connections that were idle for equally long end together; two losses quarantine the request.

After such a loss the call uses connections that were idle for a second at most, like requests that must not be repeated, or new ones. The loss itself still counts, since a crash is first noticed in the same way; the answer to the next attempt clears it.

--- a/internal/online/call.go
+++ b/internal/online/call.go
@@ -82,16 +82,17 @@
 	Age() time.Duration
 }
 
-// nonRepeatableMaxIdle is the longest idle time of a connection that carries a
-// request that must not be repeated. Most connections that servers close
-// without notice were idle for longer.
-const nonRepeatableMaxIdle = time.Second
+// carefulMaxIdle is the longest idle time of a connection that carries a request that
+// must not be repeated, or that was lost with a kept connection before. Most connections
+// that servers close without notice were idle for longer.
+const carefulMaxIdle = time.Second
 
-// request builds the request for one server. sends is that of all its requests.
-func (c *Call) request(codec Codec, out RequestMeta, repeatable bool, sends *upstream.Sends) *upstream.Request {
+// request builds the request for one server. A careful one uses no connection that was
+// idle for longer than carefulMaxIdle. sends is that of all requests of the call.
+func (c *Call) request(codec Codec, out RequestMeta, careful bool, sends *upstream.Sends) *upstream.Request {
 	r := &upstream.Request{Method: c.Method, Target: c.Target, Host: c.Host, Body: c.Body, Header: codec.ServerHeader(c, out), Sends: sends}
-	if !repeatable {
-		r.MaxIdle = nonRepeatableMaxIdle
+	if careful {
+		r.MaxIdle = carefulMaxIdle
 	}
 	return r
 }
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -49,6 +49,7 @@
 	silence *time.Timer // fires when the current exchange, or the other one, was silent for too long
 
 	connections upstream.Sends // those that the call was sent on
+	lostKept    bool           // one of them had carried another request, and ended without an answer
 }
 
 // bufferedResponse is a complete response held in memory.
@@ -243,7 +244,7 @@
 	if f.eventsSent > 0 || f.call.LastEventID > 0 {
 		out.Resume, out.AfterEventID = true, f.lastEventID
 	}
-	request := f.call.request(f.opts.Codec, out, f.route.Repeatable(), &f.connections)
+	request := f.call.request(f.opts.Codec, out, !f.route.Repeatable() || f.lostKept, &f.connections)
 	isolated := f.opts.Suspects.Start(f.fps, id)
 	x := start(f.ctx, f.opts.Upstream, slot, request)
 	x.isNew, x.isolated = isNew, isolated
@@ -416,6 +417,7 @@
 	if failure.Silent {
 		f.opts.Upstream.CloseIdle(server.Address)
 	}
+	f.lostKept = f.lostKept || failure.Reused && failure.Stage != upstream.InResponse
 	if failure.Stage != upstream.NotSent && !failure.Silent && !panicked && !x.slot.ServerLeaves() {
 		f.opts.Suspects.ConnectionLost(f.fps, server.ID, x.sentAt, x.isolated, x.answered)
 	}
