online: an answer that is not used is no lost connection

What callers saw: 503 ("servers broke down under this request") for ten minutes, at all hosts, for a request whose answer is larger than the 4 MB that a host holds in memory, or whose stream had a too large event or lacked one, after two servers had given such an answer.

Cause: a host that does not use an answer records a failure of its exchange, like that of a connection that was lost. Losses count as crashes of the server, and two of them quarantine the request. The servers had answered.

Such answers still fail the exchange and count against the server, but not as a crash.

What remains: callers get no answer of more than 4 MB.

--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -418,7 +418,7 @@
 		f.opts.Upstream.CloseIdle(server.Address)
 	}
 	f.lostKept = f.lostKept || failure.Reused && failure.Stage != upstream.InResponse
-	if failure.Stage != upstream.NotSent && !failure.Silent && !panicked && !x.slot.ServerLeaves() {
+	if failure.Stage != upstream.NotSent && !failure.Silent && !panicked && !isUnusable(failure) && !x.slot.ServerLeaves() {
 		f.opts.Suspects.ConnectionLost(f.fps, server.ID, x.sentAt, x.isolated, x.answered)
 	}
 	f.release(x, placement.Failed, 0)
@@ -441,6 +441,12 @@
 	return true
 }
 
+// isUnusable reports whether a failure is an answer that this host doesn't use, though
+// its connection was not lost.
+func isUnusable(failure *upstream.Error) bool {
+	return errors.IsAny(failure, errTooLarge, errEventOrder, upstream.ErrEventTooLarge)
+}
+
 // dropInvalid drops a response that cannot be a valid one of this server to
 // this call.
 func (f *forwarding) dropInvalid(x *exchange, resp *upstream.Response, detail string) verdict {
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -12,7 +12,8 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
-var errEventTooLarge = errors.New("event of the stream is too large")
+// ErrEventTooLarge reports an event of more than maxEventBytes.
+var ErrEventTooLarge = errors.New("event of the stream is too large")
 
 // Event is one complete event of a text/event-stream.
 type Event struct {
@@ -69,7 +70,7 @@
 		part, err := e.r.ReadSlice('\n')
 		e.raw = append(e.raw, part...)
 		if len(e.raw) > maxEventBytes {
-			return errEventTooLarge
+			return ErrEventTooLarge
 		}
 		if err != bufio.ErrBufferFull {
 			return err
