backend: a stream that goes on outlives unanswered polls

What callers saw, on the own interface: a stream that went on every two seconds or so was cut when its server answered no load report for some seconds, or when it fell silent for two seconds several times and polls happened to span its silences.

Cause: once two polls in a row got no answer, all exchanges that had waited for a byte when that was established were cancelled a second later, also those that had received bytes after these polls were sent.

An exchange whose answer has begun is cancelled only if it has received nothing since the last of these polls was sent. A server that is down is noticed as soon as before, by exchanges that are silent since; requests that can be sent again are not affected.

TestLostPollsAreForgotten passes the time of the unanswered poll in place of the flag.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -63,14 +63,16 @@
 	return ex.firstByteTimeout
 }
 
-// canAbort reports whether the exchange may be cancelled before its deadline: either
-// the request can be retried, or the rest of its response is lost anyway, because
-// polls got no answer on connections of its generation.
-func (ex *exchange) canAbort(unanswered bool) bool {
+// canAbort reports whether the exchange, which has waited for a byte since a time, may
+// be cancelled before its deadline after its connection was replaced: either the
+// request can be retried, or the rest of its response is lost anyway, because a poll
+// that was sent later got no answer. A byte after that poll shows that the server is
+// at work.
+func (ex *exchange) canAbort(since, replacedAt, unansweredSince int64) bool {
 	if ex.headArrived.Load() {
-		return unanswered
+		return since <= unansweredSince
 	}
-	return ex.idempotent
+	return ex.idempotent && since <= replacedAt
 }
 
 // abortSilent cancels an exchange that received no byte within its deadline.
--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -134,6 +134,7 @@
 	gen := s.currentGeneration()
 	ctx, cancel := context.WithTimeout(ctx, pooledPollTimeouts*c.opts.PollTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	pooled := s.pollAsync(ctx, gen)
 	var result pollResult
 	select {
@@ -142,14 +143,14 @@
 		result.err = errSilent
 	}
 	if !result.answered && ctx.Err() == nil {
-		result = c.pollNewConnection(ctx, s, gen, pooled)
+		result = c.pollNewConnection(ctx, s, gen, pooled, sentAt)
 	}
-	c.report(ctx, s, observer, result)
+	c.report(ctx, s, observer, result, sentAt)
 }
 
 // pollNewConnection polls on a new connection while the poll on the pooled one is
 // still outstanding. It replaces the generation when only the new one responds.
-func (c *Client) pollNewConnection(ctx context.Context, s *server, gen *generation, pooled <-chan pollResult) pollResult {
+func (c *Client) pollNewConnection(ctx context.Context, s *server, gen *generation, pooled <-chan pollResult, sentAt time.Time) pollResult {
 	fresh := newGeneration(gen.number, c.opts)
 	defer fresh.closeIdle()
 	ctx, cancel := context.WithTimeout(ctx, c.opts.PollTimeout)
@@ -165,11 +166,11 @@
 		}
 	case <-time.After(monitorInterval):
 	}
-	s.replaceGeneration(gen, time.Now().UnixNano(), true)
+	s.replaceGeneration(gen, time.Now().UnixNano(), sentAt.UnixNano())
 	return result
 }
 
-func (c *Client) report(ctx context.Context, s *server, observer Observer, r pollResult) {
+func (c *Client) report(ctx context.Context, s *server, observer Observer, r pollResult, sentAt time.Time) {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
@@ -179,7 +180,7 @@
 		// A server that responds on no connection is hung or down. Replacing the
 		// generation cancels the exchanges that may be aborted, after the grace
 		// period.
-		s.replaceGeneration(s.currentGeneration(), time.Now().UnixNano(), true)
+		s.replaceGeneration(s.currentGeneration(), time.Now().UnixNano(), sentAt.UnixNano())
 	}
 	if r.err != nil {
 		observer.PollFailed(s.name, r.err)
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -59,8 +59,9 @@
 	// replacedAt is the client's clock in ns when a generation was replaced; 0
 	// once the exchanges on replaced connections have been cancelled.
 	replacedAt int64
-	// unanswered is set if it was replaced because polls got no answer on it.
-	unanswered bool
+	// unansweredSince is when the poll was sent that got no answer on it, in ns; 0 if it
+	// was replaced for another reason.
+	unansweredSince int64
 }
 
 func newServer(name, address string, opts Options) *server {
@@ -105,8 +106,9 @@
 
 // replaceGeneration starts a new generation of connections after one of the given
 // generation stopped delivering data. It does nothing when that generation has
-// been replaced already. unanswered reports that polls got no answer on it.
-func (s *server) replaceGeneration(old *generation, now int64, unanswered bool) bool {
+// been replaced already. unansweredSince is when a poll was sent that got no answer on
+// it, 0 if there is none.
+func (s *server) replaceGeneration(old *generation, now, unansweredSince int64) bool {
 	s.mu.Lock()
 	if s.gen != old {
 		s.mu.Unlock()
@@ -116,7 +118,7 @@
 	if s.replacedAt == 0 { // a further replacement does not extend the grace period
 		s.replacedAt = now
 	}
-	s.unanswered = s.unanswered || unanswered
+	s.unansweredSince = max(s.unansweredSince, unansweredSince)
 	s.mu.Unlock()
 	old.closeIdle()
 	counters.Add("generations_replaced", 1)
@@ -139,7 +141,7 @@
 		ex.abortSilent()
 	}
 	if len(overdue) > 0 {
-		s.replaceGeneration(overdue[0].gen, now, false)
+		s.replaceGeneration(overdue[0].gen, now, 0)
 	}
 	if slow {
 		s.requestPoll()
@@ -161,14 +163,14 @@
 		switch {
 		case waited > ex.nextByteTimeout():
 			overdue = append(overdue, ex)
-		case graceExpired && ex.gen != s.gen && since <= s.replacedAt && ex.canAbort(s.unanswered):
+		case graceExpired && ex.gen != s.gen && ex.canAbort(since, s.replacedAt, s.unansweredSince):
 			overdue = append(overdue, ex)
 		case ex.gen == s.gen && waited > s.opts.PollAfterSilence:
 			slow = true
 		}
 	}
 	if graceExpired {
-		s.replacedAt, s.unanswered = 0, false
+		s.replacedAt, s.unansweredSince = 0, 0
 	}
 	return overdue, slow
 }
--- a/internal/backend/silent_exchange_test.go
+++ b/internal/backend/silent_exchange_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -114,7 +116,7 @@
 			s := newServer("s", "127.0.0.1:1", c.opts)
 			past := int64(c.opts.ReplacedConnGrace) + 1
 			now := time.Now().UnixNano()
-			s.replaceGeneration(s.currentGeneration(), now, true)
+			s.replaceGeneration(s.currentGeneration(), now, now)
 			s.checkDeadlines(now + past)
 			now += 10 * past
 			ex := newExchange(context.Background(), c, s, &Request{})
@@ -123,9 +125,51 @@
 			ex.bodyStarted.Store(true)
 			ex.waitingSince.Store(now)
 			s.register(ex)
-			s.replaceGeneration(s.currentGeneration(), now, lostAgain)
+			unansweredSince := int64(0)
+			if lostAgain {
+				unansweredSince = now
+			}
+			s.replaceGeneration(s.currentGeneration(), now, unansweredSince)
 			overdue, _ := s.findOverdue(now + past)
 			is.Equal(len(overdue) > 0, lostAgain)
 		})
 	}
 }
+
+// Guards against cutting streams whose server answers no load report for a while, but
+// goes on with them every two seconds.
+func TestStreamThatGoesOnOutlivesUnansweredPolls(t *testing.T) {
+	t.Parallel()
+	const gap, parts = 1900 * time.Millisecond, 8
+	ended := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == loadPath {
+			<-ended
+			return
+		}
+		for range parts {
+			_, _ = io.WriteString(w, "part ")
+			w.(http.Flusher).Flush()
+			time.Sleep(gap)
+		}
+	}))
+	defer server.Close()
+	defer close(ended)
+	c := newClient(t, server.Listener.Addr().String(), Options{})
+	var group sync.WaitGroup
+	for i := range 10 { // at different points of the polls
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * gap / 10)
+			resp, err := c.Do(context.Background(), "s", &Request{Method: "POST", Path: "/run", Body: []byte("x"), Idempotent: true})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer resp.Body.Close()
+			if got, err := io.ReadAll(resp.Body); err != nil || strings.Count(string(got), "part") != parts {
+				t.Errorf("got %q, error %v", got, err)
+			}
+		})
+	}
+	group.Wait()
+}
