gateway: a request whose handler panics is answered and keeps no slot

What callers saw, on the own interface: no answer to a request whose handler panicked, and after as many such requests as a pool has slots, no place at its servers any more. A host that was stopped then waited until the end of its drain.

Cause: net/http recovers a handler by closing its connection. The slot and the count of open calls were given back on all ways out but that one.

The gateway answers with 500, which does not say whether the request ran, or aborts a response that has begun, and logs and counts the panic. The dispatcher gives back the slot and the call, the gateway closes a response that it does not pass on, and an exchange that panics fails, without a word about the server's health but that it failed.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -169,7 +169,7 @@
 	}
 	for attempt := 0; ; attempt++ {
 		ex := newExchange(ctx, c, s, req)
-		resp, err := ex.run(req)
+		resp, err := ex.runGuarded(req)
 		if err == nil {
 			return resp, nil
 		}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/invariant"
+	"ragwortstep/internal/panics"
 )
 
 var (
@@ -88,6 +89,19 @@
 	ex.cancel(nil)
 }
 
+// runGuarded is run, whose panic is a failure: the server may have run the request.
+func (ex *exchange) runGuarded(req *Request) (resp *Response, failure *Error) {
+	defer func() {
+		if value := recover(); value != nil {
+			counters.Add("exchange_panics", 1)
+			_ = ex.closeAndCheckSent()
+			ex.release()
+			resp, failure = nil, ex.newError(NoResponse, Malformed, "exchange", panics.New(value))
+		}
+	}()
+	return ex.run(req)
+}
+
 // run sends the request and waits for the response's header.
 func (ex *exchange) run(req *Request) (*Response, *Error) {
 	out, err := ex.buildRequest(req)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -49,13 +49,27 @@
 	if !req.Deadline.IsZero() {
 		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
 	}
+	hasBody := false
+	defer func() { // also after a panic
+		if !hasBody {
+			d.endRunOf(j)
+			cancel()
+			d.endCall()
+		}
+	}()
 	resp, err := d.runJob(ctx, cancel, j)
-	if err != nil {
-		cancel()
-		d.endCall()
-		return nil, err
+	hasBody = err == nil
+	return resp, err
+}
+
+// endRunOf frees the slot of a job's latest attempt if a panic has left it taken.
+func (d *Dispatcher) endRunOf(j *job) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if j.run != nil {
+		d.endRun(j.run, balance.Neutral, 0, time.Now())
+		j.run.cancel(nil)
 	}
-	return resp, nil
 }
 
 // admit refuses requests that need not be queued, and counts the call as
@@ -94,6 +108,7 @@
 		if err != nil {
 			return nil, err
 		}
+		j.run = r
 		stop := context.AfterFunc(ctx, func() { r.cancel(context.Cause(ctx)) })
 		resp, failure := d.send(r)
 		if failure == nil && !d.shouldRetryResponse(r, resp) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -102,8 +102,9 @@
 	result        chan queueResult // capacity 1
 	failedServers []string
 	attempts      int
-	sends         int // attempts that sent at least one byte
-	unanswered    int // see RefusedError.Unanswered
+	sends         int  // attempts that sent at least one byte
+	unanswered    int  // see RefusedError.Unanswered
+	run           *run // of the latest attempt, nil before the first
 }
 
 // queueResult ends a job's wait in the queue with a slot or a refusal.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,7 +86,7 @@
 	g.mux.HandleFunc("/v1/batches", g.withKey(g.batchAPI))
 	g.mux.HandleFunc("/v1/batches/", g.withKey(g.batchAPI))
 	g.mux.HandleFunc("/", g.service)
-	g.handler = abort.Handler(g.mux)
+	g.handler = abort.Handler(g.recovering(g.mux))
 	return g
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -73,9 +73,14 @@
 	if err != nil {
 		return nil, dispatchError(ctx, err)
 	}
+	taken := false
+	defer func() { // also after a panic, so that the slot is freed
+		if !taken {
+			resp.Body.Close()
+		}
+	}()
 	// The dispatcher appends numbers to the request id.
 	if echoed := resp.Header.Get(headerRequestID); !strings.HasPrefix(echoed, req.ID) && echoed != "" {
-		resp.Body.Close()
 		counters.Add("answers_crossed", 1)
 		return nil, &apiError{
 			Status: http.StatusBadGateway, Code: "answer_mismatch",
@@ -83,23 +88,23 @@
 		}
 	}
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		taken = true
 		return &response{resp: resp, unread: true, sse: true}, nil
 	}
-	return bufferResponse(ctx, resp)
+	buffered, apiErr := bufferResponse(ctx, resp)
+	taken = apiErr == nil && buffered.unread
+	return buffered, apiErr
 }
 
-// bufferResponse reads a response up to maxBufferedBytes. It closes the body
-// unless the response is longer.
+// bufferResponse reads a response up to maxBufferedBytes.
 func bufferResponse(ctx context.Context, resp *dispatch.Response) (*response, *apiError) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
-		resp.Body.Close()
 		return nil, responseReadError(ctx, err)
 	}
 	if len(body) > maxBufferedBytes {
 		return &response{resp: resp, buffered: body, unread: true}, nil
 	}
-	resp.Body.Close()
 	return &response{resp: resp, buffered: body}, nil
 }
 
