backend: a poll that panics loses one load report

What callers saw, on the own interface: all requests of a host ended when the handling of a server's load report met a fault.

Cause: polls and their observer run in goroutines of their own, without a recovery.

A poll that panics counts as failed, and a report whose handling panics is lost, with a log line. The lock of the dispatcher is released by defer in both handlers. The loops that divide slots and check deadlines take no message and stay as they are.

TestPanicOfPollFailsIt and TestPanicOfObserverLosesOneReport ended the process before. TestOddReportsEndNothing found no load report or demand of another host, of 300 senseless ones, that panics or keeps the host busy; it passed before, too.

--- a/internal/backend/panic_test.go
+++ b/internal/backend/panic_test.go
@@ -32,3 +32,15 @@
 	is.True(errors.As(err, &panicked))
 	is.Equal(len(s.exchanges), 0)
 }
+
+// A poll that panicked ended the process.
+func TestPanicOfPollFailsIt(t *testing.T) {
+	is := is.New(t)
+	c := newClient(t, "127.0.0.1:1", Options{})
+	s, err := c.server("s")
+	is.NoErr(err)
+	result := <-s.pollAsync(t.Context(), &generation{}) // which panics, as it has no transport
+	is.True(!result.answered)
+	var panicked *panics.Error
+	is.True(errors.As(result.err, &panicked))
+}
--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"ragwortstep/internal/panics"
 )
 
 var counters = expvar.NewMap("backend")
@@ -192,7 +194,12 @@
 func (s *server) pollAsync(ctx context.Context, gen *generation) <-chan pollResult {
 	out := make(chan pollResult, 1)
 	go func() {
-		out <- s.poll(ctx, gen)
+		result, err := panics.Catch(func() (pollResult, error) { return s.poll(ctx, gen), nil })
+		if err != nil {
+			counters.Add("exchange_panics", 1)
+			result = pollResult{err: errors.Wrapf(err, "poll server %s", s.name)}
+		}
+		out <- result
 	}()
 	return out
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"ragwortstep/internal/core/schedule"
 	"ragwortstep/internal/events"
 	"ragwortstep/internal/fleet"
+	"ragwortstep/internal/panics"
 	"ragwortstep/internal/peer"
 	"ragwortstep/internal/store"
 )
@@ -263,8 +264,13 @@
 // pollObserver receives the results of load polls.
 type pollObserver struct{ d *Dispatcher }
 
-// LoadReported implements backend.Observer.
+// LoadReported implements backend.Observer. A report that its handling does not survive
+// is lost.
 func (o pollObserver) LoadReported(server string, load backend.Load, known bool, opened, asked time.Time) {
+	panics.Log(o.d.log, "load_report_lost", "handle load report", func() { o.loadReported(server, load, known, opened, asked) }, "peer", server)
+}
+
+func (o pollObserver) loadReported(server string, load backend.Load, known bool, opened, asked time.Time) {
 	d := o.d
 	now := time.Now()
 	d.mu.Lock()
@@ -286,6 +292,10 @@
 
 // PollFailed implements backend.Observer.
 func (o pollObserver) PollFailed(server string, err error) {
+	panics.Log(o.d.log, "load_report_lost", "handle failed poll", func() { o.pollFailed(server, err) }, "peer", server)
+}
+
+func (o pollObserver) pollFailed(server string, err error) {
 	d := o.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/dispatch/panic_test.go
+++ b/internal/dispatch/panic_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"ragwortstep/internal/backend"
 )
 
 // A request that panicked after it had got its slot kept it for good, and a draining
@@ -31,3 +33,14 @@
 	}
 	is.NoErr(d.Drain(ctx))
 }
+
+// A load report whose handling panicked ended the process.
+func TestPanicOfObserverLosesOneReport(t *testing.T) {
+	is := is.New(t)
+	d := New(Options{Fleet: newNetwork(t, snapshot(nil, nil), "h").hosts["h"]}) // not started
+	d.bal = nil                                                                 // which panics
+	pollObserver{d}.LoadReported("e", backend.Load{Slots: 1}, true, time.Now(), time.Now())
+	pollObserver{d}.PollFailed("e", context.DeadlineExceeded)
+	is.True(d.mu.TryLock())
+	d.mu.Unlock()
+}
