--- a/internal/dispatch/silent_server_test.go
+++ b/internal/dispatch/silent_server_test.go
@@ -109,8 +109,8 @@
 const silencesInTurn = 4
 
 // A sound server that falls silent for up to 2 s in any phase of its answer, or before
-// each piece of it, lost its exchange: the caller got a cut answer, 502 or 504. The
-// configuration changes all the while.
+// some pieces in turn, lost its exchange: the caller got a cut answer, 502 or 504. The
+// configuration changes all the while, and the host may begin to stop.
 func TestSilentServerKeepsItsExchange(t *testing.T) {
 	t.Parallel()
 	var group sync.WaitGroup // all wait at the same time
@@ -123,12 +123,12 @@
 						silences[i] = silence
 					}
 				}
-				for n := range 4 {
-					idempotent, whole := n&1 > 0, n&2 > 0
+				for n := range 8 {
+					idempotent, whole, stops := n&1 > 0, n&2 > 0, n&4 > 0
 					server := newPausingServer(t, answer.pieces, silences, whole)
 					group.Go(func() {
-						if err := silentExchange(t, server, kind == "stream", idempotent, answer.body); err != nil {
-							t.Errorf("%s, silent for %s before piece %d, idempotent %t, whole server %t: %v", kind, silence, at, idempotent, whole, err)
+						if err := silentExchange(t, server, kind == "stream", idempotent, stops, answer.body); err != nil {
+							t.Errorf("%s, silent for %s before piece %d, idempotent %t, whole server %t, host stops %t: %v", kind, silence, at, idempotent, whole, stops, err)
 						}
 					})
 				}
@@ -139,7 +139,7 @@
 }
 
 // silentExchange sends a request and checks its answer.
-func silentExchange(t *testing.T, s *pausingServer, stream, idempotent bool, want string) error {
+func silentExchange(t *testing.T, s *pausingServer, stream, idempotent, stops bool, want string) error {
 	server := config.Server{Name: "e", Pool: "p", Address: s.listener.Addr().String(), Concurrency: 8, Speed: 1}
 	revision := func(n int64) *config.Snapshot {
 		cfg := snapshot(nil, map[string]float64{"w": 1})
@@ -161,11 +161,18 @@
 		}
 	}()
 	time.Sleep(rand.N(500 * time.Millisecond)) // polls are spread
+	drained := make(chan error, 1)
+	if stops {
+		time.AfterFunc(rand.N(time.Second), func() { drained <- d.Drain(ctx) })
+	}
 	got, err := call(ctx, d, &Request{ID: "1", Workspace: "w", Stream: stream, Idempotent: idempotent, Body: []byte("x"), Deadline: time.Now().Add(25 * time.Second)})
 	if err != nil || got != want {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return errors.Newf("got %q, error %v, after %d runs", got, err, s.runs)
 	}
+	if stops {
+		return errors.Wrap(<-drained, "drain")
+	}
 	return nil
 }
