test: lines of the paths to servers and of the drain that no test noticed

Each of these lines could be left out before; each test fails without it:

- an encoded success is not passed on: TestUnsoundAnswerIsNotComplete;
- a request that reached no server goes to another, or is refused with 503: TestRequestThatReachedNoServerIsRefused;
- the limit of silence at a deadline, where a route's timeout is short for its objective: TestSilentServerAtTheDeadlineIsEjected has such a route now;
- a retired connection stays retired when the HTTP server sets a deadline: TestRetiredConnectionEndsDespiteNewDeadline.

The codec of the tests knows the encoding of a body, as the platform's does.

--- a/internal/callers/connections_test.go
+++ b/internal/callers/connections_test.go
@@ -84,6 +84,30 @@
 	}
 }
 
+// A connection that a drain retires just before the HTTP server sets the deadline for its
+// wait stayed open until that deadline, and kept the host that was to stop.
+func TestRetiredConnectionEndsDespiteNewDeadline(t *testing.T) {
+	is := is.New(t)
+	bound, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := NewListener(bound, nil)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	c := accepted.(*connection)
+	defer c.Close()
+	StateChanged(c, http.StateIdle)
+	c.retire(false)
+	began := time.Now()
+	is.NoErr(c.SetReadDeadline(began.Add(10 * longTime)))
+	_, err = c.Read(make([]byte, 10))
+	is.Equal(err, io.EOF)
+	is.True(time.Since(began) < 5*longTime)
+}
+
 // lateListener returns an accepted connection only once it is released.
 type lateListener struct {
 	net.Listener
--- a/internal/online/framing_test.go
+++ b/internal/online/framing_test.go
@@ -37,6 +37,7 @@
 	"interim response with the marks":  "HTTP/1.1 103 X\r\nX-Call: id-1\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n",
 	"interim response as a refusal":    "HTTP/1.1 103 X\r\nX-Call: id-1\r\nX-Not-Run: 1\r\n\r\n",
 	"upgrade":                          "HTTP/1.1 101 X\r\nX-Call: id-1\r\nX-Seal: s\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nhello",
+	"body that is encoded":             sealedHead + "Content-Encoding: gzip\r\nContent-Length: 5\r\n\r\nhello",
 	"refusal with two lengths":         "HTTP/1.1 503 X\r\nX-Call: id-1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\nContent-Length: 1\r\n\r\n",
 }
 
--- a/internal/online/inuse_test.go
+++ b/internal/online/inuse_test.go
@@ -92,7 +92,7 @@
 
 // A server that was silent for the whole time of several calls is taken out of use.
 func TestSilentServerAtTheDeadlineIsEjected(t *testing.T) {
-	for _, path := range []string{"/once/1", "/stream/1"} {
+	for _, path := range []string{"/once/1", "/stream/1", "/busy/1"} { // the last one's timeout is short for its objective
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.NewRelaxed(t)
--- a/internal/online/promise_test.go
+++ b/internal/online/promise_test.go
@@ -1,14 +1,20 @@
 package online_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"syscall"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
+	"ragwortstep/internal/core/placement"
+	"ragwortstep/internal/core/routing"
 	"ragwortstep/internal/servertest"
+	"ragwortstep/internal/upstream"
 )
 
 // A server that answers 408, 429 or 503 without the statement that it has not run the
@@ -55,3 +61,38 @@
 		is.Equal(received, 2)
 	})
 }
+
+// A request that reached no server has certainly not run: it may be sent to another one,
+// and its caller is told so if there is none.
+func TestRequestThatReachedNoServerIsRefused(t *testing.T) {
+	for _, down := range []int{1, 2} {
+		t.Run(fmt.Sprint(down, " servers down"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				server := servertest.NewPiped(t, ok)
+				refused := 0
+				f := &fixture{t: t}
+				f.build(upstream.Options{Connect: func(ctx context.Context, address string) (upstream.Conn, error) {
+					if refused < down {
+						refused++
+						return nil, syscall.ECONNREFUSED
+					}
+					return server.Connect(ctx, address)
+				}}, nil)
+				var list []placement.Server
+				for _, id := range []string{"a", "b"} {
+					list = append(list, placement.Server{ID: id, Instance: id, Service: "s", Address: id, Zone: "z", Slots: 4, Ready: true})
+				}
+				f.slots.SetServers(list)
+				f.setRoutes(func(r *routing.Route) { r.Timeout = 100 * time.Millisecond })
+				got, _ := f.serve("/once/1", "k")
+				if down == 1 {
+					is.Equal(got.Code, http.StatusOK)
+					return
+				}
+				is.Equal(got.Code, http.StatusServiceUnavailable)
+				is.True(got.Header().Get("Retry-After") != "")
+			})
+		})
+	}
+}
--- a/internal/servertest/servertest.go
+++ b/internal/servertest/servertest.go
@@ -58,6 +58,7 @@
 	return online.ResponseMeta{
 		ID: h.Get(HeaderID), Sealed: h.Get(HeaderSeal) != "", NotRun: h.Get(HeaderNotRun) != "",
 		Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get(HeaderLeaving) != "",
+		Encoded: h.Get("Content-Encoding") != "",
 	}
 }
 
