bulk: a busy route delays no other route

The items of a job were not run, with idle servers, while the servers of another route were busy: the items of that route held all 128 workers of the host, and items wait for a worker in the order in which they came.

Each route has workers of its own.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/core/itemlist"
@@ -111,9 +112,22 @@
 	progressed  bool           // the current run has made an event
 }
 
-// submitItem passes an item to the workers.
+// submitItem passes an item to the workers of its route.
 func (s *Service) submitItem(ctx context.Context, r *itemRun) {
-	s.pool.Submit(func() { s.runItem(ctx, r) })
+	s.workersOf(r.j).Submit(func() { s.runItem(ctx, r) })
+}
+
+// workersOf returns the workers of a job's route. Items of different routes wait for
+// different servers.
+func (s *Service) workersOf(j *job) pond.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pool, ok := s.workers[j.head.Route]
+	if !ok {
+		pool = pond.NewPool(maxConcurrentItems)
+		s.workers[j.head.Route] = pool
+	}
+	return pool
 }
 
 // runItem runs an item until it has ended or ctx ends. One that cannot start for now lets
@@ -133,7 +147,7 @@
 		if state == itemEnded {
 			return
 		}
-		if state == itemBlocked && s.pool.WaitingTasks() > 0 {
+		if state == itemBlocked && s.workersOf(r.j).WaitingTasks() > 0 {
 			s.submitItem(ctx, r)
 			return
 		}
--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	// maxConcurrentItems bounds the items of this host that run or wait for a slot.
+	// maxConcurrentItems bounds the items of one route that run or wait for a slot at this
+	// host.
 	maxConcurrentItems = 128
 	// maxOpenItems bounds the unfinished items of the jobs that this host runs.
 	// With a mean body of 1.5 KB and a mean output of 16 KB they take about 18 MB.
@@ -62,12 +63,12 @@
 	opts    Options
 	log     *slog.Logger
 	records records
-	pool    pond.Pool
 	started time.Time
 	pace    pace
 
 	mu             sync.Mutex
-	runCtx         context.Context // parent of the jobs' contexts
+	workers        map[string]pond.Pool // that run items, by route
+	runCtx         context.Context      // parent of the jobs' contexts
 	stopRuns       context.CancelFunc
 	leaving        bool
 	heads          map[string]headCopy
@@ -118,7 +119,7 @@
 		opts.Logger = slog.Default()
 	}
 	s := &Service{
-		opts: opts, log: opts.Logger, records: records{opts.Store}, pool: pond.NewPool(maxConcurrentItems), started: time.Now(),
+		opts: opts, log: opts.Logger, records: records{opts.Store}, started: time.Now(), workers: map[string]pond.Pool{},
 		heads: map[string]headCopy{}, jobs: map[string]*job{}, reportedClaims: map[string]reportedClaims{}, unownedSince: map[string]time.Time{},
 	}
 	s.runCtx, s.stopRuns = context.WithCancel(context.Background())
