bulk: segments and payloads are measured as the store sees them

A job's results were never listed once its outputs were full of markup: JSON takes six bytes for each "<", ">" or "&", the segments were measured without that, and the store refuses values above 1 MiB. The same segment was tried again for as long as the host held the job. In the same way a job whose items have long headers was refused with 503 each time, since headers counted for 512 bytes an item, and a page of results could exceed 1 MB.

Outputs, paths and headers are measured as JSON.

Not covered: a single output that takes more than 1 MiB as JSON cannot be stored.

--- a/internal/bulk/read.go
+++ b/internal/bulk/read.go
@@ -29,7 +29,7 @@
 	answerTime = 1300 * time.Millisecond
 	// endTimeout bounds the end of a job.
 	endTimeout = 3 * time.Second
-	// maxPageBytes bounds the outputs in one page.
+	// maxPageBytes bounds the outputs in one page, as JSON.
 	maxPageBytes = 900 << 10
 	// pollInterval is how often a call that waits for results reads the store.
 	pollInterval = 300 * time.Millisecond
@@ -149,7 +149,7 @@
 	page := &Page{Total: j.list.Total(), Next: after, Results: []itemlist.Result{}}
 	size := 0
 	for _, r := range j.list.From(after) {
-		if size += len(r.Output) + len(r.ID); len(page.Results) > 0 && size > maxPageBytes {
+		if size += itemlist.EncodedSize(r.Output) + len(r.ID); len(page.Results) > 0 && size > maxPageBytes {
 			break
 		}
 		page.Results = append(page.Results, r)
--- a/internal/bulk/records.go
+++ b/internal/bulk/records.go
@@ -21,9 +21,10 @@
 	// payloadPrefix and segmentPrefix are read by key only, never copied.
 	payloadPrefix = "job-payloads/"
 	segmentPrefix = "job-results/"
-	// maxValueBytes leaves room for the surrounding JSON and for base64 in bodies
-	// below the store's limit of 1 MiB per value.
+	// maxValueBytes leaves room for the surrounding JSON below the store's limit of 1 MiB
+	// per value. itemOverhead is that of an item in a payload.
 	maxValueBytes = 600 << 10
+	itemOverhead  = 512
 	// writeTimeout bounds one write; a slow store takes 200 ms.
 	writeTimeout = 1500 * time.Millisecond
 	readTimeout  = time.Second
@@ -207,7 +208,10 @@
 	var parts [][]Item
 	size := maxValueBytes
 	for _, item := range items {
-		n := len(item.Body)*4/3 + len(item.Path) + 512
+		n := len(item.Body)*4/3 + itemlist.EncodedSize(item.Path) + itemOverhead
+		for name, value := range item.Header {
+			n += itemlist.EncodedSize(name) + itemlist.EncodedSize(value) + 2
+		}
 		if size+n > maxValueBytes {
 			parts, size = append(parts, nil), 0
 		}
--- /dev/null
+++ b/internal/bulk/size_test.go
@@ -0,0 +1,75 @@
+package bulk_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/core/itemlist"
+	"ragwortstep/internal/peer/peertest"
+	"ragwortstep/internal/servertest"
+	"ragwortstep/internal/store"
+	"ragwortstep/internal/store/storetest"
+)
+
+// boundedStore refuses values above the limit, as the store does.
+type boundedStore struct{ *storetest.Fake }
+
+func (s boundedStore) Put(ctx context.Context, key string, value []byte, v int64) (store.Object, error) {
+	if len(value) > store.MaxValueBytes {
+		return store.Object{}, errors.Wrap(store.ErrTooLarge, key)
+	}
+	return s.Fake.Put(ctx, key, value, v)
+}
+
+// Outputs full of markup, which JSON takes six bytes a character for, must be listed. The
+// store refused their segment each time, so that no result of the job was listed any more.
+func TestOutputsFullOfMarkupAreListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		markup := strings.Repeat("<", 40<<10)
+		service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: boundedStore{storetest.New()}}.start(t, func(c *servertest.Conn) bool {
+			c.StartStream()
+			event := fmt.Sprintf("id: 1\ndata: %s\n\n", markup)
+			fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+			c.EndStream()
+			return true
+		}, "s1", "s2")
+		is.NoErr(service.Submit(t.Context(), submission("job", 30)))
+		time.Sleep(time.Minute)
+		var results []itemlist.Result
+		for {
+			page, err := service.Results(t.Context(), "w", "job", len(results), 0)
+			is.NoErr(err)
+			if len(page.Results) == 0 {
+				break
+			}
+			results = append(results, page.Results...)
+		}
+		is.Equal(len(results), 30)
+		for _, r := range results {
+			is.Equal(r.State, itemlist.Completed)
+			is.Equal(r.Output, markup)
+		}
+	})
+}
+
+// A job whose items have long headers must be accepted: the store refused its payload.
+func TestJobWithLongHeadersIsAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: boundedStore{storetest.New()}}.start(t, generate(50*time.Millisecond), "s1", "s2")
+		sub := submission("job", 200)
+		for i := range sub.Items {
+			sub.Items[i].Header = map[string]string{"X-Parts": strings.Repeat("5c:800,", 900)}
+		}
+		is.NoErr(service.Submit(t.Context(), sub))
+		isComplete(t, is, service, 200)
+	})
+}
--- a/internal/core/itemlist/itemlist.go
+++ b/internal/core/itemlist/itemlist.go
@@ -96,7 +96,7 @@
 }
 
 // NextSegment returns the next segment to create, or nil when no result is pending. Its
-// outputs take at most maxBytes unless it has a single result. Until ApplySegment is
+// outputs take at most maxBytes as JSON unless it has a single result. Until ApplySegment is
 // called with a segment of that number, NextSegment returns the same one, because an
 // earlier write of it may still take effect.
 func (l *List) NextSegment(maxBytes int) *Segment {
@@ -107,9 +107,10 @@
 		return nil
 	}
 	n, size := 0, 0
-	for n < len(l.pending) && (n == 0 || size+len(l.pending[n].Output) <= maxBytes) {
-		size += len(l.pending[n].Output)
-		n++
+	for ; n < len(l.pending); n++ {
+		if size += EncodedSize(l.pending[n].Output); n > 0 && size > maxBytes {
+			break
+		}
 	}
 	l.proposed = &Segment{Number: l.segmentCount, From: len(l.results), Results: append([]Result(nil), l.pending[:n]...)}
 	return l.proposed
