bulk: no job is accepted on top of another payload

A job could be accepted whose items the store did not have: a part of its payload that existed already was taken for its own without a look, for instance that of another workspace's submission under the same id, which was not accepted. The host that accepted the job ran it from memory; one that took it over did not find its items, and they were never listed.

A part that exists has to be the same; otherwise the submission is refused, which is true, because its head is not written.

TestJobIsNotAcceptedOnAnotherPayload: accepted before, refused now.

--- a/internal/bulk/records.go
+++ b/internal/bulk/records.go
@@ -194,9 +194,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for n, part := range parts {
 		group.Go(func() error {
-			// A part that already exists has the same content: its key is
-			// derived from the job's id, and a job's items never change.
-			_, _, err := r.create(ctx, payloadKey(id, n), payload{part})
+			// An earlier submission may have written the part: a job's items never change.
+			written, _, err := r.create(ctx, payloadKey(id, n), payload{part})
+			if err == nil && !written {
+				err = errors.Newf("part %d exists and has other items", n)
+			}
 			return err
 		})
 	}
--- a/internal/bulk/size_test.go
+++ b/internal/bulk/size_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"ragwortstep/internal/bulk"
 	"ragwortstep/internal/core/itemlist"
 	"ragwortstep/internal/peer/peertest"
 	"ragwortstep/internal/servertest"
@@ -73,3 +74,21 @@
 		isComplete(t, is, service, 200)
 	})
 }
+
+// A job must not be accepted on top of a payload that is not its own, left by a submission
+// that was not accepted: a host that takes the job over would not find its items, and they
+// would never be listed.
+func TestJobIsNotAcceptedOnAnotherPayload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		objects := storetest.New()
+		service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: objects}.start(t, generate(50*time.Millisecond), "s1")
+		_, err := objects.Put(t.Context(), "job-payloads/job.0", []byte(`{"items":[{"id":"other"}]}`), 0)
+		is.NoErr(err)
+		is.True(errors.Is(service.Submit(t.Context(), submission("job", 3)), bulk.ErrStoreUnavailable))
+		_, err = objects.Get(t.Context(), bulk.HeadKey("job"))
+		is.True(errors.Is(err, store.ErrNotFound))
+		is.NoErr(service.Submit(t.Context(), submission("job2", 3)))
+		is.NoErr(service.Submit(t.Context(), submission("job2", 3))) // its payload is there
+	})
+}
