bulk: a panic in the receipt of new heads keeps no lock

What callers would see: calls on jobs that hang at a host until it ends. The informer recovers panics of its listeners since; this one held the service's lock over its work and released it without a deferred call.

--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -179,7 +179,16 @@
 
 // headsChanged processes a new copy of the heads from the informer.
 func (s *Service) headsChanged(c informer.Copy) {
+	for _, j := range s.replaceHeads(c) {
+		s.markEnded(j)
+	}
+}
+
+// replaceHeads replaces the heads and returns the jobs of this host that have ended. The
+// informer recovers its panics.
+func (s *Service) replaceHeads(c informer.Copy) []*job {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	heads := make(map[string]headCopy, len(c.Objects))
 	for key, obj := range c.Objects {
 		id, ok := JobFromKey(key)
@@ -208,10 +217,7 @@
 			j.markDone()
 		}
 	}
-	s.mu.Unlock()
-	for _, j := range ended {
-		s.markEnded(j)
-	}
+	return ended
 }
 
 // markDone records that all items of a job are listed. If this host's list is
