test: fixtures of bulk and entry meet no strangers and no limits of time

Hosts of the fixture are ended with their test now. Servers of servertest listen at a loopback address of their process now.

TestHeaderMayBeAsLargeAsConfigured failed in 6 of 400 runs with the race detector beside load: connection closed before the answer. The test sets 2 s for headers and idle connections; its checks of sizes are as they were.

--- a/internal/bulk/fixture_test.go
+++ b/internal/bulk/fixture_test.go
@@ -176,7 +176,7 @@
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = func() { cancel(); _ = udp.Close() }
-	f.t.Cleanup(h.stop)
+	f.t.Cleanup(func() { f.kill(h) })
 	go inf.Run(ctx)
 	go h.cluster.Run(ctx)
 	go h.slots.Run(ctx)
--- a/internal/entry/connections_test.go
+++ b/internal/entry/connections_test.go
@@ -89,7 +89,7 @@
 	request := func(size int) string {
 		return fmt.Sprintf("GET / HTTP/1.1\r\nHost: h\r\nX: %s\r\n\r\n", strings.Repeat("x", size))
 	}
-	large := callers.Limits{HeaderBytes: 4 * callers.MinHeaderBytes}
+	large := callers.Limits{HeaderBytes: 4 * callers.MinHeaderBytes, HeaderTime: longTime, IdleTime: longTime}
 	c := startLimitedServer(t, func() callers.Limits { return large })
 	for range 3 { // each is counted by itself
 		is.NoErr(c.send(request(3 * callers.MinHeaderBytes)))
@@ -99,7 +99,7 @@
 	c.expect(t, http.StatusRequestHeaderFieldsTooLarge)
 	_, _, err := c.answer()
 	is.True(err != nil) // closed
-	c = startLimitedServer(t, func() callers.Limits { return callers.Limits{} })
+	c = startLimitedServer(t, func() callers.Limits { return callers.Limits{HeaderTime: longTime, IdleTime: longTime} })
 	is.NoErr(c.send(request(callers.MinHeaderBytes - 100)))
 	c.expect(t, http.StatusOK)
 }
--- a/internal/servertest/servertest.go
+++ b/internal/servertest/servertest.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -143,10 +144,17 @@
 	pipes    []net.Conn // of a piped server
 }
 
+// processAddress returns a loopback address for this process, so that no request of
+// another one, to a server that has ended, reaches a server that got its port.
+func processAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 64+pid/256%64, pid%256)
+}
+
 // New starts a server that stops at the end of the test.
 func New(t testing.TB, script func(*Conn) bool) *Server {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", processAddress()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
