--- a/internal/cluster/exchange.go
+++ b/internal/cluster/exchange.go
@@ -70,7 +70,7 @@
 		case <-c.changed:
 		}
 		for _, fn := range c.changeListeners {
-			c.survive("handle change of peers", fn)
+			c.callRecovered("handle change of peers", fn)
 		}
 		select {
 		case <-ctx.Done():
@@ -122,7 +122,7 @@
 	out := make(sections, len(c.providers))
 	for name, fn := range c.providers {
 		var value any
-		if !c.survive("provide section", func() { value = fn() }, "section", name) || value == nil {
+		if !c.callRecovered("provide section", func() { value = fn() }, "section", name) || value == nil {
 			continue
 		}
 		raw, err := cbor.Marshal(value)
@@ -190,7 +190,7 @@
 			counters.Add("undecodable", 1)
 			continue
 		}
-		c.survive("accept digest", func() { c.accept(d) }, "peer", d.From.Name)
+		c.callRecovered("accept digest", func() { c.accept(d) }, "peer", d.From.Name)
 	}
 }
 
@@ -260,16 +260,16 @@
 
 // deliver passes a section to its receivers.
 func (c *Cluster) deliver(section string, n SectionUpdate) {
-	c.survive("receive digest", func() {
+	c.callRecovered("receive digest", func() {
 		for _, fn := range c.receivers[section] {
 			fn(n)
 		}
 	}, "section", section, "peer", n.From.Name)
 }
 
-// survive calls a function of another package, or one that handles a message. If it
-// panics, only its result is lost. It reports false then.
-func (c *Cluster) survive(step string, fn func(), attributes ...any) bool {
+// callRecovered calls a function of another package, or one that handles a message. If
+// it panics, only its result is lost. It reports false then.
+func (c *Cluster) callRecovered(step string, fn func(), attributes ...any) bool {
 	ok := panics.Log(c.opts.Logger, "digest_section_lost", step, fn, attributes...)
 	if !ok {
 		counters.Add("receiver_panics", 1)
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -445,8 +445,9 @@
 }
 
 // publish passes the copy to the functions registered with OnChange. One that panics
-// is called again with the next copy, so that no object ends the process. If the peers get changes through this host it also sends them, unless they may wait
-// for the next digest.
+// is called again with the next copy, so that no object ends the process. If the peers
+// get changes through this host it also sends them, unless they may wait for the next
+// digest.
 func (i *Informer) publish(col *collection, source Source) {
 	if col.Gather == 0 && i.pushes() {
 		i.opts.Cluster.SendNow()
--- a/internal/panics/panics.go
+++ b/internal/panics/panics.go
@@ -36,8 +36,8 @@
 	return fn()
 }
 
-// Log calls fn, which must hold no lock when it panics, and logs its panic with the
-// event and the attributes. It reports false then.
+// Log calls fn, which must release its locks by defer, and logs its panic with the event
+// and the attributes. It reports false then.
 func Log(log *slog.Logger, event, step string, fn func(), attributes ...any) bool {
 	_, err := Catch(func() (struct{}, error) {
 		fn()
