online: a slow caller holds no second server

What callers saw: while the answer of a server that had been silent was written to a caller that read slowly, the other server that had been asked meanwhile kept its slot and went on working until the write ended: for a stream until 50 ms after the call's time at most, for a relayed error without a limit. Two servers worked on one stream for over 400 ms, and other callers lacked the slot.

Cause: the current exchange's event, end or error was written to the caller before the other exchange was released. currentHeard released it after the write only.

Evidence: TestSlowCallerHoldsNoOtherServer. The caller reads nothing for 1.5 s (simulated time); the other server was held for 1.6 s beside an event or the end of a stream and for 1.85 s beside an error. It passes now; so does the whole package with -race.

Why it works: an event that is sound, or the end of the answer, decides for the current server, so the other one is released at that point and not after the write. A comment decides nothing; the other server stays while one is written.

--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -484,8 +484,9 @@
 	return finished
 }
 
-// writeResponse sends a complete response to the caller.
+// writeResponse sends a complete response to the caller. No server is held meanwhile.
 func (f *forwarding) writeResponse(b *bufferedResponse) {
+	f.releaseAll()
 	copyHeader(f.w.Header(), b.header)
 	f.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	f.w.WriteHeader(b.status)
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -36,6 +36,9 @@
 	if a.event.HasID {
 		f.lastEventID = a.event.ID
 	}
+	if f.other != nil && !a.event.IsComment {
+		f.releaseOther("its server was heard") // the write may take as long as the caller likes
+	}
 	f.sendHeader(a.resp)
 	x.relayed = true
 	_, err := f.w.Write(a.event.Raw)
@@ -112,6 +115,7 @@
 func (f *forwarding) finishStream(x *exchange, resp *upstream.Response) verdict {
 	f.release(x, placement.Success, f.call.Cost)
 	f.opts.Suspects.Succeeded(f.fps, x.slot.Server.ID)
+	f.releaseAll() // the write may take as long as the caller likes
 	f.sendHeader(resp)
 	_ = http.NewResponseController(f.w).Flush() // the caller may have disconnected
 	f.recordServed(resp.Status)
