schedule: a long queue with many needs is passed once

What callers saw: no wrong answer was seen. When the servers are full and calls have tried different servers, each place that is freed and each call that comes costs a pass over the waiting items for each different need, under the lock that all requests of the host take.

Cause: firstOfOtherNeeds looked for the earliest item of each further need by a pass of its own, up to 17 passes, and compared the needs of each item with all tried ones.

Why it works: one pass keeps the earliest item of each need; they are then tested in the same order, and as many of them, as before. TestItemsWithOtherNeedsAreFound holds the choice to that.

--- a/internal/core/schedule/heap.go
+++ b/internal/core/schedule/heap.go
@@ -1,21 +1,25 @@
 package schedule
 
-// nodeHeap orders the items of one workspace by deadline, then by arrival.
-// Items without a deadline come last.
+import "cmp"
+
+// nodeHeap orders the items of one workspace by compareNodes.
 type nodeHeap []*node
 
 func (h nodeHeap) Len() int { return len(h) }
 
-func (h nodeHeap) Less(i, j int) bool {
-	x, y := h[i], h[j]
+func (h nodeHeap) Less(i, j int) bool { return compareNodes(h[i], h[j]) < 0 }
+
+// compareNodes orders items by deadline, then by arrival. Items without a deadline come
+// last.
+func compareNodes(x, y *node) int {
 	dx, dy := x.item.Deadline, y.item.Deadline
-	switch {
-	case dx.IsZero() != dy.IsZero():
-		return dy.IsZero()
-	case !dx.Equal(dy):
-		return dx.Before(dy)
+	if dx.IsZero() != dy.IsZero() {
+		if dy.IsZero() {
+			return -1
+		}
+		return 1
 	}
-	return x.seq < y.seq
+	return cmp.Or(dx.Compare(dy), cmp.Compare(x.seq, y.seq))
 }
 
 func (h nodeHeap) Swap(i, j int) {
--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -217,23 +217,28 @@
 
 // firstOfOtherNeeds returns the item that fits with the earliest deadline among those
 // with other needs than the first item, which doesn't fit, or nil. It tests one item
-// for each need.
+// for each need and looks at each item of the flow once.
 func (f *flow) firstOfOtherNeeds(needs string, fits func(Item) bool) *node {
-	tried := []string{needs}
-	for len(tried) <= maxNeedsTried {
-		first := -1
-		for i, n := range f.items {
-			if (first < 0 || f.items.Less(i, first)) && !slices.Contains(tried, n.item.Needs) {
-				first = i
-			}
+	var firsts []*node // of each need
+	place := map[string]int{}
+	for _, n := range f.items {
+		if n.item.Needs == needs {
+			continue
 		}
-		if first < 0 {
-			return nil
+		at, known := place[n.item.Needs]
+		switch {
+		case !known:
+			place[n.item.Needs] = len(firsts)
+			firsts = append(firsts, n)
+		case compareNodes(n, firsts[at]) < 0:
+			firsts[at] = n
 		}
-		if fits(f.items[first].item) {
-			return f.items[first]
+	}
+	slices.SortFunc(firsts, compareNodes)
+	for _, n := range firsts[:min(len(firsts), maxNeedsTried)] {
+		if fits(n.item) {
+			return n
 		}
-		tried = append(tried, f.items[first].item.Needs)
 	}
 	return nil
 }
