online: no call is sent to a server once the host ends

What callers saw: calls that waited for a place when the grace period ended got 504 instead of 503 with Retry-After, so they could not tell that they had not run. Some were sent to a server only to be cut there at once.

Cause: EndCalls ends the calls one after another. One that ends frees its slot, which goes to a call that still waits and isn't ended yet, or takes the slot though it is. Nothing asked between the grant and the sending whether the host ends.

Why it works: the end of the host is set before the first call ends, so whoever gets a freed slot sees it and gives the slot back. Streams that have begun still go on.

--- a/internal/online/ending_test.go
+++ b/internal/online/ending_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,3 +72,37 @@
 		}
 	})
 }
+
+// A call that waited for a place got that of a call which ended with the host: it was
+// sent to a server, only to be cut there, and its caller was not told that it had not run.
+func TestWaitingCallsAreNotSentWhenTheHostEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const calls = 20 // more than the server takes
+		is := is.NewRelaxed(t)
+		var received atomic.Int32
+		f := newPipedFixture(t, func(c *servertest.Conn) bool {
+			received.Add(1)
+			return hold(c)
+		})
+		var refused atomic.Int32
+		var group sync.WaitGroup
+		call := func(id int) {
+			group.Go(func() {
+				if got, _ := f.serveAs(fmt.Sprint(id), "/once/1", "k"); got.Code == http.StatusServiceUnavailable {
+					refused.Add(1)
+				}
+			})
+			synctest.Wait()
+		}
+		for id := range calls {
+			call(id)
+		}
+		sent := received.Load()
+		is.True(sent > 0)
+		is.True(sent < calls)
+		f.service.EndCalls()
+		group.Wait()
+		is.Equal(received.Load(), sent)
+		is.Equal(refused.Load(), calls-sent)
+	})
+}
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -141,7 +141,11 @@
 	slot, err := f.opts.Slots.Acquire(ctx, request)
 	if err == nil {
 		f.granted = slot
-		if refusal := f.recheck(f.admitted); refusal != nil {
+		refusal := f.recheck(f.admitted)
+		if f.ending.Err() != nil && !f.headerSent.Load() { // the slot may be that of another call that ended
+			refusal = unavailable(codeStopping, "the host stops", 0)
+		}
+		if refusal != nil {
 			f.giveBack()
 			return nil, refusal
 		}
