online: the watch for silence is armed whenever a server is not silent for long enough

By reading, in a review: the time that was left until another server is asked was computed by a second look at the clock. If the limit passed between the two looks, the timer was stopped and a silent server was not watched any more. The second look is gone. No test: the two looks are nanoseconds apart.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"sync"
 	"time"
@@ -13,11 +12,10 @@
 	"ragwortstep/internal/callers"
 	"ragwortstep/internal/metrics"
 	"ragwortstep/internal/online"
+	"ragwortstep/internal/panics"
 )
 
 const (
-	// maxStackBytes bounds the stack in the log line about a panic.
-	maxStackBytes = 4 << 10
 	// maxLoggedCuts bounds the lines about requests that are open at the end of the
 	// grace period.
 	maxLoggedCuts = 50
@@ -122,9 +120,8 @@
 
 func (c *calls) logPanic(call *openCall, panicked any) {
 	c.metrics.Add("handler_panics_total", 1)
-	stack := debug.Stack()
 	c.log.Error("handler panicked", "event", "handler_panicked", "request", call.id, "path", call.path,
-		"error", fmt.Sprint(panicked), "stack", string(stack[:min(len(stack), maxStackBytes)]), "held_ms", time.Since(call.arrived).Milliseconds())
+		"error", fmt.Sprint(panicked), "stack", panics.New(panicked).Stack, "held_ms", time.Since(call.arrived).Milliseconds())
 }
 
 // cutOpen logs and counts the requests that are open at the end of the grace period.
--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -161,9 +161,10 @@
 // handleSilence is called when the current exchange, or the other one, was silent
 // for too long. It returns true if the call is finished.
 func (f *forwarding) handleSilence() bool {
+	left := f.silenceTimeout() - f.current.silentFor()
 	switch {
-	case f.other == nil && f.current.silentFor() < f.silenceTimeout():
-		f.setSilenceTimeout(f.silenceTimeout() - f.current.silentFor())
+	case f.other == nil && left > 0:
+		f.setSilenceTimeout(left)
 	case f.other == nil:
 		return f.askAnother()
 	case f.route.Kind != routing.Stream:
