bulk: an accepted job is accepted again by a host that splits payloads otherwise

A submission that a host had accepted, and that its caller sent again to a host which had no copy of the head yet, was refused with 503, which says that the job will not run.

The second host saw a part that was not its own and did not ask whether the job exists.

If a part differs, the head is read now. If there is one, the answer is the one that a host gives which knows the job. Without a head the submission is refused as before, which TestJobIsNotAcceptedOnAnotherPayload checks.

TestAcceptedSubmissionIsAcceptedByAnotherVersion: refused before ("part 0 exists and has other items"), accepted now, and both items are listed.

--- a/internal/bulk/records.go
+++ b/internal/bulk/records.go
@@ -188,6 +188,9 @@
 	return errors.Mark(errors.Wrapf(last, "change head of job %s", id), mark)
 }
 
+// errOtherPayload is the cause if a part of a payload exists and is not the one to write.
+var errOtherPayload = errors.New("it exists and has other items")
+
 // writePayload writes the items' bodies in parts and returns their number.
 func (r records) writePayload(ctx context.Context, id string, items []Item) (int, error) {
 	parts := splitPayload(items)
@@ -197,7 +200,7 @@
 			// An earlier submission may have written the part: a job's items never change.
 			written, _, err := r.create(ctx, payloadKey(id, n), payload{part})
 			if err == nil && !written {
-				err = errors.Newf("part %d exists and has other items", n)
+				err = errors.Wrapf(errOtherPayload, "part %d", n)
 			}
 			return err
 		})
--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -303,6 +303,12 @@
 	ctx, cancel := context.WithDeadline(ctx, sub.answerBy(time.Now()))
 	defer cancel()
 	parts, err := s.writePayload(ctx, sub)
+	if errors.Is(err, errOtherPayload) {
+		// A host of another version, which splits payloads in another way, may have accepted it.
+		if head, _, err := s.records.head(ctx, sub.ID); err == nil {
+			return sameWorkspace(head.Workspace, sub.Workspace)
+		}
+	}
 	if err != nil {
 		// Without its head the job does not exist, whatever parts were written.
 		return errors.Mark(errors.Newf("store payload of job %s: %v", sub.ID, err), ErrStoreUnavailable)
--- a/internal/bulk/size_test.go
+++ b/internal/bulk/size_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,3 +93,50 @@
 		is.NoErr(service.Submit(t.Context(), submission("job2", 3))) // its payload is there
 	})
 }
+
+// racedStore accepts a submission through another host at the moment at which this host
+// writes its first part of the payload.
+type racedStore struct {
+	*storetest.Fake
+	accept sync.Once
+	parts  []string // of the payload as the other host has split it
+}
+
+func (s *racedStore) Put(ctx context.Context, key string, value []byte, v int64) (store.Object, error) {
+	var failure error
+	if strings.HasPrefix(key, "job-payloads/") {
+		s.accept.Do(func() {
+			for n, part := range s.parts {
+				_, err := s.Fake.Put(ctx, fmt.Sprintf("job-payloads/job.%d", n), []byte(part), 0)
+				failure = errors.CombineErrors(failure, err)
+			}
+			head := fmt.Sprintf(`{"workspace":"w","route":"r","host":"h","owner":"b","accepted":%d,"items":["job-0","job-1"],"parts":%d}`, time.Now().UnixMilli(), len(s.parts))
+			_, err := s.Fake.Put(ctx, bulk.HeadKey("job"), []byte(head), 0)
+			failure = errors.CombineErrors(failure, err)
+		})
+	}
+	if failure != nil {
+		return store.Object{}, failure
+	}
+	return s.Fake.Put(ctx, key, value, v)
+}
+
+// A submission that was accepted, and is sent again to a host that does not know the job
+// yet, must be accepted there too if that host splits the payload in another way, as its
+// version may during an update. It was refused with 503, which says that the job will not
+// run.
+func TestAcceptedSubmissionIsAcceptedByAnotherVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		objects := &racedStore{Fake: storetest.New(), parts: []string{
+			`{"items":[{"id":"job-0","path":"/r/x","headers":null,"body":"Ym9keSAw","tokens":10}]}`,
+			`{"items":[{"id":"job-1","path":"/r/x","headers":null,"body":"Ym9keSAx","tokens":10}]}`,
+		}}
+		service := pipedHost{name: "a", node: peertest.New().Node("a"), objects: objects}.start(t, generate(50*time.Millisecond), "s1")
+		is.NoErr(service.Submit(t.Context(), submission("job", 2)))
+		other := submission("job", 2)
+		other.Workspace = "other"
+		is.True(errors.Is(service.Submit(t.Context(), other), bulk.ErrNoJob))
+		isComplete(t, is, service, 2)
+	})
+}
