slots: a batch item that comes back costs no time for each that waits

A host with many waiting batch items spent a large part of a processor on offering their service's full servers to all of them, and held the lock of the scheduler meanwhile, which each request needs for its slot.

Each return offers free slots to the queue: it looks at all items for those that are late and, if items have tried different servers, once more for each of these. So the cost grows with the square of the number of items. A wait without an end did this 40 times a second, however many waited.

An arrival behind 64 waiting batch items offers no slots now. A slot that becomes free is offered at once as before, and the retries, 40 a second while anything waits, offer the rest. Items behind 64 others lose 25 ms at most.

--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -34,6 +34,10 @@
 	grantRateTimeConstant = time.Second
 	// maxWaiting bounds the online requests that wait for one service.
 	maxWaiting = 2000
+	// maxDispatchedItems is how many waiting batch items the arrival of one may offer free
+	// slots. That costs time for each of them, and items that wait for long leave the queue
+	// and come back each second. Behind more, it waits up to retryInterval.
+	maxDispatchedItems = 64
 	// minAdvisedWait and maxAdvisedWait bound the retry delay in a refusal.
 	minAdvisedWait = 50 * time.Millisecond
 	maxAdvisedWait = 2 * time.Second
@@ -315,7 +319,9 @@
 		LatestStart: request.LatestStart, Needs: request.needs(),
 	}, 0)
 	id := s.nextID
-	s.dispatch(request.Service, now)
+	if request.Class == placement.Online || q.order.Len(schedule.Batch)+q.order.Len(schedule.Overdue) <= maxDispatchedItems {
+		s.dispatch(request.Service, now)
+	}
 	if len(q.waiting) > 0 {
 		select {
 		case s.waiterAdded <- struct{}{}:
