informer: a change that was read from the store is read once

All hosts of a zone read each large change twice from the store, which limits the rate of calls, while calls to the peer that had it got no answer.

The digests that the peer had sent during the call, 0.7 s, had noted its copy as newer once more. After the read the host called the peer again for a copy that it had, and that call failed, too.

The note has the version of the peer's copy now, and one that is not newer any more is dropped when it is taken.

--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -143,7 +143,7 @@
 	// storeReachableBy holds the peers' storeReachable by host name.
 	storeReachableBy map[string]bool
 	// newerCopyAt holds, by prefix, a peer whose copy is newer than this host's.
-	newerCopyAt map[string]peer.HostID
+	newerCopyAt map[string]newerCopy
 }
 
 // New returns an Informer that is registered with the cluster and the peers.
@@ -151,7 +151,7 @@
 	if opts.Logger == nil {
 		opts.Logger = slog.Default()
 	}
-	i := &Informer{opts: opts, log: opts.Logger, started: time.Now(), storeReachable: true, collections: map[string]*collection{}, storeReachableBy: map[string]bool{}, newerCopyAt: map[string]peer.HostID{}}
+	i := &Informer{opts: opts, log: opts.Logger, started: time.Now(), storeReachable: true, collections: map[string]*collection{}, storeReachableBy: map[string]bool{}, newerCopyAt: map[string]newerCopy{}}
 	for _, c := range opts.Collections {
 		i.collections[c.Prefix] = &collection{Collection: c, objects: map[string]store.Object{}, takeOverAge: c.TakeOver, wake: make(chan struct{}, 1)}
 	}
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -391,3 +391,27 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// A host that has read a change from the store, because calls to the peer that has it get
+// no answer, must not read it once more for what the peer's digests said before: all hosts
+// of a fleet do so at the same time.
+func TestChangeIsReadOnceWhilePeersDoNotAnswerCalls(t *testing.T) {
+	const reads = 4 * informer.PromptWait // longer than a call to a peer and a read
+	is := is.New(t)
+	fake := storetest.New()
+	put(t, fake, "a", "1")
+	network := peertest.New()
+	hosts := startAt(t, fake, 2, network, informer.Collection{Prefix: prefix, Wait: informer.PromptWait, TakeOver: informer.PromptTakeOver})
+	for _, h := range hosts {
+		eventually(t, "copy", 5*time.Second, func() bool { return h.value(prefix+"a") == "1" })
+	}
+	eventually(t, "one reader", 5*time.Second, func() bool { return hosts[0].informer.IsReader() && !hosts[1].informer.IsReader() })
+	time.Sleep(time.Second) // its first watch has ended
+	network.DropMessages("b", "a", true)
+	before := hosts[1].storeLink.calls.Load()
+	large := strings.Repeat("x", 20<<10) // too large for a digest
+	put(t, fake, "a", large)
+	eventually(t, "the other host has it", 2*informer.PromptTakeOver, func() bool { return hosts[1].value(prefix+"a") == large })
+	time.Sleep(reads)
+	is.Equal(hosts[1].storeLink.calls.Load()-before, int64(1))
+}
--- a/internal/informer/relay.go
+++ b/internal/informer/relay.go
@@ -194,7 +194,7 @@
 		}
 		switch {
 		case !col.loaded || peerCopy.Changed > col.changedVersion:
-			i.newerCopyAt[prefix] = peer.HostID(n.From.Name)
+			i.newerCopyAt[prefix] = newerCopy{peer.HostID(n.From.Name), peerCopy.Changed}
 			if len(peerCopy.Deltas) > 0 {
 				col.pushed = &pushedDeltas{
 					deltas: peerCopy.Deltas, changed: peerCopy.Changed,
@@ -235,13 +235,20 @@
 	return newer
 }
 
-// takeNewerPeer returns and clears the peer with a newer copy.
+// newerCopy is a peer's copy that was newer than this host's when its digest arrived.
+type newerCopy struct {
+	peer    peer.HostID
+	changed int64 // changedVersion of the peer's copy
+}
+
+// takeNewerPeer returns and clears the peer with a newer copy. Another source may have
+// brought this host's copy up to date since the digest.
 func (i *Informer) takeNewerPeer(col *collection) (peer.HostID, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	from, ok := i.newerCopyAt[col.Prefix]
+	newer, ok := i.newerCopyAt[col.Prefix]
 	delete(i.newerCopyAt, col.Prefix)
-	return from, ok
+	return newer.peer, ok && (!col.loaded || newer.changed > col.changedVersion)
 }
 
 // copyRequest asks for a copy of a collection, or for the changes since the
