bulk: the workers of idle routes are dropped

A host kept 19 KB of memory for each route that had ever had a job there, also after the route was gone. Since each route has a pool of workers, and none was removed.

An item that is being submitted to a pool at that moment runs there.

--- a/internal/bulk/service.go
+++ b/internal/bulk/service.go
@@ -406,7 +406,8 @@
 }
 
 // dropUnused drops the state of jobs that this host does not run and that were
-// not used for idleJobTTL. It gives up the ownership of complete and ended jobs.
+// not used for idleJobTTL, and workers without items. It gives up the ownership of
+// complete and ended jobs.
 func (s *Service) dropUnused(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -421,4 +422,9 @@
 		}
 		j.mu.Unlock()
 	}
+	for route, pool := range s.workers {
+		if pool.RunningWorkers() == 0 && pool.WaitingTasks() == 0 {
+			delete(s.workers, route) // an item that is being submitted runs all the same
+		}
+	}
 }
