schedule: a panic in the choice of a server loses no waiting request

After a panic in the choice of a server, requests of other workspaces, or other requests of the same one, were not tried any more. Such a panic ended the process before; now the host goes on, and those requests would wait for nothing. No such panic is known.

Pop takes workspaces, and items of one, out of their heaps while it looks for one that fits, and put them back only when the function that chooses had returned. Both are put back by deferred calls now.

TestQueueKeepsItemsAfterPanic: 1 of 3 requests is left before, or the next call panics, too (index out of range); all 3 now.

--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -165,18 +165,7 @@
 func (q *Queue) Pop(class Class, fits func(Item) bool) (Item, bool) {
 	l := &q.queues[class]
 	q.skipped = q.skipped[:0]
-	var found *node
-	for len(l.backlog) > 0 && len(q.skipped) < maxFlowsTried {
-		f := l.backlog[0]
-		if found = f.firstFitting(fits); found != nil {
-			break
-		}
-		heap.Pop(&l.backlog)
-		q.skipped = append(q.skipped, f)
-	}
-	for _, f := range q.skipped {
-		heap.Push(&l.backlog, f)
-	}
+	found := q.firstFitting(l, fits)
 	if found == nil {
 		return Item{}, false
 	}
@@ -187,6 +176,25 @@
 	return found.item, true
 }
 
+// firstFitting returns the first item that fits of the first maxFlowsTried workspaces, or
+// nil. The workspaces remain in the backlog, also after a panic of fits.
+func (q *Queue) firstFitting(l *classQueue, fits func(Item) bool) *node {
+	defer func() {
+		for _, f := range q.skipped {
+			heap.Push(&l.backlog, f)
+		}
+	}()
+	for len(l.backlog) > 0 && len(q.skipped) < maxFlowsTried {
+		f := l.backlog[0]
+		if found := f.firstFitting(fits); found != nil {
+			return found
+		}
+		heap.Pop(&l.backlog)
+		q.skipped = append(q.skipped, f)
+	}
+	return nil
+}
+
 // firstFitting returns the first of the maxItemsTried items with the earliest
 // deadlines that fits, or nil.
 func (f *flow) firstFitting(fits func(Item) bool) *node {
@@ -200,19 +208,19 @@
 		return f.firstOfOtherNeeds(needs, fits)
 	}
 	var held []*node
-	var found *node
+	defer func() { // also after a panic of fits
+		for _, n := range held {
+			heap.Push(&f.items, n)
+		}
+	}()
 	for len(f.items) > 0 && len(held) < maxItemsTried {
 		n := heap.Pop(&f.items).(*node)
 		held = append(held, n)
 		if len(held) > 1 && fits(n.item) {
-			found = n
-			break
+			return n
 		}
 	}
-	for _, n := range held {
-		heap.Push(&f.items, n)
-	}
-	return found
+	return nil
 }
 
 // firstOfOtherNeeds returns the item that fits with the earliest deadline among those
