--- a/review/lab/host.go
+++ b/review/lab/host.go
@@ -66,8 +66,9 @@
 	cmd                    *exec.Cmd
 	ended                  chan struct{}
 	stopping               bool
-	overLimit              int // ends for its memory
-	ownEnds                int // other ends without a signal of the test
+	killedByTest           bool // the process that runs now
+	overLimit              int  // ends for its memory
+	ownEnds                int  // other ends without a signal of the test
 	peakMb                 int
 }
 
@@ -216,7 +217,7 @@
 		return err
 	}
 	ended := make(chan struct{})
-	h.cmd, h.ended = cmd, ended
+	h.cmd, h.ended, h.killedByTest = cmd, ended, false
 	h.record.Line("%s process %d starts", h.Name, cmd.Process.Pid)
 	go h.supervise(cmd, ended)
 	return nil
@@ -249,9 +250,11 @@
 	}
 	h.mu.Lock()
 	stopping := h.stopping
-	if !stopping && killed {
+	switch {
+	case stopping, h.killedByTest:
+	case killed:
 		h.overLimit++
-	} else if !stopping {
+	default:
 		h.ownEnds++
 		h.record.Line("%s process %d ended: %s", h.Name, cmd.Process.Pid, cmd.ProcessState)
 	}
@@ -297,6 +300,7 @@
 func (h *Host) Kill() {
 	h.mu.Lock()
 	cmd := h.cmd
+	h.killedByTest = true
 	h.mu.Unlock()
 	h.record.Line("%s process %d is killed by the test", h.Name, cmd.Process.Pid)
 	_ = cmd.Process.Kill()
