upstream: only an event with the next id and data is part of an answer

Cause: three places decided what an event is. The parser returned any block that an empty line ends; the checks of items and of streams accepted events without an id, without data or, at the begin of an answer, with any id; text without fields counted as a comment and was passed on.

Change: EventReader knows after which event an answer goes on and returns only the next events, in order and with data, and comments. Any other bytes are a fault of the server: an item or a resumable stream goes on elsewhere after the last sound event.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -440,28 +440,12 @@
 	return placement.Failed
 }
 
-var (
-	errNoEvent    = errors.New("the response has no event")
-	errEventOrder = errors.New("missing or duplicate event")
-)
-
-// checkEvent checks that an event directly follows the last one. The first event of
-// an answer that is to go on with the output must have an id, because nothing else
-// tells it from an answer that is no part of the output.
-func (r *itemRun) checkEvent(event upstream.Event, got int) error {
-	switch {
-	case r.eventCount == 0 || event.HasID && event.ID == r.lastEventID+1 || !event.HasID && got > 0:
-		return nil
-	case !event.HasID:
-		return errors.Wrapf(errEventOrder, "event without id after %d", r.lastEventID)
-	}
-	return errors.Wrapf(errEventOrder, "event %d after %d", event.ID, r.lastEventID)
-}
+var errNoEvent = errors.New("the response has no event")
 
 // noteLostRest counts an answer that did not go on with the output. After some of
 // them the item is run from the start.
 func (r *itemRun) noteLostRest(err error) {
-	if r.eventCount == 0 || !errors.IsAny(err, errNoEvent, errEventOrder) {
+	if r.eventCount == 0 || !errors.IsAny(err, errNoEvent, upstream.ErrMalformedEvent, upstream.ErrEventOrder) {
 		return
 	}
 	if r.lostRests++; r.lostRests >= maxLostRests {
@@ -503,7 +487,7 @@
 // collect reads complete events until the regular end of the stream. One that ends
 // without an event is no output, unless isEmptyOutput says so.
 func (r *itemRun) collect(ctx context.Context, slot *slots.Slot, resp *upstream.Response) (*itemlist.Result, placement.Outcome, float64) {
-	reader := upstream.NewEventReader(resp.Body)
+	reader := upstream.NewEventReader(resp.Body, r.lastEventID)
 	got, hasComments := 0, false
 	began := time.Now()
 	defer func() { r.s.pace.recordRun(got, time.Since(began)) }()
@@ -525,9 +509,6 @@
 			hasComments = true
 			continue
 		}
-		if err == nil {
-			err = r.checkEvent(event, got)
-		}
 		if err != nil {
 			resp.Body.DisableReuse()
 			if ctx.Err() != nil {
@@ -552,8 +533,6 @@
 	}
 	r.output.Write(event.Data)
 	r.eventCount++
-	if event.HasID {
-		r.lastEventID = event.ID
-	}
+	r.lastEventID = event.ID
 	r.retryDelay, r.tried, r.lostRests, r.empty, r.progressed = 0, nil, 0, 0, true
 }
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -21,6 +21,7 @@
 type exchange struct {
 	slot      *slots.Slot
 	sentAt    time.Time
+	after     int64        // id of the event after which the server was asked to go on, 0 for the start
 	isNew     bool         // the call was not sent to this server before
 	isolated  bool         // the call is a suspect and the only one at the server
 	rejected  bool         // the server states that it has not run the request
@@ -133,7 +134,7 @@
 func (x *exchange) readEvents(resp *upstream.Response) {
 	go func() {
 		defer x.recoverAs(event, resp)
-		reader := upstream.NewEventReader(resp.Body)
+		reader := upstream.NewEventReader(resp.Body, x.after)
 		begun := false
 		for {
 			next, err := reader.Next()
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -251,7 +251,7 @@
 	request := f.call.request(f.opts.Codec, out, !f.route.Repeatable() || f.lostKept, &f.connections)
 	isolated := f.opts.Suspects.Start(f.fps, id)
 	x := start(f.ctx, f.opts.Upstream, slot, request)
-	x.isNew, x.isolated = isNew, isolated
+	x.isNew, x.isolated, x.after = isNew, isolated, out.AfterEventID
 	f.granted = nil
 	return x
 }
@@ -448,7 +448,7 @@
 // isUnusable reports whether a failure is an answer that this host doesn't use, though
 // its connection was not lost.
 func isUnusable(failure *upstream.Error) bool {
-	return errors.IsAny(failure, errTooLarge, errEventOrder, upstream.ErrEventTooLarge)
+	return errors.IsAny(failure, errTooLarge, upstream.ErrEventOrder, upstream.ErrMalformedEvent, upstream.ErrEventTooLarge)
 }
 
 // dropInvalid drops a response that cannot be a valid one of this server to
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -15,8 +15,6 @@
 // call that is past its deadline is aborted after the write.
 const lateWriteTime = 50 * time.Millisecond
 
-var errEventOrder = errors.New("missing or duplicate event")
-
 // relayEvent relays a complete event as it arrives, and handles the end of the
 // stream.
 func (f *forwarding) relayEvent(x *exchange, a arrival) verdict {
@@ -30,10 +28,10 @@
 	case a.event.IsComment && f.joins(x):
 		return awaited
 	}
-	if err := f.checkEventOrder(x, a.event); err != nil {
+	if err := f.checkEventOrder(a.event); err != nil {
 		return f.handleTruncated(x, err)
 	}
-	if a.event.HasID {
+	if !a.event.IsComment {
 		f.lastEventID = a.event.ID
 	}
 	if f.other != nil && !a.event.IsComment {
@@ -71,17 +69,11 @@
 	return !x.relayed && (f.headerSent.Load() || x == f.other || x.skipped)
 }
 
-// checkEventOrder checks that an event directly follows the last one. Event ids
-// increase by one. The first event of a server that goes on with the stream of
-// another one must have an id.
-func (f *forwarding) checkEventOrder(x *exchange, e upstream.Event) error {
-	switch {
-	case f.eventsSent == 0 && f.call.LastEventID == 0:
-		return nil
-	case !e.HasID && f.joins(x):
-		return errors.Wrapf(errEventOrder, "event without id after %d", f.lastEventID)
-	case e.HasID && e.ID != f.lastEventID+1:
-		return errors.Wrapf(errEventOrder, "event %d after %d", e.ID, f.lastEventID)
+// checkEventOrder checks that an event directly follows the last one relayed, which may
+// be that of another server.
+func (f *forwarding) checkEventOrder(e upstream.Event) error {
+	if !e.IsComment && e.ID != f.lastEventID+1 {
+		return errors.Wrapf(upstream.ErrEventOrder, "event %d after %d", e.ID, f.lastEventID)
 	}
 	return nil
 }
--- a/internal/online/takeover.go
+++ b/internal/online/takeover.go
@@ -153,7 +153,7 @@
 	case wholeBody:
 		return a.err == nil && a.resp.Status < http.StatusMultipleChoices
 	case event:
-		return a.err == nil && f.checkEventOrder(x, a.event) == nil
+		return a.err == nil && f.checkEventOrder(a.event) == nil
 	}
 	return false
 }
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -12,55 +12,78 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
-// ErrEventTooLarge reports an event of more than maxEventBytes.
-var ErrEventTooLarge = errors.New("event of the stream is too large")
+// Reasons why an EventReader doesn't return what a server sent. None of them is a lost
+// connection.
+var (
+	// ErrEventTooLarge reports an event of more than maxEventBytes.
+	ErrEventTooLarge = errors.New("event of the stream is too large")
+	// ErrMalformedEvent reports bytes that are neither an event with an id and data nor a
+	// comment.
+	ErrMalformedEvent = errors.New("bytes that are no event of the stream")
+	// ErrEventOrder reports an event that doesn't directly follow the one before.
+	ErrEventOrder = errors.New("missing or duplicate event")
+)
 
-// Event is one complete event of a text/event-stream.
+// Event is one complete event of a text/event-stream, or a comment.
 type Event struct {
-	Raw   []byte // all lines including the terminating empty line; valid until the next call
-	ID    int64
-	HasID bool
-	Data  []byte // data lines joined by line feeds
-	// IsComment is set for blocks without an id and data, which a server may send
-	// to keep the connection open.
+	Raw  []byte // all lines including the terminating empty line; valid until the next call
+	ID   int64
+	Data []byte // data lines joined by line feeds; valid until the next call
+	// IsComment is set for blocks of comment lines, which a server may send to keep the
+	// connection open, and for line feeds after the last event. They have neither an id
+	// nor data.
 	IsComment bool
 }
 
-// EventReader splits a stream into complete events.
+// EventReader splits a stream into complete events, whose ids increase by one. It
+// returns nothing else: bytes of a faulty server that are no event of the answer must
+// become part of no result.
 type EventReader struct {
-	r    *bufio.Reader
-	raw  []byte
-	data []byte
+	r      *bufio.Reader
+	lastID int64
+	raw    []byte
+	data   []byte
 }
 
-// NewEventReader reads events from r.
-func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(r, 4<<10)}
+// NewEventReader reads the events that follow the one with id after from r. The first
+// event of an answer has id 1.
+func NewEventReader(r io.Reader, after int64) *EventReader {
+	return &EventReader{r: bufio.NewReaderSize(r, 4<<10), lastID: after}
 }
 
 // Buffered reports whether bytes of further events are already buffered.
 func (e *EventReader) Buffered() bool { return e.r.Buffered() > 0 }
 
-// Next returns the next complete event. It returns io.EOF if the stream ends
-// between two events and io.ErrUnexpectedEOF if it ends within one.
+// Next returns the next complete event or comment. It returns io.EOF if the stream ends
+// between two events, io.ErrUnexpectedEOF if it ends within one, and ErrEventTooLarge,
+// ErrMalformedEvent or ErrEventOrder if the next bytes are not the next event.
 func (e *EventReader) Next() (Event, error) {
 	e.raw, e.data = e.raw[:0], e.data[:0]
-	var ev Event
-	lines := 0
+	var fields eventFields
+	begun := false // empty lines before an event belong to it
 	for {
 		start := len(e.raw)
-		if err := e.line(); err != nil {
-			if err == io.EOF && len(e.raw) > 0 {
-				err = io.ErrUnexpectedEOF
-			}
+		err := e.line()
+		if err == io.EOF && !begun && start > 0 && len(e.raw) == start {
+			return Event{Raw: e.raw, IsComment: true}, nil // the next call returns io.EOF
+		}
+		if err == io.EOF && len(e.raw) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
 			return Event{}, err
 		}
 		line := bytes.TrimRight(e.raw[start:], "\r\n")
+		if len(line) == 0 && begun {
+			return e.complete(fields)
+		}
 		if len(line) == 0 {
-			ev.Raw, ev.Data, ev.IsComment = e.raw, e.data, !ev.HasID && lines == 0
-			return ev, nil
+			continue
+		}
+		begun = true
+		if err := e.parseField(&fields, line); err != nil {
+			return Event{}, err
 		}
-		e.parseField(&ev, line, &lines)
 	}
 }
 
@@ -78,19 +101,66 @@
 	}
 }
 
-func (e *EventReader) parseField(ev *Event, line []byte, dataLines *int) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
+// eventFields are the fields of a block that were read so far.
+type eventFields struct {
+	id        int64
+	hasID     bool
+	dataLines int
+	others    int // fields that are neither id nor data
+}
+
+// parseField adds a line of a block to its fields.
+func (e *EventReader) parseField(f *eventFields, line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if found && len(name) == 0 {
+		return nil // a comment
+	}
+	if !found || !isFieldName(name) {
+		return errors.Wrapf(ErrMalformedEvent, "line of %d bytes that is no field after event %d", len(line), e.lastID)
+	}
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
 	case "id":
-		if id, err := strconv.ParseInt(string(value), 10, 64); err == nil {
-			ev.ID, ev.HasID = id, true
+		id, err := strconv.ParseInt(string(value), 10, 64)
+		if err != nil || f.hasID {
+			return errors.Wrapf(ErrMalformedEvent, "id that is no number, or a second one, after event %d", e.lastID)
 		}
+		f.id, f.hasID = id, true
 	case "data":
-		if *dataLines > 0 {
+		if f.dataLines > 0 {
 			e.data = append(e.data, '\n')
 		}
-		*dataLines++
+		f.dataLines++
 		e.data = append(e.data, value...)
+	default:
+		f.others++
+	}
+	return nil
+}
+
+// isFieldName reports whether a field of an event may have the name. Servers also send
+// fields whose names are those of headers in lower case.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if c != '-' && (c < 'a' || c > 'z') {
+			return false
+		}
+	}
+	return true
+}
+
+// complete checks a block whose end was read.
+func (e *EventReader) complete(f eventFields) (Event, error) {
+	switch {
+	case !f.hasID && f.dataLines == 0 && f.others == 0:
+		return Event{Raw: e.raw, IsComment: true}, nil
+	case !f.hasID:
+		return Event{}, errors.Wrapf(ErrMalformedEvent, "event without id after %d", e.lastID)
+	case f.dataLines == 0:
+		return Event{}, errors.Wrapf(ErrMalformedEvent, "event without data after %d", e.lastID)
+	case f.id != e.lastID+1:
+		return Event{}, errors.Wrapf(ErrEventOrder, "event %d after %d", f.id, e.lastID)
 	}
+	e.lastID = f.id
+	return Event{Raw: e.raw, ID: f.id, Data: e.data}, nil
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -208,7 +208,7 @@
 // treating a truncated event as the end of the stream.
 func TestEventReaderReturnsCompleteEvents(t *testing.T) {
 	is := is.New(t)
-	r := upstream.NewEventReader(strings.NewReader("weight-versions: 2\nid: 4\ndata: a\ndata: b\n\n: note\n\nid: 5\ndata: c\n"))
+	r := upstream.NewEventReader(strings.NewReader("weight-versions: 2\nid: 4\ndata: a\ndata: b\n\n: note\n\nid: 5\ndata: c\n"), 3)
 	ev, err := r.Next()
 	is.NoErr(err)
 	is.Equal(string(ev.Raw), "weight-versions: 2\nid: 4\ndata: a\ndata: b\n\n")
@@ -216,18 +216,57 @@
 	is.Equal(string(ev.Data), "a\nb")
 	ev, err = r.Next()
 	is.NoErr(err)
-	is.True(!ev.HasID)
+	is.True(ev.IsComment)
 	_, err = r.Next()
 	is.Equal(err, io.ErrUnexpectedEOF)
 }
 
+// TestOnlyNextEventIsRead guards against bytes of a faulty server that become an event of
+// an answer.
+func TestOnlyNextEventIsRead(t *testing.T) {
+	for _, c := range []struct {
+		next string
+		want error
+	}{
+		{"id: 4\ndata: a\n\n", nil},
+		{"id:4\r\ndata:\r\n\r\n", nil},
+		{"\n\r\nid: 4\ndata: a\n\n", nil},
+		{": note\nid: 4\nevent: token\ndata: a\n\n", nil},
+		{"weight-versions: 3\nid: 4\ndata: a\n\n", nil},
+		{"data: a\n\n", upstream.ErrMalformedEvent},
+		{"event: error\n\n", upstream.ErrMalformedEvent},
+		{"id: 4\n\n", upstream.ErrMalformedEvent},
+		{"id: 4\nda\n\n", upstream.ErrMalformedEvent},
+		{"id: 4\ndata\n\n", upstream.ErrMalformedEvent},
+		{"id: 4\ndata: a\n{\"error\":1}\n\n", upstream.ErrMalformedEvent},
+		{"id: 4\nid: 4\ndata: a\n\n", upstream.ErrMalformedEvent},
+		{"id: 4a\ndata: a\n\n", upstream.ErrMalformedEvent},
+		{"id:\ndata: a\n\n", upstream.ErrMalformedEvent},
+		{"id: 99999999999999999999\ndata: a\n\n", upstream.ErrMalformedEvent},
+		{"internal error\n\n", upstream.ErrMalformedEvent},
+		{"HTTP/1.1 500 X\r\n\r\n", upstream.ErrMalformedEvent},
+		{"id: 3\ndata: a\n\n", upstream.ErrEventOrder},
+		{"id: 5\ndata: a\n\n", upstream.ErrEventOrder},
+		{"id: -4\ndata: a\n\n", upstream.ErrEventOrder},
+	} {
+		t.Run(c.next, func(t *testing.T) {
+			is := is.New(t)
+			r := upstream.NewEventReader(strings.NewReader("id: 3\ndata: x\n\n"+c.next), 2)
+			_, err := r.Next()
+			is.NoErr(err)
+			_, err = r.Next()
+			is.True(errors.Is(err, c.want) && (err == nil) == (c.want == nil))
+		})
+	}
+}
+
 // FuzzEventReader checks that events neither lose nor reorder bytes.
 func FuzzEventReader(f *testing.F) {
 	f.Add("id: 1\ndata: x\n\n")
 	f.Add("\n\n\r\n")
 	f.Add("data: no end")
 	f.Fuzz(func(t *testing.T, stream string) {
-		r := upstream.NewEventReader(strings.NewReader(stream))
+		r := upstream.NewEventReader(strings.NewReader(stream), 0)
 		var whole strings.Builder
 		for {
 			ev, err := r.Next()
