upstream: bound what a host holds of one answer and of all

What callers saw: hosts were killed for their memory with all open requests and jobs, one after the other, when a server went on with the answer to a batch item without end.

Cause: the output of an item had no bound. Whole answers and events had a bound each, but all of them together had none, and a dropped output kept its buffer.

Change: HeldAnswer counts the bytes held of an answer in one place: 4 MiB for an item's output or a whole answer, 1 MiB for an event with the comments before it, and an eighth of the host's memory (limits.memoryMb) for all large answers; the first 64 KiB of each are not counted. An item whose output can't be held is run from the start. The garbage collector is told the host's memory.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -98,6 +98,7 @@
 	j           *job
 	item        *Item
 	output      bytes.Buffer
+	held        *upstream.HeldAnswer // counts the output, nil without one
 	eventCount  int
 	lastEventID int64 // of the last complete event
 	lostRests   int   // answers in a row that did not go on with the output
@@ -134,6 +135,11 @@
 // items go first that wait for a worker. After a panic the item starts over: the worker
 // pool would drop its task without a trace.
 func (s *Service) runItem(ctx context.Context, r *itemRun) {
+	defer func() {
+		if ctx.Err() != nil {
+			r.dropOutput()
+		}
+	}()
 	for ctx.Err() == nil {
 		state := itemBlocked
 		err := s.guarded("run item", r.j.id, func() error {
@@ -145,6 +151,7 @@
 			_ = pause(ctx, maxRetryDelay) // the loop checks ctx
 		}
 		if state == itemEnded {
+			r.dropOutput()
 			return
 		}
 		if state == itemBlocked && s.workersOf(r.j).WaitingTasks() > 0 {
@@ -437,6 +444,9 @@
 	}
 	r.tried = []string{slot.Server.ID}
 	r.s.log.Info("item run failed", "event", "item_broken", "job", r.j.id, "item", r.item.ID, "server", slot.Server.ID, "events", r.eventCount, "error", err)
+	if errors.Is(err, upstream.ErrAnswerMemory) {
+		return placement.Neutral
+	}
 	return placement.Failed
 }
 
@@ -456,10 +466,19 @@
 
 // startOver drops the output, so that the next run begins with the first event.
 func (r *itemRun) startOver() {
-	r.output.Reset()
+	r.dropOutput()
 	r.eventCount, r.lastEventID, r.lostRests = 0, 0, 0
 }
 
+// dropOutput frees the memory of the output.
+func (r *itemRun) dropOutput() {
+	r.output = bytes.Buffer{}
+	if r.held != nil {
+		r.held.Release()
+		r.held = nil
+	}
+}
+
 // isEmptyOutput reports whether an answer without an event, and the ones before it,
 // show that the item's output is empty. A single one may be a fault of its server.
 func (r *itemRun) isEmptyOutput(resp *upstream.Response, hasComments bool) bool {
@@ -487,7 +506,9 @@
 // collect reads complete events until the regular end of the stream. One that ends
 // without an event is no output, unless isEmptyOutput says so.
 func (r *itemRun) collect(ctx context.Context, slot *slots.Slot, resp *upstream.Response) (*itemlist.Result, placement.Outcome, float64) {
-	reader := upstream.NewEventReader(resp.Body, r.lastEventID)
+	held := r.s.opts.Upstream.Hold()
+	defer held.Release()
+	reader := upstream.NewEventReader(resp.Body, r.lastEventID, held)
 	got, hasComments := 0, false
 	began := time.Now()
 	defer func() { r.s.pace.recordRun(got, time.Since(began)) }()
@@ -509,6 +530,9 @@
 			hasComments = true
 			continue
 		}
+		if err == nil {
+			err = r.appendEvent(event)
+		}
 		if err != nil {
 			resp.Body.DisableReuse()
 			if ctx.Err() != nil {
@@ -519,7 +543,6 @@
 			return nil, outcome, 0
 		}
 		r.noteWait(time.Since(asked))
-		r.appendEvent(event)
 		if got++; got == 1 {
 			slot.Answers()
 		}
@@ -527,7 +550,16 @@
 	}
 }
 
-func (r *itemRun) appendEvent(event upstream.Event) {
+// appendEvent adds an event to the output. An output that can't be held is dropped: the
+// part that makes it too large may be that of a faulty server.
+func (r *itemRun) appendEvent(event upstream.Event) error {
+	if r.held == nil {
+		r.held = r.s.opts.Upstream.Hold()
+	}
+	if err := r.held.Resize(r.output.Len() + 1 + len(event.Data)); err != nil {
+		r.startOver()
+		return errors.Wrapf(err, "hold event %d", event.ID)
+	}
 	if r.eventCount > 0 {
 		r.output.WriteByte('\n')
 	}
@@ -535,4 +567,5 @@
 	r.eventCount++
 	r.lastEventID = event.ID
 	r.retryDelay, r.tried, r.lostRests, r.empty, r.progressed = 0, nil, 0, 0, true
+	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	Host      string // unique in the fleet, unchanged by a restart
 	Zone      string // availability zone
 	Size      int    // thousandths of a core
+	Memory    int64  // bytes that the process may use, 0 if there is no known limit
 	IP        string
 	Callers   string // address for callers' requests
 	Readiness string // address for the load balancer's health checks
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,13 @@
 	// configuration allows callers more.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 3 * time.Minute
+	// answerMemoryPart is the part of a host's memory that large answers of servers may
+	// take: buffers that grow are copied, and the garbage collector lets the process grow
+	// to twice what is in use.
+	answerMemoryPart = 8
+	// softLimitPart is the part of a host's memory above which the garbage collector
+	// works harder.
+	softLimitPart = 0.8
 	// maxHeaderBytes bounds what the configuration may allow for a header.
 	maxHeaderBytes = 4 << 20
 )
@@ -76,6 +84,9 @@
 
 // Serve runs an entry host until ctx ends, and then shuts it down.
 func Serve(ctx context.Context, s *Settings, p Platform, registry *metrics.Registry, logger *slog.Logger) error {
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(softLimitPart * float64(s.Memory)))
+	}
 	h := &host{settings: s, platform: p, log: logger, metrics: registry}
 	if err := h.build(); err != nil {
 		return err
@@ -107,7 +118,7 @@
 	objects := storerelay.New(storerelay.Options{
 		Direct: h.platform.Store(), Peers: h.node, Reachable: h.informer.Reachable, Metrics: h.metrics, Logger: h.log,
 	})
-	client := upstream.New(upstream.Options{})
+	client := upstream.New(upstream.Options{AnswerMemory: h.settings.Memory / answerMemoryPart})
 	h.config = &configuration{platform: h.platform, informer: h.informer, prefix: at.Config, keyAge: h.settings.KeyAge, log: h.log}
 	h.slots = slots.New(slots.Options{
 		Zone: h.settings.Zone, Cluster: h.cluster, Logger: h.log,
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"ragwortstep/internal/panics"
 	"ragwortstep/internal/slots"
 	"ragwortstep/internal/upstream"
@@ -32,8 +30,9 @@
 	relayed   bool         // a part of the stream has reached the caller
 	skipped   bool         // comments of the stream were dropped
 	beganAt   time.Time
-	begun     bool // a complete event of the stream has arrived
-	answered  bool // the server went on with its answer after the first bytes
+	begun     bool                 // a complete event of the stream has arrived
+	answered  bool                 // the server went on with its answer after the first bytes
+	held      *upstream.HeldAnswer // counts the whole body, or an event of the stream
 	arrivals  chan arrival
 	dropped   chan struct{} // closed when nobody waits for the answer any more
 	cancel    context.CancelFunc
@@ -65,7 +64,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	now := time.Now()
 	x := &exchange{
-		slot: slot, sentAt: now, heardAt: now, arrivals: make(chan arrival), dropped: make(chan struct{}), cancel: cancel,
+		slot: slot, sentAt: now, heardAt: now, held: client.Hold(), arrivals: make(chan arrival), dropped: make(chan struct{}), cancel: cancel,
 	}
 	go func() {
 		defer x.recoverAs(head, nil)
@@ -118,7 +117,7 @@
 	x.inBody = true
 	go func() {
 		defer x.recoverAs(wholeBody, resp)
-		body, err := readAll(&notingReader{resp.Body, &x.readAt})
+		body, err := readAll(&notingReader{resp.Body, &x.readAt}, x.held)
 		if err == nil && resp.UntilClose && len(body) == 0 && resp.Status < http.StatusMultipleChoices {
 			err = io.ErrUnexpectedEOF // the server may have ended before the body began
 		}
@@ -134,7 +133,7 @@
 func (x *exchange) readEvents(resp *upstream.Response) {
 	go func() {
 		defer x.recoverAs(event, resp)
-		reader := upstream.NewEventReader(resp.Body, x.after)
+		reader := upstream.NewEventReader(resp.Body, x.after, x.held)
 		begun := false
 		for {
 			next, err := reader.Next()
@@ -159,17 +158,31 @@
 	}()
 }
 
-// maxBufferedBytes bounds a response that is held in memory until it is complete.
-const maxBufferedBytes = 4 << 20
-
-var errTooLarge = errors.New("response is too large to buffer")
-
-func readAll(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errTooLarge
+// firstBufferBytes is the size of a new buffer for a whole body.
+const firstBufferBytes = 4 << 10
+
+// readAll reads a whole body into memory that held counts.
+func readAll(r io.Reader, held *upstream.HeldAnswer) ([]byte, error) {
+	body := make([]byte, 0, firstBufferBytes)
+	for {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), upstream.MaxAnswerBytes+1) // the last byte shows that there are more
+			if err := held.Resize(min(size, upstream.MaxAnswerBytes)); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > upstream.MaxAnswerBytes:
+			return nil, upstream.ErrAnswerTooLarge
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	return body, err
 }
 
 // notingReader notes when it has read bytes.
--- a/internal/online/fixture_test.go
+++ b/internal/online/fixture_test.go
@@ -199,12 +199,18 @@
 }
 
 func (f *fixture) call(path, key string) response {
+	f.t.Helper()
+	return f.callAs("id-1", path, key)
+}
+
+// callAs is call for a request with another id.
+func (f *fixture) callAs(id, path, key string) response {
 	f.t.Helper()
 	req, err := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader("x"))
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	req.Header.Set(servertest.HeaderID, "id-1")
+	req.Header.Set(servertest.HeaderID, id)
 	req.Header.Set("X-Key", key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -41,6 +41,7 @@
 	// failureResponse is the last error response of a server, relayed if no
 	// later attempt succeeds.
 	failureResponse *bufferedResponse
+	buffered        []*bufferedResponse // all complete responses so far
 	// current is the exchange whose answer is relayed, and other the one with a
 	// second server that was asked because the current one is silent.
 	current, other *exchange
@@ -57,6 +58,7 @@
 	status int
 	header http.Header
 	body   []byte
+	held   *upstream.HeldAnswer // counts the body
 }
 
 // run tries servers until the call is finished.
@@ -338,7 +340,9 @@
 	if a.err != nil {
 		return f.handleTruncated(x, a.err)
 	}
-	response := &bufferedResponse{a.resp.Status, a.resp.Header, a.body}
+	response := &bufferedResponse{a.resp.Status, a.resp.Header, a.body, x.held}
+	x.held = nil // not released with the exchange
+	f.buffered = append(f.buffered, response)
 	if response.status >= http.StatusMultipleChoices {
 		return f.handleServerError(x, response)
 	}
@@ -381,6 +385,9 @@
 // release drops an exchange and frees its slot.
 func (f *forwarding) release(x *exchange, outcome placement.Outcome, units float64) {
 	x.drop()
+	if x.held != nil {
+		x.held.Release()
+	}
 	if x.isolated {
 		f.opts.Suspects.End(f.fps)
 	}
@@ -393,6 +400,13 @@
 	}
 }
 
+// releaseBuffered gives back the memory of the responses that were buffered.
+func (f *forwarding) releaseBuffered() {
+	for _, response := range f.buffered {
+		response.held.Release()
+	}
+}
+
 // releaseAll drops what the call no longer needs: its exchanges and a slot without one.
 func (f *forwarding) releaseAll() {
 	f.giveBack()
@@ -425,6 +439,13 @@
 	if failure.Stage != upstream.NotSent && !failure.Silent && !panicked && !isUnusable(failure) && !x.slot.ServerLeaves() {
 		f.opts.Suspects.ConnectionLost(f.fps, server.ID, x.sentAt, x.isolated, x.answered)
 	}
+	if errors.Is(failure, upstream.ErrAnswerMemory) {
+		f.release(x, placement.Neutral, 0)
+		f.opts.Metrics.Add("answers_dropped_total", 1, "route", f.route.Name)
+		f.log.Warn("large answer dropped", "event", "answer_dropped", "request", f.call.ID, "route", f.route.Name, "server", server.ID,
+			"events", f.eventsSent, "error", failure)
+		return
+	}
 	f.release(x, placement.Failed, 0)
 	f.opts.Metrics.ServerFailed(f.service)
 	f.log.Warn("server failed", "event", "server_failed", "request", f.call.ID, "server", server.ID, "address", server.Address,
@@ -448,7 +469,7 @@
 // isUnusable reports whether a failure is an answer that this host doesn't use, though
 // its connection was not lost.
 func isUnusable(failure *upstream.Error) bool {
-	return errors.IsAny(failure, errTooLarge, upstream.ErrEventOrder, upstream.ErrMalformedEvent, upstream.ErrEventTooLarge)
+	return errors.IsAny(failure, upstream.ErrAnswerTooLarge, upstream.ErrAnswerMemory, upstream.ErrEventOrder, upstream.ErrMalformedEvent, upstream.ErrEventTooLarge)
 }
 
 // dropInvalid drops a response that cannot be a valid one of this server to
--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -141,6 +141,7 @@
 			end(errHostEnds)
 		}
 	})()
+	defer f.releaseBuffered()
 	defer f.releaseAll() // nothing is left but after a panic
 	f.run()
 }
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -9,13 +9,14 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventBytes bounds one event of a stream.
+// maxEventBytes bounds one event of a stream, and the comments before it.
 const maxEventBytes = 1 << 20
 
 // Reasons why an EventReader doesn't return what a server sent. None of them is a lost
 // connection.
 var (
-	// ErrEventTooLarge reports an event of more than maxEventBytes.
+	// ErrEventTooLarge reports an event, or comments before one, of more than
+	// maxEventBytes.
 	ErrEventTooLarge = errors.New("event of the stream is too large")
 	// ErrMalformedEvent reports bytes that are neither an event with an id and data nor a
 	// comment.
@@ -39,16 +40,18 @@
 // returns nothing else: bytes of a faulty server that are no event of the answer must
 // become part of no result.
 type EventReader struct {
-	r      *bufio.Reader
-	lastID int64
-	raw    []byte
-	data   []byte
+	r        *bufio.Reader
+	held     *HeldAnswer
+	lastID   int64
+	raw      []byte
+	data     []byte
+	comments int // bytes since the last event
 }
 
 // NewEventReader reads the events that follow the one with id after from r. The first
-// event of an answer has id 1.
-func NewEventReader(r io.Reader, after int64) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(r, 4<<10), lastID: after}
+// event of an answer has id 1. held counts the event that is being read.
+func NewEventReader(r io.Reader, after int64, held *HeldAnswer) *EventReader {
+	return &EventReader{r: bufio.NewReaderSize(r, 4<<10), held: held, lastID: after}
 }
 
 // Buffered reports whether bytes of further events are already buffered.
@@ -58,7 +61,9 @@
 // between two events, io.ErrUnexpectedEOF if it ends within one, and ErrEventTooLarge,
 // ErrMalformedEvent or ErrEventOrder if the next bytes are not the next event.
 func (e *EventReader) Next() (Event, error) {
-	e.raw, e.data = e.raw[:0], e.data[:0]
+	if err := e.reuseBuffers(); err != nil {
+		return Event{}, err
+	}
 	var fields eventFields
 	begun := false // empty lines before an event belong to it
 	for {
@@ -87,14 +92,30 @@
 	}
 }
 
+// keptBufferBytes bounds the buffers that are kept for the next event.
+const keptBufferBytes = 32 << 10
+
+// reuseBuffers empties the buffers for the next event. Those of a large one are freed.
+func (e *EventReader) reuseBuffers() error {
+	e.raw, e.data = e.raw[:0], e.data[:0]
+	if cap(e.raw)+cap(e.data) <= keptBufferBytes {
+		return nil
+	}
+	e.raw, e.data = nil, nil
+	return e.held.Resize(0)
+}
+
 // line appends the next line to raw.
 func (e *EventReader) line() error {
 	for {
 		part, err := e.r.ReadSlice('\n')
-		e.raw = append(e.raw, part...)
-		if len(e.raw) > maxEventBytes {
+		if len(e.raw)+len(part)+e.comments > maxEventBytes {
 			return ErrEventTooLarge
 		}
+		if held := e.held.Resize(2 * (len(e.raw) + len(part))); held != nil { // raw and data
+			return held
+		}
+		e.raw = append(e.raw, part...)
 		if err != bufio.ErrBufferFull {
 			return err
 		}
@@ -153,6 +174,7 @@
 func (e *EventReader) complete(f eventFields) (Event, error) {
 	switch {
 	case !f.hasID && f.dataLines == 0 && f.others == 0:
+		e.comments += len(e.raw)
 		return Event{Raw: e.raw, IsComment: true}, nil
 	case !f.hasID:
 		return Event{}, errors.Wrapf(ErrMalformedEvent, "event without id after %d", e.lastID)
@@ -161,6 +183,6 @@
 	case f.id != e.lastID+1:
 		return Event{}, errors.Wrapf(ErrEventOrder, "event %d after %d", f.id, e.lastID)
 	}
-	e.lastID = f.id
+	e.lastID, e.comments = f.id, 0
 	return Event{Raw: e.raw, ID: f.id, Data: e.data}, nil
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -77,6 +77,9 @@
 	Dial        time.Duration // default 400 ms
 	UserTimeout time.Duration // TCP_USER_TIMEOUT, default 3 s
 	Idle        time.Duration // default 4 s
+	// AnswerMemory bounds the bytes of large answers that are held at once, 32 MiB by
+	// default.
+	AnswerMemory int64
 	// Connect opens a connection to an address, over TCP by default.
 	Connect func(ctx context.Context, address string) (Conn, error)
 }
@@ -121,6 +124,8 @@
 	mu     sync.Mutex
 	pools  map[string]*pool
 	opened atomic.Uint64 // connections opened
+
+	answers answerMemory
 }
 
 // New returns a client without connections.
@@ -128,10 +133,11 @@
 	defaults.Positive(&opts.Dial, defaultDialTimeout)
 	defaults.Positive(&opts.UserTimeout, defaultUserTimeout)
 	defaults.Positive(&opts.Idle, defaultIdleTimeout)
+	defaults.Set(&opts.AnswerMemory, defaultAnswerMemory)
 	if opts.Connect == nil {
 		opts.Connect = opts.connectTCP
 	}
-	return &Client{opts: opts, pools: map[string]*pool{}}
+	return &Client{opts: opts, pools: map[string]*pool{}, answers: answerMemory{limit: opts.AnswerMemory}}
 }
 
 // CloseIdleExcept closes idle connections to all addresses not in addresses.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -208,7 +208,7 @@
 // treating a truncated event as the end of the stream.
 func TestEventReaderReturnsCompleteEvents(t *testing.T) {
 	is := is.New(t)
-	r := upstream.NewEventReader(strings.NewReader("weight-versions: 2\nid: 4\ndata: a\ndata: b\n\n: note\n\nid: 5\ndata: c\n"), 3)
+	r := upstream.NewEventReader(strings.NewReader("weight-versions: 2\nid: 4\ndata: a\ndata: b\n\n: note\n\nid: 5\ndata: c\n"), 3, upstream.New(upstream.Options{}).Hold())
 	ev, err := r.Next()
 	is.NoErr(err)
 	is.Equal(string(ev.Raw), "weight-versions: 2\nid: 4\ndata: a\ndata: b\n\n")
@@ -251,7 +251,7 @@
 	} {
 		t.Run(c.next, func(t *testing.T) {
 			is := is.New(t)
-			r := upstream.NewEventReader(strings.NewReader("id: 3\ndata: x\n\n"+c.next), 2)
+			r := upstream.NewEventReader(strings.NewReader("id: 3\ndata: x\n\n"+c.next), 2, upstream.New(upstream.Options{}).Hold())
 			_, err := r.Next()
 			is.NoErr(err)
 			_, err = r.Next()
@@ -266,7 +266,7 @@
 	f.Add("\n\n\r\n")
 	f.Add("data: no end")
 	f.Fuzz(func(t *testing.T, stream string) {
-		r := upstream.NewEventReader(strings.NewReader(stream), 0)
+		r := upstream.NewEventReader(strings.NewReader(stream), 0, upstream.New(upstream.Options{}).Hold())
 		var whole strings.Builder
 		for {
 			ev, err := r.Next()
