informer: a copy is fresh once its users have it

What callers saw: a key that had been taken away 9 s before was accepted again for some milliseconds when a host reached the store after an outage (CONFIG).

Cause: a copy was dated as confirmed when its bytes had arrived, before the configuration in it was decoded, so the old configuration counted as fresh. The checks of keys also read the configuration before its freshness.

Change: Informer.Age is that of the copy that the functions of OnChange were called with last, on all ways on which a change arrives and for all collections. Checks read the freshness first, in one function.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -172,8 +172,9 @@
 
 // step waits for a slot and runs the item once.
 func (r *itemRun) step(ctx context.Context) itemState {
+	fresh := r.s.opts.Config.Fresh() // before the route, which is then at least as new
 	route := r.s.route(r.j)
-	if state, reason := r.deadLetterReason(route); state != "" {
+	if state, reason := r.deadLetterReason(route, fresh); state != "" {
 		r.finish(itemlist.Result{ID: r.item.ID, State: state}, reason)
 		return itemEnded
 	}
@@ -211,8 +212,8 @@
 
 // deadLetterReason returns the state DeadLetter and the reason if the item must
 // not be run again, and empty strings otherwise.
-func (r *itemRun) deadLetterReason(route *routing.Route) (itemlist.State, string) {
-	if r.j.lostRoute(route != nil, r.s.opts.Config.Fresh(), time.Now()) {
+func (r *itemRun) deadLetterReason(route *routing.Route, fresh bool) (itemlist.State, string) {
+	if r.j.lostRoute(route != nil, fresh, time.Now()) {
 		return itemlist.DeadLetter, "the route was removed"
 	}
 	if route == nil {
@@ -251,7 +252,8 @@
 	defer s.mu.Unlock()
 	for _, j := range s.jobs {
 		if j.isOwned() {
-			j.lostRoute(s.route(j) != nil, s.opts.Config.Fresh(), now)
+			fresh := s.opts.Config.Fresh() // before the route, which is then at least as new
+			j.lostRoute(s.route(j) != nil, fresh, now)
 		}
 	}
 }
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -105,11 +105,16 @@
 // collection is this host's copy of one collection.
 type collection struct {
 	Collection
-	objects         map[string]store.Object
-	loaded          bool
-	version         int64 // store version from which the next watch starts
-	changedVersion  int64 // store version of the copy's last change
-	confirmed       freshness.Tracker
+	objects        map[string]store.Object
+	loaded         bool
+	version        int64             // store version from which the next watch starts
+	changedVersion int64             // store version of the copy's last change
+	confirmed      freshness.Tracker // of the objects
+	// applied is whether the functions in onChange have been called with the objects, and
+	// appliedAsOf tracks the copy that they were called with last. Until the functions
+	// have used a change, what they keep is as old as before it.
+	applied         bool
+	appliedAsOf     freshness.Tracker
 	takeOverAge     time.Duration // at which this host reads the store itself, as last computed
 	storeReturnedAt time.Time
 	onChange        []func(Copy)
@@ -169,12 +174,12 @@
 	col.onChange = append(col.onChange, fn)
 }
 
-// Age returns the time since the collection's copy was last confirmed to be the
-// newest, and false if it never was.
+// Age returns the time since the copy that the functions registered with OnChange were
+// called with last was confirmed to be the newest, and false if it never was.
 func (i *Informer) Age(prefix string) (time.Duration, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.collections[prefix].confirmed.Age(bootclock.Now())
+	return i.collections[prefix].appliedAsOf.Age(bootclock.Now())
 }
 
 // StoreReachable reports whether this host's last call to the store succeeded.
@@ -389,6 +394,9 @@
 	now := bootclock.Now()
 	before, known := col.confirmed.Age(now)
 	col.confirmed.Confirm(at)
+	if col.applied {
+		col.appliedAsOf = col.confirmed
+	}
 	after, _ := col.confirmed.Age(now)
 	if known && before > col.takeOverAge+interruptionMargin && after <= col.takeOverAge {
 		col.storeReturnedAt = time.Now()
@@ -406,7 +414,8 @@
 			applyEvent(objects, ev, col.changedVersion)
 		}
 		col.recordDelta(delta{col.changedVersion, version, events})
-		col.objects, col.changedVersion = objects, version
+		col.setObjects(objects)
+		col.changedVersion = version
 	}
 	col.version = max(col.version, version)
 	col.confirm(requestedAt)
@@ -437,17 +446,24 @@
 		i.mu.Unlock()
 		return
 	}
-	col.objects, col.version, col.loaded, col.recentDeltas = objects, version, true, nil
+	col.setObjects(objects)
+	col.version, col.loaded, col.recentDeltas = version, true, nil
 	col.changedVersion = max(col.changedVersion, version)
 	col.confirm(requestedAt)
 	i.mu.Unlock()
 	i.publish(col, FromList)
 }
 
-// publish passes the copy to the functions registered with OnChange. One that panics
-// is called again with the next copy, so that no object ends the process. If the peers
-// get changes through this host it also sends them, unless they may wait for the next
-// digest.
+// setObjects replaces the objects of the copy, which publish applies.
+func (col *collection) setObjects(objects map[string]store.Object) {
+	col.objects, col.applied = objects, false
+}
+
+// publish passes the copy to the functions registered with OnChange, and then counts it
+// as applied. One that panics is called again with the next copy, so that no object ends
+// the process. If the peers get changes through this host it also sends them, unless
+// they may wait for the next digest. Only keepInSync, which makes all changes of the
+// copy, calls publish.
 func (i *Informer) publish(col *collection, source Source) {
 	if col.Gather == 0 && i.pushes() {
 		i.opts.Cluster.SendNow()
@@ -461,6 +477,9 @@
 	for _, fn := range col.onChange {
 		panics.Log(i.log, "copy_lost", "apply copy", func() { fn(c) }, "collection", col.Prefix, "copy_version", c.Version, "source", c.Source)
 	}
+	i.mu.Lock()
+	col.applied, col.appliedAsOf = true, col.confirmed
+	i.mu.Unlock()
 	if col.Prefix == i.opts.Members {
 		i.wakeAll() // this host may be the reader of the other collections
 	}
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -74,6 +74,8 @@
 	copied    map[string]string
 	returned  time.Time
 	udp       net.PacketConn
+	// beforeUse is called with each copy before the host uses it.
+	beforeUse atomic.Pointer[func(informer.Copy)]
 }
 
 const prefix = "things/"
@@ -135,6 +137,9 @@
 			Collections: []informer.Collection{collection},
 		})
 		h.informer.OnChange(prefix, func(c informer.Copy) {
+			if before := h.beforeUse.Load(); before != nil {
+				(*before)(c)
+			}
 			if _, ok := c.Objects[prefix+panicKey]; ok {
 				panic("a fault in a listener")
 			}
@@ -275,6 +280,53 @@
 	}
 }
 
+// A copy must not count as fresh before the functions that use it have done so: a host
+// that had lost the store accepted a key that had been taken away meanwhile, for as long
+// as it decoded the new configuration. It must hold on each way on which a change
+// arrives: by list, watch and peers.
+func TestCopyIsFreshOnceItIsUsed(t *testing.T) {
+	t.Parallel()
+	const outage = 1200 * time.Millisecond
+	is := is.New(t)
+	fake := storetest.New()
+	hosts := start(t, fake, 3)
+	seen := map[informer.Source]int{}
+	var mu sync.Mutex
+	for _, h := range hosts {
+		before := func(c informer.Copy) {
+			time.Sleep(50 * time.Millisecond) // the copy is confirmed again by digests meanwhile
+			mu.Lock()
+			defer mu.Unlock()
+			seen[c.Source]++
+			if o, ok := c.Objects[prefix+"x"]; ok && string(o.Value) != h.value(prefix+"x") && string(o.Value) != "0" && h.age() < outage/2 {
+				t.Errorf("%s of %s: %v old before the change by %s is used", h.cluster.Self().Name, o.Value, h.age(), c.Source)
+			}
+		}
+		h.beforeUse.Store(&before)
+	}
+	for round := range 6 {
+		value := fmt.Sprint(round)
+		if round > 0 {
+			fake.SetDown(true)
+			time.Sleep(outage)
+			for _, h := range hosts[1:] {
+				h.storeLink.refuse.Store(round%2 == 0) // only the first host reaches the store again
+			}
+			fake.SetDown(false)
+		}
+		put(t, fake, "x", value)
+		for _, h := range hosts {
+			eventually(t, "all have the object", 3*time.Second, func() bool { return h.value(prefix+"x") == value })
+			eventually(t, "fresh again", 3*time.Second, func() bool { return h.age() < outage/2 })
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for _, source := range []informer.Source{informer.FromList, informer.FromWatch, informer.FromPeer} {
+		is.True(seen[source] > 0)
+	}
+}
+
 // An event that the store delivers again must not restore a deleted object.
 func TestRepeatedEvents(t *testing.T) {
 	t.Parallel()
--- a/internal/informer/relay.go
+++ b/internal/informer/relay.go
@@ -328,10 +328,11 @@
 	if len(resp.Deltas) > 0 {
 		return col.applyDeltas(resp.Deltas)
 	}
-	col.objects = make(map[string]store.Object, len(resp.Objects))
+	objects := make(map[string]store.Object, len(resp.Objects))
 	for _, o := range resp.Objects {
-		col.objects[o.Key] = o
+		objects[o.Key] = o
 	}
+	col.setObjects(objects)
 	col.loaded, col.changedVersion, col.recentDeltas = true, resp.Changed, nil
 	col.version = max(col.version, resp.Version)
 	return true
@@ -357,7 +358,7 @@
 		col.changedVersion, newer = d.To, true
 	}
 	if newer {
-		col.objects = objects
+		col.setObjects(objects)
 		col.version = max(col.version, col.changedVersion)
 	}
 	return newer
--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -86,11 +86,10 @@
 // must not be served it returns a *Refusal along with whatever was already
 // found. Calls on jobs use it too.
 func Admit(cfg Config, host, path, key string) (*routing.Snapshot, *routing.Route, routing.Workspace, *Refusal) {
-	snapshot := cfg.Current()
+	fresh, snapshot := confirmed(cfg)
 	if snapshot == nil {
 		return nil, nil, routing.Workspace{}, unavailable(codeNoConfig, "this host has no configuration yet", staleRetryAfter)
 	}
-	fresh := cfg.Fresh()
 	route := snapshot.Match(host, path)
 	if route == nil {
 		if !fresh {
@@ -101,13 +100,25 @@
 	if route.Public {
 		return snapshot, route, routing.Workspace{}, nil
 	}
-	workspace, refusal := Authenticate(cfg, snapshot, key)
+	workspace, refusal := authenticate(fresh, snapshot, key)
 	return snapshot, route, workspace, refusal
 }
 
+// confirmed returns the configuration, and whether it is fresh. A configuration that
+// replaces it in between is at least as new: what is fresh is read first.
+func confirmed(cfg Config) (fresh bool, snapshot *routing.Snapshot) {
+	fresh = cfg.Fresh()
+	return fresh, cfg.Current()
+}
+
 // Authenticate returns the workspace that owns the key.
-func Authenticate(cfg Config, snapshot *routing.Snapshot, key string) (routing.Workspace, *Refusal) {
-	if !cfg.Fresh() {
+func Authenticate(cfg Config, key string) (routing.Workspace, *Refusal) {
+	fresh, snapshot := confirmed(cfg)
+	return authenticate(fresh, snapshot, key)
+}
+
+func authenticate(fresh bool, snapshot *routing.Snapshot, key string) (routing.Workspace, *Refusal) {
+	if !fresh || snapshot == nil {
 		return routing.Workspace{}, unavailable(codeStale, "the configuration is too old to accept keys", staleRetryAfter)
 	}
 	workspace, ok := snapshot.WorkspaceForKey(key)
@@ -207,10 +218,11 @@
 	if a.route.Public {
 		return nil
 	}
-	if !s.opts.Config.Fresh() {
+	fresh, snapshot := confirmed(s.opts.Config)
+	if !fresh {
 		return unavailable(codeStale, "the configuration became too old while the request waited", staleRetryAfter)
 	}
-	if _, ok := s.opts.Config.Current().WorkspaceForKey(a.call.Key); !ok {
+	if _, ok := snapshot.WorkspaceForKey(a.call.Key); !ok {
 		return &Refusal{Status: http.StatusUnauthorized, Code: codeBadKey, Detail: "the key was withdrawn"}
 	}
 	return nil
