--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -18,6 +19,7 @@
 	"ragwortstep/internal/core/placement"
 	"ragwortstep/internal/core/routing"
 	"ragwortstep/internal/informer"
+	"ragwortstep/internal/peer"
 	"ragwortstep/internal/servertest"
 	"ragwortstep/internal/slots"
 	"ragwortstep/internal/store"
@@ -208,6 +210,31 @@
 	is.Equal(p.retired.Load(), int64(2))
 }
 
+// A registration that is none of the host that it is named after must not count as a host:
+// shares of quotas would be kept for it.
+func TestOddRegistrationIsNoHost(t *testing.T) {
+	is := is.New(t)
+	c := cluster.New(cluster.Options{Self: cluster.Member{Name: "a"}, Logger: discardLogger})
+	node, err := peer.New(peer.Options{Self: "a", Listen: "127.0.0.1:0", Secret: peerSecret, Logger: discardLogger})
+	is.NoErr(err)
+	m := &members{cluster: c, node: node, log: discardLogger}
+	registrations := map[string]string{"b": `{"n":"b","i":1,"a":"127.0.0.1:1"}`}
+	for i, odd := range []string{
+		`null`, `7`, `"x"`, `{}`, `{"a":"127.0.0.1:1"}`, `{"n":"other","i":1,"a":"127.0.0.1:1"}`,
+		`{"n":"odd6","i":1,"a":"127.0.0.1:99999"}`, `{"n":"odd7","i":1,"a":"127.0.0.1"}`,
+		`{"n":"odd8","i":1e400,"a":"127.0.0.1:1"}`, strings.Repeat("[", 12_000) + strings.Repeat("]", 12_000),
+	} {
+		registrations[fmt.Sprint("odd", i)] = odd
+	}
+	objects := map[string]store.Object{}
+	for name, value := range registrations {
+		objects[memberKey(name)] = store.Object{Key: memberKey(name), Version: 1, Value: []byte(value)}
+	}
+	m.update(informer.Copy{Objects: objects})
+	is.Equal(len(c.Peers()), 1)
+	is.Equal(c.Peers()[0].Name, "b")
+}
+
 // TestSilentHostRegistrationIsRemoved guards against accumulating
 // registrations, and quota shares reserved for them, as hosts are replaced.
 func TestSilentHostRegistrationIsRemoved(t *testing.T) {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -98,7 +99,11 @@
 		}
 		changed = true
 		var member cluster.Member
-		if err := json.Unmarshal(obj.Value, &member); err != nil || member.Address == "" {
+		err := json.Unmarshal(obj.Value, &member)
+		if err == nil {
+			err = checkRegistration(key, member)
+		}
+		if err != nil {
 			m.log.Warn("registration skipped", "step", "decode registration", "object", key, "error", err)
 			continue
 		}
@@ -117,6 +122,16 @@
 	m.updatePeerAddresses()
 }
 
+// checkRegistration checks that a registration is that of the host whose key it has, at
+// an address that can be reached. Any other would be counted as a further host.
+func checkRegistration(key string, m cluster.Member) error {
+	if memberKey(m.Name) != key {
+		return errors.Newf("it names host %q", m.Name)
+	}
+	_, err := netip.ParseAddrPort(m.Address)
+	return errors.Wrap(err, "address")
+}
+
 // updatePeerAddresses passes the peers' addresses to the transport.
 func (m *members) updatePeerAddresses() {
 	for _, p := range m.cluster.Peers() {
