online: a host that stops takes no call that it can't finish

What callers saw, reported by other operators and measured here by the users: requests that came late in the grace period of a planned stop were passed on, and cut or answered by 504 at its end, also calls that may not be repeated.

Cause: nothing compared the time that an answer takes with the time left until the host ends its calls.

Change: the service learns at SIGTERM when its calls end. It remembers how long the last answers of each route took, and refuses a call with 503 before it is sent, or counted against a quota, if its answer can't be expected by then. The same holds for waits for a place, retries and second servers. A route without an earlier answer may take all the time that its call has.

TestSettingsSignalDuringShutdown asked for 504 for a call that its server can't answer in time, which is now refused. It first lets the host learn that such calls take little time; its check is as it was.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -256,6 +256,7 @@
 func (h *host) shutdown(servers []httpServer) {
 	deadline := time.Now().Add(h.settings.Grace - shutdownMargin)
 	h.log.Info("host draining", "event", "draining", "grace_ms", h.settings.Grace.Milliseconds())
+	h.online.StopAt(deadline)
 	h.leaving.Store(true)
 	h.cluster.Leave()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -26,6 +26,7 @@
 	w               http.ResponseWriter
 	sends           int         // servers that were sent at least one byte of the request, each counted once
 	mayRun          bool        // a server may have executed the request
+	sentAt          time.Time   // when the request was sent to a server first
 	tried           []string    // ids of the servers tried
 	full            []string    // ids of the servers that rejected the call because they were full
 	askAgain        []string    // ids of the servers that were tried and may be asked once more
@@ -117,6 +118,9 @@
 // servers that may be asked were asked before.
 func (f *forwarding) latestStart() time.Time {
 	until := f.deadline.Add(-minTimeLeft)
+	if latest, stops := f.latestSend(f.admitted); stops && !f.headerSent.Load() {
+		until = earlier(until, latest)
+	}
 	switch {
 	case f.returning:
 		return earlier(until, f.returnUntil())
@@ -144,7 +148,10 @@
 	if err == nil {
 		f.granted = slot
 		refusal := f.recheck(f.admitted)
-		if f.ending.Err() != nil && !f.headerSent.Load() { // the slot may be that of another call that ended
+		if refusal == nil && !f.headerSent.Load() { // the slot may be that of another call that ended
+			refusal = f.refuseAtStop(f.admitted)
+		}
+		if f.ending.Err() != nil && !f.headerSent.Load() {
 			refusal = unavailable(codeStopping, "the host stops", 0)
 		}
 		if refusal != nil {
@@ -246,6 +253,9 @@
 	}
 	f.askAgain = slices.DeleteFunc(f.askAgain, func(tried string) bool { return tried == id })
 	f.slotWait += slot.Waited
+	if f.sentAt.IsZero() {
+		f.sentAt = time.Now()
+	}
 	out := RequestMeta{Workspace: f.workspace.Name, Instance: slot.Server.Instance, TimeLeft: time.Until(f.deadline)}
 	if f.eventsSent > 0 || f.call.LastEventID > 0 {
 		out.Resume, out.AfterEventID = true, f.lastEventID
@@ -347,6 +357,7 @@
 		return f.handleServerError(x, response)
 	}
 	f.release(x, placement.Success, 1)
+	f.durations.add(f.route.Name, time.Since(f.sentAt))
 	f.opts.Suspects.Succeeded(f.fps, x.slot.Server.ID)
 	f.timeToFirstByte = time.Since(f.call.Arrived)
 	f.writeResponse(response)
--- a/internal/online/service.go
+++ b/internal/online/service.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,6 +57,9 @@
 	log      *slog.Logger
 	ending   context.Context // ends with EndCalls
 	endCalls context.CancelFunc
+
+	stopAt    atomic.Pointer[time.Time] // set by StopAt
+	durations durations
 }
 
 func New(opts Options) *Service {
@@ -177,6 +181,9 @@
 	}
 	a.service = route.Service(rand.Float64())
 	a.deadline = call.Deadline(route)
+	if refusal := s.refuseAtStop(a); refusal != nil {
+		return a, refusal
+	}
 	a.fps = fingerprintsOf(call, workspace.Name)
 	if a.call.Cost <= 0 {
 		a.call.Cost = max(float64(len(call.Body))/bytesPerToken, 1)
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -106,6 +106,7 @@
 // finishStream finishes a call whose stream is complete.
 func (f *forwarding) finishStream(x *exchange, resp *upstream.Response) verdict {
 	f.release(x, placement.Success, f.call.Cost)
+	f.durations.add(f.route.Name, time.Since(f.sentAt))
 	f.opts.Suspects.Succeeded(f.fps, x.slot.Server.ID)
 	f.releaseAll() // the write may take as long as the caller likes
 	f.sendHeader(resp)
--- a/test/coop/shutdown_test.go
+++ b/test/coop/shutdown_test.go
@@ -30,6 +30,11 @@
 	}
 	run.addServer("slow", "llm", 60*time.Millisecond) // streams last 0.3 to 1.5 s
 	run.awaitStreams()
+	leaving := run.fleet.Hosts[0]
+	lateCaller := NewClient(run.ledger)
+	if status := lateCaller.Call(leaving.Callers, "once", "early", callerKey); status != http.StatusOK { // the host learns how long such calls take
+		t.Errorf("a call to a sound server got status %d", status)
+	}
 	run.silence = func(string, int64) time.Duration { return 2 * lateCallTime }
 	for _, s := range run.servers {
 		if s.Service == "app" {
@@ -37,8 +42,6 @@
 		}
 	}
 	run.addServer("silent", "app", 0)
-	leaving := run.fleet.Hosts[0]
-	lateCaller := NewClient(run.ledger)
 	lateCaller.Results(leaving.Callers, "none", callerKey, 0) // opens a connection
 	var group sync.WaitGroup
 	for i := range 10 {
