--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -135,11 +135,6 @@
 // items go first that wait for a worker. After a panic the item starts over: the worker
 // pool would drop its task without a trace.
 func (s *Service) runItem(ctx context.Context, r *itemRun) {
-	defer func() {
-		if ctx.Err() != nil {
-			r.dropOutput()
-		}
-	}()
 	for ctx.Err() == nil {
 		state := itemBlocked
 		err := s.guarded("run item", r.j.id, func() error {
@@ -155,10 +150,11 @@
 			return
 		}
 		if state == itemBlocked && s.workersOf(r.j).WaitingTasks() > 0 {
-			s.submitItem(ctx, r)
+			s.submitItem(ctx, r) // another worker may have r from now on
 			return
 		}
 	}
+	r.dropOutput()
 }
 
 // itemState is the state of an item after a step.
