--- a/internal/servertest/servertest.go
+++ b/internal/servertest/servertest.go
@@ -121,11 +121,6 @@
 	}
 }
 
-// Numbered replaces each N of a text by the id of an event.
-func Numbered(text string, id int64) string {
-	return strings.ReplaceAll(text, "N", strconv.FormatInt(id, 10))
-}
-
 // EndStream ends a chunked stream.
 func (c *Conn) EndStream() { _, _ = io.WriteString(c, "0\r\n\r\n") } // fails if the peer closed the connection
 
