upstream: the end of a connection on which sending failed completes no response

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection. Callers got the part as a whole answer, with a length that the host had computed, also as an event stream. Batch items were listed as completed with the first of five events. A write to either store counted as done, or as refused by a conflict, after such an answer.

Cause: the kernel reports a reset once. The send met it, so that the read after it found a regular end, which completes a body without length.

Fix: the error of a failed send replaces the end of the connection for all later reads, in upstream.Client and in upstream.Transport, which the clients of the stores now use. Responses whose length or chunks show their end are still read.

--- a/internal/bulk/fixture_test.go
+++ b/internal/bulk/fixture_test.go
@@ -107,6 +107,7 @@
 	network  *peertest.Network
 	snapshot atomic.Pointer[routing.Snapshot]
 	servers  []*servertest.Server
+	upstream upstream.Options
 	mu       sync.Mutex
 	hosts    map[string]*testHost
 	starts   int64
@@ -157,7 +158,7 @@
 	h.slots = slots.New(slots.Options{Cluster: h.cluster, Logger: logger})
 	h.bulk = bulk.New(bulk.Options{
 		Store: h.store, Cluster: h.cluster, Informer: inf, Peers: node, Config: f, Codec: servertest.Codec{}, Items: servertest.Codec{},
-		Slots: h.slots, Upstream: upstream.New(upstream.Options{}), Metrics: metrics.New(), Logger: logger,
+		Slots: h.slots, Upstream: upstream.New(f.upstream), Metrics: metrics.New(), Logger: logger,
 	})
 	var list []placement.Server
 	for i, s := range f.servers {
--- a/internal/servertest/servertest.go
+++ b/internal/servertest/servertest.go
@@ -142,6 +142,7 @@
 	listener net.Listener
 	mu       sync.Mutex
 	script   func(*Conn) bool
+	raw      func(*net.TCPConn) // serves whole connections, if not nil
 	requests []ReceivedRequest
 	dials    int
 	pipes    []net.Conn // of a piped server
@@ -167,6 +168,17 @@
 	return s
 }
 
+// NewRaw starts a server that gives each connection to a script, which reads the request
+// itself. The connection is closed when the script returns.
+func NewRaw(t testing.TB, script func(*net.TCPConn)) *Server {
+	t.Helper()
+	s := New(t, nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.raw = script
+	return s
+}
+
 // NewPiped returns a server without a network, for tests in a synctest bubble.
 // Connect opens connections to it, which are closed at the end of the test.
 func NewPiped(t testing.TB, script func(*Conn) bool) *Server {
@@ -235,7 +247,15 @@
 		}
 		s.mu.Lock()
 		s.dials++
+		raw := s.raw
 		s.mu.Unlock()
+		if raw != nil {
+			go func() {
+				defer c.Close()
+				raw(c.(*net.TCPConn))
+			}()
+			continue
+		}
 		go s.serve(c)
 	}
 }
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-resty/resty/v2"
+
+	"ragwortstep/internal/upstream"
 )
 
 const (
@@ -30,11 +32,11 @@
 // NewHTTPStore returns a client for the platform at baseURL. The platform
 // counts and limits calls per clientName.
 func NewHTTPStore(baseURL, clientName string) *HTTPStore {
-	transport := &http.Transport{
+	transport := upstream.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: callTimeout, KeepAlive: callTimeout}).DialContext,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     30 * time.Second,
-	}
+	})
 	c := resty.New().SetTransport(transport).SetBaseURL(baseURL)
 	c.SetHeader("X-Platform-Client", clientName)
 	return &HTTPStore{client: c}
--- a/internal/upstream/bounded.go
+++ b/internal/upstream/bounded.go
@@ -16,6 +16,9 @@
 	r         io.Reader
 	unlimited bool
 	left      int
+	// sendErr is the error of a failed send. It replaces io.EOF: a system call reports a
+	// reset only once, so that reads after a failed send find a regular end.
+	sendErr error
 }
 
 // limit allows n more bytes.
@@ -26,13 +29,16 @@
 
 // Read implements io.Reader.
 func (b *boundedReader) Read(p []byte) (int, error) {
-	if b.unlimited {
-		return b.r.Read(p)
-	}
-	if b.left <= 0 {
+	if !b.unlimited && b.left <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := b.r.Read(p[:min(len(p), b.left)])
+	if !b.unlimited {
+		p = p[:min(len(p), b.left)]
+	}
+	n, err := b.r.Read(p)
 	b.left -= n
+	if err == io.EOF && b.sendErr != nil {
+		err = b.sendErr
+	}
 	return n, err
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -277,8 +277,9 @@
 const earlyResponseTimeout = 50 * time.Millisecond
 
 // readEarlyResponse reads the response of a server that stopped reading the
-// request.
+// request. The end of the connection does not complete it.
 func (ex *exchange) readEarlyResponse(req *Request, sendErr error) (*Response, *Error) {
+	ex.conn.bounded.sendErr = sendErr
 	ex.setReadDeadline(earlyResponseTimeout)
 	resp, err := ex.conn.readResponse(req.Method)
 	if err != nil {
@@ -396,7 +397,8 @@
 	closed   bool
 }
 
-// Read implements io.Reader. It returns io.EOF only if the response is complete.
+// Read implements io.Reader. It returns io.EOF only if the response is complete. The end
+// of a connection that was reset, or on which sending failed, completes none.
 func (b *Body) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	if err == io.EOF {
