upstream: a malformed status line is no response, in all readers of HTTP

What callers saw: an answer with status 000 held the call until its deadline (504), because it was taken for an interim response. Status 600 and 999, HTTP/2.0 or HTTP/0.0 and two blanks before the status were passed on as answers, also into the output of batch items. Elsewhere status 000 was a success: a write to either store was done, an engine had taken an order, the command line had made a change, a poll found the server up, and callers of ragwortstep serve had an answer with status 0.

Cause: the parser of net/http takes any three characters that are a number, signs included, and any version. The code behind it only compares.

Fix: headCheck checks the status line as its bytes arrive, in upstream.Client and in upstream.Transport, which the other clients now use. It also counts the bytes of a head and its interim responses, in place of boundedReader; over a Transport that bound was 10 MB. A malformed or too large head is a failure of the server and no lost connection, so it is no evidence that the request crashes servers.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -18,6 +18,16 @@
 	written  int64
 }
 
+// tracked returns the trackedConn below a connection of the transport.
+func tracked(conn net.Conn) (*trackedConn, bool) {
+	outer, ok := conn.(interface{ NetConn() net.Conn })
+	if !ok {
+		return nil, false
+	}
+	inner, ok := outer.NetConn().(*trackedConn)
+	return inner, ok
+}
+
 // Write implements net.Conn.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -15,6 +15,7 @@
 
 	"ragwortstep/internal/invariant"
 	"ragwortstep/internal/panics"
+	"ragwortstep/internal/upstream"
 )
 
 var (
@@ -169,7 +170,7 @@
 // gotConn records the connection that carries the exchange. net/http calls it
 // again only when it wrote nothing on the earlier connection.
 func (ex *exchange) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*trackedConn)
+	conn, ok := tracked(info.Conn)
 	if !ok {
 		return
 	}
@@ -198,7 +199,11 @@
 	if ex.closeAndCheckSent() {
 		stage, step = NoResponse, "read header"
 	}
-	return ex.newError(stage, ex.cause(err), step, err)
+	cause := ex.cause(err)
+	if cause == Broken && stage == NoResponse && errors.IsAny(err, upstream.ErrMalformedHead, upstream.ErrHeadTooLarge) {
+		cause = Malformed
+	}
+	return ex.newError(stage, cause, step, err)
 }
 
 func (ex *exchange) cause(err error) Cause {
--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -208,7 +208,7 @@
 func (s *server) poll(ctx context.Context, gen *generation) pollResult {
 	result := pollResult{sentAt: time.Now()}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*trackedConn); ok {
+		if conn, ok := tracked(info.Conn); ok {
 			result.openedAt = conn.openedAt
 		}
 	}}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -6,31 +6,33 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ragwortstep/internal/upstream"
 )
 
 // generation is the set of connections to one server that were opened between two
 // replacements. No request starts on a replaced generation.
 type generation struct {
 	number   uint64
-	requests *http.Transport
-	polls    *http.Transport // keeps its own connection open, so that polls test an older one
+	requests *upstream.Transport
+	polls    *upstream.Transport // keeps its own connection open, so that polls test an older one
 }
 
 func newGeneration(number uint64, opts Options) *generation {
 	dial := opts.dialer()
 	return &generation{
 		number: number,
-		requests: &http.Transport{
+		requests: upstream.NewTransport(&http.Transport{
 			DialContext:         dial,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerServer,
 			IdleConnTimeout:     idleConnTimeout,
-		},
-		polls: &http.Transport{
+		}),
+		polls: upstream.NewTransport(&http.Transport{
 			DialContext:        dial,
 			DisableCompression: true,
 			MaxConnsPerHost:    1,
-		},
+		}),
 	}
 }
 
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"ragwortstep/internal/admin"
+	"ragwortstep/internal/upstream"
 )
 
 const (
@@ -38,6 +40,10 @@
 		return nil, usageError("endpoint %q is not a URL such as http://10.0.0.1:7003", endpoint)
 	}
 	c := resty.New().SetBaseURL(strings.TrimRight(endpoint, "/")).SetTimeout(timeout)
+	if u.Scheme == "http" {
+		var dialer net.Dialer
+		c.SetTransport(upstream.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, DialContext: dialer.DialContext}))
+	}
 	c.SetRedirectPolicy(resty.NoRedirectPolicy()) // a redirect could send the key to another server
 	c.SetAuthToken(key)
 	c.SetDisableWarn(true)
--- a/internal/online/forward.go
+++ b/internal/online/forward.go
@@ -499,7 +499,8 @@
 // isUnusable reports whether a failure is an answer that this host doesn't use, though
 // its connection was not lost.
 func isUnusable(failure *upstream.Error) bool {
-	return errors.IsAny(failure, upstream.ErrAnswerTooLarge, upstream.ErrAnswerMemory, upstream.ErrEventOrder, upstream.ErrMalformedEvent, upstream.ErrEventTooLarge)
+	return errors.IsAny(failure, upstream.ErrAnswerTooLarge, upstream.ErrAnswerMemory, upstream.ErrEventOrder, upstream.ErrMalformedEvent, upstream.ErrEventTooLarge,
+		upstream.ErrMalformedHead, upstream.ErrHeadTooLarge)
 }
 
 // dropInvalid drops a response that cannot be a valid one of this server to
--- /dev/null
+++ b/internal/online/malformed_test.go
@@ -0,0 +1,44 @@
+package online_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"ragwortstep/internal/servertest"
+)
+
+// headerLines are those of a sound answer.
+const headerLines = "X-Call: id-1\r\nX-Seal: s\r\nContent-Length: 5\r\n"
+
+// A server whose answer has a malformed status must be given up at once: status 000 held
+// the call until its deadline, and others reached the caller.
+func TestMalformedStatusIsNoAnswer(t *testing.T) {
+	for name, answer := range servertest.MalformedStatuses(headerLines, "hello") {
+		testMalformedHead(t, name, answer)
+	}
+}
+
+// testMalformedHead answers calls on all kinds of routes with a malformed head.
+func testMalformedHead(t *testing.T, name, answer string) {
+	for path, sends := range map[string]int{"/once/1": 1, "/get/1": 2, "/stream/1": 1, "/resumable/1": 2} {
+		t.Run(name+path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				received := 0
+				f := newPipedFixture(t, func(c *servertest.Conn) bool {
+					received++
+					return servertest.RespondAndHold(answer)(c)
+				}, "a", "b")
+				began := time.Now()
+				status, _ := f.serveWhole(path, "k")
+				is.Equal(status, http.StatusBadGateway)
+				is.True(time.Since(began) < 100*time.Millisecond) // of the fake clock
+				is.Equal(received, sends)
+			})
+		})
+	}
+}
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -12,6 +12,7 @@
 	"github.com/go-resty/resty/v2"
 
 	"ragwortstep/internal/core/orders"
+	"ragwortstep/internal/upstream"
 )
 
 const (
@@ -58,7 +59,7 @@
 // check of the lease and the write, so that tests can pause there.
 func newSender(timeout time.Duration, afterCheck func()) *sender {
 	dialer := &net.Dialer{Timeout: timeout}
-	transport := &http.Transport{
+	transport := upstream.NewTransport(&http.Transport{
 		// One connection per order, because its lease check is for one order.
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -73,7 +74,7 @@
 			}
 			return &leaseCheckedConn{Conn: conn, check: check, afterCheck: afterCheck}, nil
 		},
-	}
+	})
 	client := resty.New().SetTransport(transport).SetRedirectPolicy(resty.NoRedirectPolicy())
 	return &sender{client: client, timeout: timeout}
 }
--- /dev/null
+++ b/internal/upstream/head.go
@@ -0,0 +1,151 @@
+package upstream
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxHeadBytes bounds the head of a response together with those of the interim
+// responses before it.
+const maxHeadBytes = 64 << 10
+
+// Reasons why a head is not accepted. Neither is a lost connection.
+var (
+	// ErrMalformedHead reports bytes that are no head of a response.
+	ErrMalformedHead = errors.New("malformed head of a response")
+	// ErrHeadTooLarge reports a head of more than maxHeadBytes, with interim responses.
+	ErrHeadTooLarge = errors.Newf("the head of the response exceeds %d bytes", maxHeadBytes)
+)
+
+// headCheck checks the bytes of a response's head, and of the interim responses before
+// it, as they arrive, because the parser of net/http accepts heads that are malformed.
+// The zero value accepts any bytes.
+type headCheck struct {
+	place headPlace
+	at    int     // index of the next byte of the status line
+	code  [3]byte // of the status line
+	left  int     // bytes that the heads may still have
+	err   error   // of the first byte that was not accepted
+}
+
+// headPlace is the place of the next byte.
+type headPlace int
+
+const (
+	behindHead headPlace = iota
+	inStatus             // the status line up to the byte behind the code
+	inLine
+	atLineStart
+	atLastLineFeed // of the empty line
+)
+
+// statusPrefix begins a status line. The minor version, a blank and the code follow.
+const statusPrefix = "HTTP/1."
+
+// expect begins the check of the next response.
+func (h *headCheck) expect() { *h = headCheck{place: inStatus, left: maxHeadBytes} }
+
+// check checks the next bytes of the connection. After an error it returns that again.
+func (h *headCheck) check(p []byte) error {
+	for _, c := range p {
+		if h.place == behindHead || h.err != nil {
+			break
+		}
+		if h.left == 0 {
+			h.err = ErrHeadTooLarge
+			break
+		}
+		h.left--
+		h.checkByte(c)
+	}
+	return h.err
+}
+
+func (h *headCheck) checkByte(c byte) {
+	switch h.place {
+	case inStatus:
+		h.checkStatusByte(c)
+	case inLine:
+		if c == '\n' {
+			h.place = atLineStart
+		}
+	case atLineStart:
+		switch c {
+		case '\n':
+			h.endHead()
+		case '\r':
+			h.place = atLastLineFeed
+		default:
+			h.place = inLine
+		}
+	case atLastLineFeed:
+		h.place = inLine
+		if c == '\n' {
+			h.endHead()
+		}
+	}
+}
+
+// checkStatusByte checks a byte of the status line up to the one behind the code.
+func (h *headCheck) checkStatusByte(c byte) {
+	const version, blank, code = len(statusPrefix), len(statusPrefix) + 1, len(statusPrefix) + 2
+	switch at := h.at; {
+	case at < version:
+		h.accept(c == statusPrefix[at], "the status line", c)
+	case at == version:
+		h.accept(c == '0' || c == '1', "the version", c)
+	case at == blank:
+		h.accept(c == ' ', "the status line", c)
+	case at == code:
+		h.accept('1' <= c && c <= '5', "the status code", c)
+		h.code[0] = c
+	case at < code+len(h.code):
+		h.accept('0' <= c && c <= '9', "the status code", c)
+		h.code[at-code] = c
+	default:
+		h.accept(c == ' ' || c == '\r' || c == '\n', "the status line", c)
+		h.place = inLine
+		if c == '\n' {
+			h.place = atLineStart
+		}
+	}
+	h.at++
+}
+
+// endHead expects another head behind that of an interim response.
+func (h *headCheck) endHead() {
+	if h.code[0] == '1' && string(h.code[:]) != "101" {
+		h.place, h.at = inStatus, 0
+		return
+	}
+	h.place = behindHead
+}
+
+// accept notes an error at a byte that is not accepted.
+func (h *headCheck) accept(accepted bool, where string, c byte) {
+	if !accepted && h.err == nil {
+		h.err = errors.Wrapf(ErrMalformedHead, "byte %#02x in %s", c, where)
+	}
+}
+
+// checkedReader reads responses from a connection and checks their heads.
+type checkedReader struct {
+	r    io.Reader
+	head headCheck
+	// sendErr is the error of a failed send. It replaces io.EOF: a system call reports a
+	// reset only once, so that reads after a failed send find a regular end.
+	sendErr error
+}
+
+// Read implements io.Reader.
+func (r *checkedReader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if malformed := r.head.check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
+	if err == io.EOF && r.sendErr != nil {
+		err = r.sendErr
+	}
+	return n, err
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,8 +22,8 @@
 // conn is a connection to a server.
 type conn struct {
 	Conn
-	bounded   *boundedReader // of Conn
-	reader    *bufio.Reader  // of bounded
+	checked   *checkedReader // of Conn
+	reader    *bufio.Reader  // of checked
 	pool      *pool
 	number    uint64        // unique, ascending
 	idle      time.Duration // idle timeout when the server states none
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -5,11 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
-// Transport is an http.Transport, for clients of other servers than backend servers,
-// that reads responses by the rules of Client. It is for connections without TLS.
+// Transport is an http.Transport that checks what it reads like a Client. It is for
+// connections without TLS.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a Transport with the settings and the DialContext of t, which must
@@ -21,14 +23,35 @@
 		if err != nil {
 			return nil, err
 		}
-		return &transportConn{Conn: conn}, nil
+		c := &transportConn{Conn: conn}
+		c.head.expect()
+		return c, nil
 	}
 	return &Transport{t}
 }
 
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var carrier atomic.Pointer[transportConn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			c, _ := info.Conn.(*transportConn)
+			carrier.Store(c)
+		},
+		// Called by the goroutine that reads the connection, once the response has ended.
+		PutIdleConn: func(err error) {
+			if c := carrier.Load(); c != nil && err == nil {
+				c.head.expect()
+			}
+		},
+	}
+	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+}
+
 // transportConn is a connection of a Transport, which sends and reads at the same time.
 type transportConn struct {
 	net.Conn
+	head    headCheck  // used by one goroutine at a time, the one that reads
 	sending sync.Mutex // held during Write
 	sendErr error      // of the first failed Write; guarded by sending
 }
@@ -51,6 +74,9 @@
 // connection on which sending failed completes no response.
 func (c *transportConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if malformed := c.head.check(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	if err == io.EOF {
 		c.sending.Lock() // a Write in progress may be the one that learns of a reset
 		defer c.sending.Unlock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -220,10 +220,10 @@
 		silent := errors.As(err, &timeout) && timeout.Timeout() && ctx.Err() == nil
 		return nil, &Error{Stage: NotSent, Silent: silent, Step: "dial", Peer: address, Err: err}
 	}
-	bounded := &boundedReader{r: opened}
+	checked := &checkedReader{r: opened}
 	return &conn{
 		Conn: opened, pool: p, number: c.opened.Add(1), idle: c.opts.Idle,
-		bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes),
+		checked: checked, reader: bufio.NewReaderSize(checked, readBufferBytes),
 	}, nil
 }
 
@@ -279,7 +279,7 @@
 // readEarlyResponse reads the response of a server that stopped reading the
 // request. The end of the connection does not complete it.
 func (ex *exchange) readEarlyResponse(req *Request, sendErr error) (*Response, *Error) {
-	ex.conn.bounded.sendErr = sendErr
+	ex.conn.checked.sendErr = sendErr
 	ex.setReadDeadline(earlyResponseTimeout)
 	resp, err := ex.conn.readResponse(req.Method)
 	if err != nil {
@@ -359,8 +359,7 @@
 // readResponse reads the header of the final response. A server at work may send any
 // number of interim responses before it, within the bound of a header.
 func (c *conn) readResponse(method string) (*http.Response, error) {
-	c.bounded.limit(maxHeadBytes)
-	defer c.bounded.removeLimit()
+	c.checked.head.expect()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
