upstream: a malformed line of a header is no response

What callers saw: answers of a server with a blank in the name of a field were passed on, with that line. Where the line would have been the length or the coding of the body, the body was cut or had the bytes of the chunks. A length in a line that begins with a blank was ignored, and a line feed before a name ended the head early. Batch items were listed as completed with the text of such answers.

Cause: the parser of net/http accepts a blank in a name, continued lines, control bytes in the reason, and a line feed alone as the end of a line.

Other control bytes in a name were refused by the parser before; their cases stay.

Fix: headCheck, through which all readers of HTTP read, accepts the lines that HTTP/1.1 lets a sender write, byte by byte as they arrive, in final and interim responses.

--- a/internal/backend/malformed_test.go
+++ b/internal/backend/malformed_test.go
@@ -23,6 +23,11 @@
 	testMalformedHeads(t, servertest.MalformedStatuses)
 }
 
+// The same for a malformed line of the header.
+func TestMalformedFieldIsNoResponse(t *testing.T) {
+	testMalformedHeads(t, servertest.MalformedFields)
+}
+
 func testMalformedHeads(t *testing.T, malformed func(lines, body string) map[string]string) {
 	for name, response := range malformed("Content-Type: application/json\r\nContent-Length: 2\r\n", "{}") {
 		t.Run(name, func(t *testing.T) {
--- a/internal/bulk/malformed_test.go
+++ b/internal/bulk/malformed_test.go
@@ -19,6 +19,12 @@
 	testMalformedHeads(t, servertest.MalformedStatuses)
 }
 
+// The same for a malformed line of the header.
+func TestMalformedFieldIsNoOutput(t *testing.T) {
+	t.Parallel()
+	testMalformedHeads(t, servertest.MalformedFields)
+}
+
 // testMalformedHeads answers items with malformed heads first, and then soundly.
 func testMalformedHeads(t *testing.T, malformed func(lines, body string) map[string]string) {
 	const body = "id: 1\ndata: boom\n\n"
--- a/internal/cli/malformed_test.go
+++ b/internal/cli/malformed_test.go
@@ -17,6 +17,11 @@
 	testMalformedHeads(t, servertest.MalformedStatuses)
 }
 
+// The same for a malformed line of the header.
+func TestMalformedFieldIsAnError(t *testing.T) {
+	testMalformedHeads(t, servertest.MalformedFields)
+}
+
 func testMalformedHeads(t *testing.T, malformed func(lines, body string) map[string]string) {
 	for name, response := range malformed("Content-Length: 2\r\n", "{}") {
 		t.Run(name, func(t *testing.T) {
--- a/internal/online/malformed_test.go
+++ b/internal/online/malformed_test.go
@@ -1,6 +1,7 @@
 package online_test
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -18,12 +19,25 @@
 // the call until its deadline, and others reached the caller.
 func TestMalformedStatusIsNoAnswer(t *testing.T) {
 	for name, answer := range servertest.MalformedStatuses(headerLines, "hello") {
-		testMalformedHead(t, name, answer)
+		testMalformedHead(t, name, servertest.RespondAndHold(answer))
 	}
 }
 
-// testMalformedHead answers calls on all kinds of routes with a malformed head.
-func testMalformedHead(t *testing.T, name, answer string) {
+// An answer in whose head the name of a field holds a blank or a control byte must not
+// reach the caller: the line was passed on, or it would have been the length or coding of
+// the body, so that the body was too short, cut, or had the bytes of the chunks.
+func TestMalformedFieldIsNoAnswer(t *testing.T) {
+	for name, answer := range servertest.MalformedFields(headerLines, "hello") {
+		testMalformedHead(t, name+", held", servertest.RespondAndHold(answer))
+		testMalformedHead(t, name+", closed", func(c *servertest.Conn) bool {
+			_, _ = io.WriteString(c, answer) // fails once the host has closed the connection
+			return false
+		})
+	}
+}
+
+// testMalformedHead has calls on all kinds of routes answered by a script.
+func testMalformedHead(t *testing.T, name string, script func(*servertest.Conn) bool) {
 	for path, sends := range map[string]int{"/once/1": 1, "/get/1": 2, "/stream/1": 1, "/resumable/1": 2} {
 		t.Run(name+path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -31,7 +45,7 @@
 				received := 0
 				f := newPipedFixture(t, func(c *servertest.Conn) bool {
 					received++
-					return servertest.RespondAndHold(answer)(c)
+					return script(c)
 				}, "a", "b")
 				began := time.Now()
 				status, _ := f.serveWhole(path, "k")
--- a/internal/store/malformed_test.go
+++ b/internal/store/malformed_test.go
@@ -34,6 +34,11 @@
 	testMalformedPlatformHeads(t, servertest.MalformedStatuses)
 }
 
+// The same for a malformed line of the header.
+func TestMalformedFieldOfPlatform(t *testing.T) {
+	testMalformedPlatformHeads(t, servertest.MalformedFields)
+}
+
 func testMalformedPlatformHeads(t *testing.T, malformed func(lines, body string) map[string]string) {
 	for name, call := range platformCalls {
 		for fault, answer := range malformed("ETag: 7\r\nContent-Length: 2\r\n", "{}") {
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -4,6 +4,7 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxHeadBytes bounds the head of a response together with those of the interim
@@ -19,7 +20,9 @@
 )
 
 // headCheck checks the bytes of a response's head, and of the interim responses before
-// it, as they arrive, because the parser of net/http accepts heads that are malformed.
+// it, as they arrive, because the parser of net/http accepts heads that are malformed: a
+// name with a blank, a line that is continued by the next one, a line feed alone as the
+// end of a line.
 // The zero value accepts any bytes.
 type headCheck struct {
 	place headPlace
@@ -35,8 +38,11 @@
 const (
 	behindHead headPlace = iota
 	inStatus             // the status line up to the byte behind the code
-	inLine
+	inReason
+	atLineFeed
 	atLineStart
+	inName
+	inValue
 	atLastLineFeed // of the empty line
 )
 
@@ -66,24 +72,28 @@
 	switch h.place {
 	case inStatus:
 		h.checkStatusByte(c)
-	case inLine:
-		if c == '\n' {
-			h.place = atLineStart
+	case inReason, inValue:
+		h.accept(c == '\r' || isText(c), "a line", c)
+		if c == '\r' {
+			h.place = atLineFeed
 		}
+	case atLineFeed:
+		h.accept(c == '\n', "the end of a line", c)
+		h.place = atLineStart
 	case atLineStart:
-		switch c {
-		case '\n':
-			h.endHead()
-		case '\r':
+		h.accept(c == '\r' || isNameByte(c), "the name of a field", c)
+		h.place = inName
+		if c == '\r' {
 			h.place = atLastLineFeed
-		default:
-			h.place = inLine
 		}
-	case atLastLineFeed:
-		h.place = inLine
-		if c == '\n' {
-			h.endHead()
+	case inName:
+		h.accept(c == ':' || isNameByte(c), "the name of a field", c)
+		if c == ':' {
+			h.place = inValue
 		}
+	case atLastLineFeed:
+		h.accept(c == '\n', "the end of the head", c)
+		h.endHead()
 	}
 }
 
@@ -104,10 +114,10 @@
 		h.accept('0' <= c && c <= '9', "the status code", c)
 		h.code[at-code] = c
 	default:
-		h.accept(c == ' ' || c == '\r' || c == '\n', "the status line", c)
-		h.place = inLine
-		if c == '\n' {
-			h.place = atLineStart
+		h.accept(c == ' ' || c == '\r', "the status line", c)
+		h.place = inReason
+		if c == '\r' {
+			h.place = atLineFeed
 		}
 	}
 	h.at++
@@ -129,6 +139,12 @@
 	}
 }
 
+// isNameByte reports whether the name of a field may have the byte.
+func isNameByte(c byte) bool { return httpguts.IsTokenRune(rune(c)) }
+
+// isText reports whether a reason or the value of a field may have the byte.
+func isText(c byte) bool { return c == '\t' || c >= ' ' && c != 0x7f }
+
 // checkedReader reads responses from a connection and checks their heads.
 type checkedReader struct {
 	r    io.Reader
--- a/internal/upstream/head_test.go
+++ b/internal/upstream/head_test.go
@@ -22,6 +22,15 @@
 	}
 }
 
+// TestMalformedFieldIsNoResponse guards against returning a response in whose head the name
+// of a field holds a blank or a control byte: the line was passed on, or would have been
+// the length or coding of the body.
+func TestMalformedFieldIsNoResponse(t *testing.T) {
+	for name, response := range servertest.MalformedFields("Content-Length: 5\r\n", "hello") {
+		t.Run(name, func(t *testing.T) { testMalformedHead(t, response) })
+	}
+}
+
 // testMalformedHead sends a request to a server that responds with a malformed head and
 // keeps the connection open.
 func testMalformedHead(t *testing.T, response string) {
