upstream: an HTTP/1.0 response with a Transfer-Encoding is malformed

What callers saw: a body with the sizes and ends of its chunks, of a server that answered in chunks with a status line of HTTP/1.0.

Cause: the parser of net/http ignores and removes the field in HTTP/1.0, so that the bytes of the chunks are the body, up to a length beside them or to the end of the connection.

Fix: headCheck refuses the field in a head of HTTP/1.0, as RFC 9112 asks of a recipient: the framing of such a message counts as faulty.

--- a/internal/servertest/malformed.go
+++ b/internal/servertest/malformed.go
@@ -81,6 +81,8 @@
 	out["the only length has a blank in its name"] = fmt.Sprintf("HTTP/1.1 200 X\r\nContent-Length : %d\r\n%s\r\n%s", len(body), withoutLength, body)
 	out["the only length is behind a line feed"] = fmt.Sprintf("HTTP/1.1 200 X\r\n%s\nContent-Length: %d\r\n\r\n%s", withoutLength, len(body), body)
 	out["the coding has a blank in its name"] = fmt.Sprintf("HTTP/1.1 200 X\r\nTransfer-Encoding : chunked\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", withoutLength, len(body), body)
+	out["chunks in HTTP/1.0"] = fmt.Sprintf("HTTP/1.0 200 X\r\n%stransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", withoutLength, len(body), body)
+	out["chunks and a length in HTTP/1.0"] = fmt.Sprintf("HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", lines, len(body), body)
 	out["control byte in the reason"] = "HTTP/1.1 200 \x01\r\n" + lines + "\r\n" + body
 	out["line feed alone behind the status"] = "HTTP/1.1 200 X\n" + lines + "\r\n" + body
 	out["line feed alone at the end"] = "HTTP/1.1 200 X\r\n" + lines + "\n" + body
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -27,7 +27,9 @@
 type headCheck struct {
 	place headPlace
 	at    int     // index of the next byte of the status line
+	minor byte    // of the version, a digit
 	code  [3]byte // of the status line
+	name  int     // bytes of the name read so far, if they begin codingField, else -1
 	left  int     // bytes that the heads may still have
 	err   error   // of the first byte that was not accepted
 }
@@ -49,6 +51,10 @@
 // statusPrefix begins a status line. The minor version, a blank and the code follow.
 const statusPrefix = "HTTP/1."
 
+// codingField is the field that changes the framing of a body. HTTP/1.0 doesn't have it:
+// the parser of net/http ignores it there, and the body would have the bytes of its chunks.
+const codingField = "transfer-encoding"
+
 // expect begins the check of the next response.
 func (h *headCheck) expect() { *h = headCheck{place: inStatus, left: maxHeadBytes} }
 
@@ -82,15 +88,18 @@
 		h.place = atLineStart
 	case atLineStart:
 		h.accept(c == '\r' || isNameByte(c), "the name of a field", c)
-		h.place = inName
+		h.place, h.name = inName, 0
+		h.matchName(c)
 		if c == '\r' {
 			h.place = atLastLineFeed
 		}
 	case inName:
 		h.accept(c == ':' || isNameByte(c), "the name of a field", c)
 		if c == ':' {
+			h.accept(h.name != len(codingField) || h.minor != '0', "an HTTP/1.0 head with Transfer-Encoding", c)
 			h.place = inValue
 		}
+		h.matchName(c)
 	case atLastLineFeed:
 		h.accept(c == '\n', "the end of the head", c)
 		h.endHead()
@@ -105,6 +114,7 @@
 		h.accept(c == statusPrefix[at], "the status line", c)
 	case at == version:
 		h.accept(c == '0' || c == '1', "the version", c)
+		h.minor = c
 	case at == blank:
 		h.accept(c == ' ', "the status line", c)
 	case at == code:
@@ -123,6 +133,18 @@
 	h.at++
 }
 
+// matchName compares the next byte of a name with codingField.
+func (h *headCheck) matchName(c byte) {
+	if 'A' <= c && c <= 'Z' {
+		c += 'a' - 'A'
+	}
+	if h.name < 0 || h.name == len(codingField) || c != codingField[h.name] {
+		h.name = -1
+		return
+	}
+	h.name++
+}
+
 // endHead expects another head behind that of an interim response.
 func (h *headCheck) endHead() {
 	if h.code[0] == '1' && string(h.code[:]) != "101" {
--- a/internal/upstream/head_fuzz_test.go
+++ b/internal/upstream/head_fuzz_test.go
@@ -24,6 +24,9 @@
 	return regexp.MustCompile(`\A(HTTP/1\.[01] 1(0[02-9]|[1-9][0-9])` + line + fields + `)*HTTP/1\.[01] (101|[2-5][0-9][0-9])` + line + fields)
 }()
 
+// codedInHTTP10 matches a head of HTTP/1.0 whose body would have a coding.
+var codedInHTTP10 = regexp.MustCompile(`(?i)HTTP/1\.0 [^\n]*\r\n([^\r\n]+\r\n)*transfer-encoding:`)
+
 // FuzzHead guards against accepting a head that is malformed or that the parser divides
 // in another way, against refusing a well-formed one, and against a verdict that depends
 // on the pieces in which the bytes arrive.
@@ -45,7 +48,7 @@
 		}
 		head := wellFormedHead.Find(response)
 		parsed, parsable := parseBody(response)
-		if accepted := head != nil && parsable; accepted != (err == nil) {
+		if accepted := head != nil && !codedInHTTP10.Match(head) && parsable; accepted != (err == nil) {
 			t.Fatalf("%q: well-formed and parsable %v, error %v", response, accepted, err)
 		}
 		if err == nil && !bytes.Equal(body, parsed) {
