upstream, platform, store, orders, cli: bodies without end are bounded

What was seen: the clients of both stores, of engines and of the command line read an answer without end until the call's time was over, and kept all of it.

Cause: resty reads a body to its end, and nothing bounded it.

Fix: Transport counts the bytes of bodies while they are read, per body and together, with the account that holds answers of servers. Beyond a bound a read of the store fails and a write's outcome is unknown, as for a lost answer.

--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -27,12 +27,12 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerServer,
 			IdleConnTimeout:     idleConnTimeout,
-		}),
+		}, upstream.BodyBounds{}), // who reads a body bounds it
 		polls: upstream.NewTransport(&http.Transport{
 			DialContext:        dial,
 			DisableCompression: true,
 			MaxConnsPerHost:    1,
-		}),
+		}, upstream.BodyBounds{}),
 	}
 }
 
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -25,6 +25,8 @@
 	// keeps concurrent edits of others.
 	conflictRetries = 5
 	pageSize        = 1000
+	// maxResponseBytes bounds a response that is held in memory.
+	maxResponseBytes = 256 << 20
 )
 
 // client calls the operators' or callers' API of one host.
@@ -42,8 +44,9 @@
 	c := resty.New().SetBaseURL(strings.TrimRight(endpoint, "/")).SetTimeout(timeout)
 	if u.Scheme == "http" {
 		var dialer net.Dialer
-		c.SetTransport(upstream.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, DialContext: dialer.DialContext}))
+		c.SetTransport(upstream.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, DialContext: dialer.DialContext}, upstream.BodyBounds{}))
 	}
+	c.SetResponseBodyLimit(maxResponseBytes)
 	c.SetRedirectPolicy(resty.NoRedirectPolicy()) // a redirect could send the key to another server
 	c.SetAuthToken(key)
 	c.SetDisableWarn(true)
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -17,6 +17,8 @@
 
 const (
 	ordersPath = "/orders"
+	// maxResponseBytes bounds an engine's response, of which only an error is used.
+	maxResponseBytes = 64 << 10
 	// maxErrorLength bounds the part of an engine's response that is kept, in
 	// characters.
 	maxErrorLength = 200
@@ -74,7 +76,7 @@
 			}
 			return &leaseCheckedConn{Conn: conn, check: check, afterCheck: afterCheck}, nil
 		},
-	})
+	}, upstream.BodyBounds{Each: maxResponseBytes})
 	client := resty.New().SetTransport(transport).SetRedirectPolicy(resty.NoRedirectPolicy())
 	return &sender{client: client, timeout: timeout}
 }
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -20,6 +20,11 @@
 	callTimeout         = 2 * time.Second
 	watchTimeout        = 10 * time.Second
 	watchResponseMargin = 2 * time.Second
+	// maxResponseBytes bounds one answer. The largest is a page of a listing: 8 MiB of
+	// values and one more, in base64.
+	maxResponseBytes = 16 << 20
+	// responseMemory bounds what all answers take while they are read.
+	responseMemory = 64 << 20
 )
 
 // HTTPStore implements Store over the platform's HTTP API.
@@ -36,7 +41,7 @@
 		DialContext:         (&net.Dialer{Timeout: callTimeout, KeepAlive: callTimeout}).DialContext,
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     30 * time.Second,
-	})
+	}, upstream.BodyBounds{Each: maxResponseBytes, All: responseMemory})
 	c := resty.New().SetTransport(transport).SetBaseURL(baseURL)
 	c.SetHeader("X-Platform-Client", clientName)
 	return &HTTPStore{client: c}
--- a/internal/upstream/memory.go
+++ b/internal/upstream/memory.go
@@ -21,8 +21,9 @@
 
 // Reasons why an answer can't be held. Neither is a lost connection.
 var (
-	// ErrAnswerTooLarge reports an answer of more than MaxAnswerBytes.
-	ErrAnswerTooLarge = errors.Newf("the answer has more than %d bytes", MaxAnswerBytes)
+	// ErrAnswerTooLarge reports an answer of more bytes than one may have, which are
+	// MaxAnswerBytes for one of a Client.
+	ErrAnswerTooLarge = errors.New("the answer has too many bytes")
 	// ErrAnswerMemory reports that the large answers that are held take all memory for
 	// answers. It says nothing about the server.
 	ErrAnswerMemory = errors.New("large answers take all memory for answers")
@@ -31,6 +32,7 @@
 // answerMemory is the memory that the answers of a client share. Answers never yield:
 // their requests have run.
 type answerMemory struct {
+	largest int // bytes of one answer
 	mu      sync.Mutex
 	account *memory.Account
 }
@@ -51,7 +53,7 @@
 // Resize is called before an answer takes a number of bytes in all. If it returns
 // ErrAnswerTooLarge or ErrAnswerMemory, the answer must not take more than before.
 func (h *HeldAnswer) Resize(bytes int) error {
-	if bytes > MaxAnswerBytes {
+	if bytes > h.memory.largest {
 		return ErrAnswerTooLarge
 	}
 	h.mu.Lock()
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -8,15 +8,29 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"ragwortstep/internal/core/memory"
+	"ragwortstep/internal/defaults"
 )
 
 // Transport is an http.Transport that checks what it reads like a Client. It is for
 // connections without TLS.
-type Transport struct{ *http.Transport }
+type Transport struct {
+	*http.Transport
+	bodies *answerMemory // nil without bounds
+}
+
+// BodyBounds bounds the bytes of the bodies of responses. Without a bound on one body
+// there is none at all.
+type BodyBounds struct {
+	Each int   // of one body
+	All  int64 // of all bodies that are not closed, beyond 64 KiB each; 32 MiB by default
+}
 
 // NewTransport returns a Transport with the settings and the DialContext of t, which must
-// not be used afterwards.
-func NewTransport(t *http.Transport) *Transport {
+// not be used afterwards. A body beyond its bounds ends with ErrAnswerTooLarge or
+// ErrAnswerMemory.
+func NewTransport(t *http.Transport, bounds BodyBounds) *Transport {
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
@@ -27,7 +41,12 @@
 		c.head.expect()
 		return c, nil
 	}
-	return &Transport{t}
+	out := &Transport{Transport: t}
+	if bounds.Each > 0 {
+		defaults.Set(&bounds.All, defaultAnswerMemory)
+		out.bodies = &answerMemory{largest: bounds.Each, account: memory.New(bounds.All)}
+	}
+	return out
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -45,7 +64,34 @@
 			}
 		},
 	}
-	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err == nil && t.bodies != nil {
+		resp.Body = &boundedBody{ReadCloser: resp.Body, held: &HeldAnswer{memory: t.bodies}}
+	}
+	return resp, err
+}
+
+// boundedBody is a body whose bytes count as held until it is closed.
+type boundedBody struct {
+	io.ReadCloser
+	held *HeldAnswer
+	read int
+}
+
+// Read implements io.Reader.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.read += n
+	if held := b.held.Resize(b.read); held != nil {
+		return 0, held
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *boundedBody) Close() error {
+	b.held.Release()
+	return b.ReadCloser.Close()
 }
 
 // transportConn is a connection of a Transport, which sends and reads at the same time.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -138,7 +138,7 @@
 	if opts.Connect == nil {
 		opts.Connect = opts.connectTCP
 	}
-	return &Client{opts: opts, pools: map[string]*pool{}, answers: answerMemory{account: memory.New(opts.AnswerMemory)}}
+	return &Client{opts: opts, pools: map[string]*pool{}, answers: answerMemory{largest: MaxAnswerBytes, account: memory.New(opts.AnswerMemory)}}
 }
 
 // CloseIdleExcept closes idle connections to all addresses not in addresses.
