peer: greetings are bounded on the side that connects too

What was seen: a host that connects to a peer's address read one message of up to 64 MB there before the other side had proved to be that peer.

Cause: the connection had the bound for messages of authenticated peers from its begin; only the side that accepts had the bound for greetings.

Fix: the codec of a connection has the bound for greetings on both sides and gets the larger one once the peer is authenticated.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -105,21 +105,29 @@
 	}
 }
 
-// boundedCodec is jsonrpc2's length-prefixed codec with a limit on the length.
+// boundedCodec is jsonrpc2's length-prefixed codec with a limit on the length: that of a
+// greeting until the peer is authenticated.
 type boundedCodec struct {
 	jsonrpc2.VarintObjectCodec
-	limit uint64
+	limit atomic.Uint64
+}
+
+func newCodec(limit uint64) *boundedCodec {
+	c := &boundedCodec{}
+	c.limit.Store(limit)
+	return c
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (c boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
+func (c *boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
 	// Every JSON-RPC message is longer than the peeked header.
 	header, err := stream.Peek(binary.MaxVarintLen64)
 	if err != nil {
 		return io.EOF
 	}
-	if size, n := binary.Uvarint(header); n <= 0 || size > c.limit {
-		return errors.Newf("message of %d bytes exceeds %d", size, c.limit)
+	limit := c.limit.Load()
+	if size, n := binary.Uvarint(header); n <= 0 || size > limit {
+		return errors.Newf("message of %d bytes exceeds %d", size, limit)
 	}
 	return c.VarintObjectCodec.ReadObject(stream, v)
 }
@@ -132,7 +140,3 @@
 func (l rpcLogger) Printf(format string, v ...any) {
 	l.log.Debug("peer: "+format, "args", v)
 }
-
-func newStream(conn net.Conn, limit uint64) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, boundedCodec{limit: limit})
-}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -175,12 +175,14 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	rpc := jsonrpc2.NewConn(n.ctx, newStream(conn, maxMessageBytes), refuseCalls{}, jsonrpc2.SetLogger(rpcLogger{n.opts.Logger}))
+	codec := newCodec(maxHelloBytes)
+	rpc := jsonrpc2.NewConn(n.ctx, jsonrpc2.NewBufferedStream(conn, codec), refuseCalls{}, jsonrpc2.SetLogger(rpcLogger{n.opts.Logger}))
 	host, err := n.authenticate(ctx, rpc, state)
 	if err != nil {
 		_ = rpc.Close()
 		return nil, err
 	}
+	codec.limit.Store(maxMessageBytes)
 	return &outConn{peer: host, timed: timed, rpc: rpc}, nil
 }
 
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -27,7 +27,7 @@
 type session struct {
 	node  *Node
 	conn  net.Conn
-	codec *sessionCodec
+	codec *boundedCodec
 	slots chan struct{}
 
 	// Used only by the goroutine that reads the connection.
@@ -53,7 +53,7 @@
 	}
 	s := &session{
 		node: n, conn: conn,
-		codec: &sessionCodec{boundedCodec: boundedCodec{limit: maxHelloBytes}},
+		codec: newCodec(maxHelloBytes),
 		slots: make(chan struct{}, n.opts.MaxInFlight),
 	}
 	if !n.track(s) {
@@ -73,10 +73,6 @@
 	<-rpc.DisconnectNotify()
 }
 
-// sessionCodec allows larger messages once the peer is authenticated. It is
-// used by the reading goroutine only.
-type sessionCodec struct{ boundedCodec }
-
 func (n *Node) track(s *session) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -112,7 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peer = host
-	s.codec.limit = maxMessageBytes
+	s.codec.limit.Store(maxMessageBytes)
 }
 
 func (s *session) handshakeTLS() error {
--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rpc := jsonrpc2.NewConn(context.Background(), newStream(conn, maxMessageBytes), refuseCalls{}, jsonrpc2.SetLogger(rpcLogger{discardLogger()}))
+	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, newCodec(maxMessageBytes)), refuseCalls{}, jsonrpc2.SetLogger(rpcLogger{discardLogger()}))
 	t.Cleanup(func() { _ = rpc.Close() })
 	return rawConn{rpc}
 }
