bulk: a failure of an item counts only as a whole answer

What callers saw: an item was listed as given up after an answer with status 422 of which more than 16 KiB had arrived and the rest was cut, or never ended.

Cause: at most 16 KiB of the body of a failure were read, and reaching that bound counted as its end.

Evidence: 3 of 5 cases of TestCutFailureGivesNoItemUp failed, those whose body is not whole. All pass; the package passes.

Fix: the body is read to its end without being kept, up to the bytes that an answer may have. One that is cut or longer is a broken run, and the item runs elsewhere.

--- a/internal/bulk/itemrun.go
+++ b/internal/bulk/itemrun.go
@@ -417,13 +417,13 @@
 	return r.handleServerError(slot, resp, meta)
 }
 
-// drainLimit bounds the bytes read of a response that is not used.
-const drainLimit = 16 << 10
-
-// handleServerError handles an error response of a server.
+// handleServerError handles an error response of a server, which counts only as a whole.
 func (r *itemRun) handleServerError(slot *slots.Slot, resp *upstream.Response, meta online.ResponseMeta) (*itemlist.Result, placement.Outcome, float64) {
 	resp.Body.SetReadTimeout(r.patience() * eventGapTimeout)
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, drainLimit))
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, upstream.MaxAnswerBytes+1))
+	if err == nil && n > upstream.MaxAnswerBytes {
+		err = upstream.ErrAnswerTooLarge
+	}
 	if err == nil && !meta.Sealed {
 		err = errors.New("response without the server's signature")
 	}
