gateway: answers that are buffered share a bounded memory

What was seen: on the product's own interface 64 answers that stopped just short of 4 MiB were all held until they ended, and each further call added another 4 MiB. Faulty servers could end a host in this way.

Cause: each buffered answer had a bound, all together had none.

Fix: the gateway counts what it buffers with the account of the platform's side, which is now exported (upstream.AnswerMemory), and so is the reader of whole answers. An answer that finds no memory is relayed as it arrives, like one of more than 4 MiB.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"ragwortstep/internal/fleet"
 	"ragwortstep/internal/limiter"
 	"ragwortstep/internal/settings"
+	"ragwortstep/internal/upstream"
 )
 
 var counters = expvar.NewMap("gateway")
@@ -62,6 +63,7 @@
 	keys           atomic.Pointer[keyIndex]
 	routes         atomic.Pointer[routeTable]
 	requestTracker *requestTracker
+	answers        *upstream.AnswerMemory // for responses that are buffered
 	draining       atomic.Bool
 	mux            *http.ServeMux
 	handler        http.Handler // mux, with responses that are visibly aborted
@@ -72,7 +74,10 @@
 	if opts.Logger == nil {
 		opts.Logger = slog.Default()
 	}
-	g := &Gateway{opts: opts, requestTracker: newRequestTracker(), mux: http.NewServeMux()}
+	g := &Gateway{
+		opts: opts, requestTracker: newRequestTracker(), mux: http.NewServeMux(),
+		answers: upstream.NewAnswerMemory(maxBufferedBytes, upstream.DefaultAnswerMemory),
+	}
 	g.applyConfig(opts.Fleet.Config())
 	opts.Fleet.OnConfig(g.applyConfig)
 	g.mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,13 +12,15 @@
 	"github.com/cockroachdb/errors"
 
 	"ragwortstep/internal/dispatch"
+	"ragwortstep/internal/upstream"
 )
 
 const (
 	// streamBufferBytes is the size of the copy buffer of one relayed stream.
 	streamBufferBytes = 32 << 10
 	// maxBufferedBytes is the largest response that is read completely before its
-	// first byte is sent; larger ones are relayed as they arrive.
+	// first byte is sent. Larger ones are relayed as they arrive, and so are those for
+	// which the others that are buffered leave no memory.
 	maxBufferedBytes = 4 << 20
 	// slowReaderTimeout ends the stream of a caller that reads nothing for this long.
 	slowReaderTimeout = 30 * time.Second
@@ -63,7 +65,8 @@
 type response struct {
 	resp     *dispatch.Response
 	buffered []byte
-	unread   bool // resp.Body continues after buffered
+	held     *upstream.HeldAnswer // counts buffered, nil for a stream
+	unread   bool                 // resp.Body continues after buffered
 	sse      bool
 }
 
@@ -91,21 +94,25 @@
 		taken = true
 		return &response{resp: resp, unread: true, sse: true}, nil
 	}
-	buffered, apiErr := bufferResponse(ctx, resp)
+	buffered, apiErr := g.bufferResponse(ctx, resp)
 	taken = apiErr == nil && buffered.unread
 	return buffered, apiErr
 }
 
-// bufferResponse reads a response up to maxBufferedBytes.
-func bufferResponse(ctx context.Context, resp *dispatch.Response) (*response, *apiError) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil {
+// bufferResponse reads a response as far as it may be held in memory.
+func (g *Gateway) bufferResponse(ctx context.Context, resp *dispatch.Response) (out *response, apiErr *apiError) {
+	held := g.answers.Hold()
+	defer func() { // also after a panic
+		if out == nil {
+			held.Release()
+		}
+	}()
+	buffered, err := held.ReadAll(resp.Body)
+	unread := errors.IsAny(err, upstream.ErrAnswerTooLarge, upstream.ErrAnswerMemory)
+	if err != nil && !unread {
 		return nil, responseReadError(ctx, err)
 	}
-	if len(body) > maxBufferedBytes {
-		return &response{resp: resp, buffered: body, unread: true}, nil
-	}
-	return &response{resp: resp, buffered: body}, nil
+	return &response{resp: resp, buffered: buffered, held: held, unread: unread}, nil
 }
 
 // responseReadError returns the error for a response that could not be read to
@@ -126,7 +133,7 @@
 // send writes the response. When the body ends early it aborts the connection,
 // so that the caller does not take the response for complete.
 func (r *response) send(ctx context.Context, w http.ResponseWriter, g *Gateway) {
-	defer r.resp.Body.Close()
+	defer r.close()
 	copyHeader(w.Header(), r.resp.Header)
 	if r.resp.Status >= http.StatusInternalServerError {
 		// The server received the request, so it may have been executed in part.
@@ -151,6 +158,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// close frees what the response holds.
+func (r *response) close() {
+	r.resp.Body.Close()
+	if r.held != nil {
+		r.held.Release()
+	}
+}
+
 // copyHeader copies the response's end-to-end headers.
 func copyHeader(to, from http.Header) {
 	dropped := hopByHopNames(from)
--- a/internal/online/exchange.go
+++ b/internal/online/exchange.go
@@ -118,7 +118,7 @@
 	x.inBody = true
 	go func() {
 		defer x.recoverAs(wholeBody, resp)
-		body, err := readAll(&notingReader{resp.Body, &x.readAt}, x.held)
+		body, err := x.held.ReadAll(&notingReader{resp.Body, &x.readAt})
 		if err == nil && resp.UntilClose && len(body) == 0 && resp.Status < http.StatusMultipleChoices {
 			err = io.ErrUnexpectedEOF // the server may have ended before the body began
 		}
@@ -159,33 +159,6 @@
 	}()
 }
 
-// firstBufferBytes is the size of a new buffer for a whole body.
-const firstBufferBytes = 4 << 10
-
-// readAll reads a whole body into memory that held counts.
-func readAll(r io.Reader, held *upstream.HeldAnswer) ([]byte, error) {
-	body := make([]byte, 0, firstBufferBytes)
-	for {
-		if len(body) == cap(body) {
-			size := min(2*cap(body), upstream.MaxAnswerBytes+1) // the last byte shows that there are more
-			if err := held.Resize(min(size, upstream.MaxAnswerBytes)); err != nil {
-				return nil, err
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case len(body) > upstream.MaxAnswerBytes:
-			return nil, upstream.ErrAnswerTooLarge
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
 // notingReader notes when it has read bytes.
 type notingReader struct {
 	r  io.Reader
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -9,7 +9,6 @@
 	"sync"
 	"sync/atomic"
 
-	"ragwortstep/internal/core/memory"
 	"ragwortstep/internal/defaults"
 )
 
@@ -17,7 +16,7 @@
 // connections without TLS.
 type Transport struct {
 	*http.Transport
-	bodies *answerMemory // nil without bounds
+	bodies *AnswerMemory // nil without bounds
 }
 
 // BodyBounds bounds the bytes of the bodies of responses. Without a bound on one body
@@ -43,8 +42,8 @@
 	}
 	out := &Transport{Transport: t}
 	if bounds.Each > 0 {
-		defaults.Set(&bounds.All, defaultAnswerMemory)
-		out.bodies = &answerMemory{largest: bounds.Each, account: memory.New(bounds.All)}
+		defaults.Set(&bounds.All, DefaultAnswerMemory)
+		out.bodies = NewAnswerMemory(bounds.Each, bounds.All)
 	}
 	return out
 }
@@ -66,7 +65,7 @@
 	}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil && t.bodies != nil {
-		resp.Body = &boundedBody{ReadCloser: resp.Body, held: &HeldAnswer{memory: t.bodies}}
+		resp.Body = &boundedBody{ReadCloser: resp.Body, held: t.bodies.Hold()}
 	}
 	return resp, err
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,7 +21,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"ragwortstep/internal/core/memory"
 	"ragwortstep/internal/defaults"
 	"ragwortstep/internal/panics"
 	"ragwortstep/internal/rawconn"
@@ -126,7 +125,7 @@
 	pools  map[string]*pool
 	opened atomic.Uint64 // connections opened
 
-	answers answerMemory
+	answers *AnswerMemory
 }
 
 // New returns a client without connections.
@@ -134,11 +133,11 @@
 	defaults.Positive(&opts.Dial, defaultDialTimeout)
 	defaults.Positive(&opts.UserTimeout, defaultUserTimeout)
 	defaults.Positive(&opts.Idle, defaultIdleTimeout)
-	defaults.Set(&opts.AnswerMemory, defaultAnswerMemory)
+	defaults.Set(&opts.AnswerMemory, DefaultAnswerMemory)
 	if opts.Connect == nil {
 		opts.Connect = opts.connectTCP
 	}
-	return &Client{opts: opts, pools: map[string]*pool{}, answers: answerMemory{largest: MaxAnswerBytes, account: memory.New(opts.AnswerMemory)}}
+	return &Client{opts: opts, pools: map[string]*pool{}, answers: NewAnswerMemory(MaxAnswerBytes, opts.AnswerMemory)}
 }
 
 // CloseIdleExcept closes idle connections to all addresses not in addresses.
