backend: a server whose answer to a poll is broken is not hung

What was seen: since the check of heads, a server that answers polls with a malformed head counted as one that does not answer. After two polls its connections were replaced, and its exchanges were cut when they paused for a second, though the server was at work on them.

Cause: any error of the poll's round trip counted as no answer.

Fix: a head that is not accepted has arrived, so the poll counts as answered and failed, like one that is refused with 503.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -200,12 +200,17 @@
 		stage, step = NoResponse, "read header"
 	}
 	cause := ex.cause(err)
-	if cause == Broken && stage == NoResponse && errors.IsAny(err, upstream.ErrMalformedHead, upstream.ErrHeadTooLarge) {
+	if cause == Broken && stage == NoResponse && isBrokenHead(err) {
 		cause = Malformed
 	}
 	return ex.newError(stage, cause, step, err)
 }
 
+// isBrokenHead reports whether a response arrived whose head is not accepted.
+func isBrokenHead(err error) bool {
+	return errors.IsAny(err, upstream.ErrMalformedHead, upstream.ErrHeadTooLarge)
+}
+
 func (ex *exchange) cause(err error) Cause {
 	var op *net.OpError
 	switch {
--- a/internal/backend/poll.go
+++ b/internal/backend/poll.go
@@ -218,7 +218,8 @@
 	}
 	resp, err := gen.polls.RoundTrip(req)
 	if err != nil {
-		return pollResult{err: errors.Wrapf(err, "poll server %s", s.name)}
+		// A server that sends a broken answer is not hung.
+		return pollResult{err: errors.Wrapf(err, "poll server %s", s.name), answered: isBrokenHead(err)}
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes))
