--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -22,8 +22,7 @@
 // headCheck checks the bytes of a response's head, and of the interim responses before
 // it, as they arrive, because the parser of net/http accepts heads that are malformed: a
 // name with a blank, a line that is continued by the next one, a line feed alone as the
-// end of a line.
-// The zero value accepts any bytes.
+// end of a line. The zero value accepts any bytes.
 type headCheck struct {
 	place headPlace
 	at    int     // index of the next byte of the status line
