upstream: report that a head is too large, not the line that it ends

What callers saw: servers that answered a request with heads of more than 64 KB made it refused with 503 crashes_servers, also once servers answered soundly.

Cause: the parser reports the part of a line that it has when the reader fails, as a malformed line, so that the error of the check was lost and the exchange counted as a lost connection.

Evidence: "head too large" of TestMalformedHeadIsNoCrash failed with 503 and passes; with heads out of the list of unusable answers both cases fail. The error was not lost at every length of a line: TestEndlessPartIsBounded, which asks for it now, passed before as well.

Fix: Client and Transport return the error of the check if there is one.

--- a/internal/online/malformed_test.go
+++ b/internal/online/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,37 @@
 	}
 }
 
+// Malformed answers must not count as the loss of a server under the request: it was refused
+// on all hosts for a while, also once servers answered soundly.
+func TestMalformedHeadIsNoCrash(t *testing.T) {
+	for name, answer := range map[string]string{
+		"status that is no number": "HTTP/1.1 2x0 X\r\n" + headerLines + "\r\nhello",
+		"head too large":           "HTTP/1.1 200 X\r\n" + strings.Repeat("X-Pad: 0\r\n", 10_000) + headerLines + "\r\nhello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				sound := false
+				f := newPipedFixture(t, func(c *servertest.Conn) bool {
+					if sound {
+						return ok(c)
+					}
+					_, _ = io.WriteString(c, answer) // fails once the host has closed the connection
+					return false
+				}, "a", "b", "c", "d")
+				for range 4 {
+					status, _ := f.serveWhole("/get/1", "k")
+					is.Equal(status, http.StatusBadGateway)
+				}
+				sound = true
+				time.Sleep(10 * time.Second) // servers that were ejected are in use again
+				status, _ := f.serveWhole("/get/1", "k")
+				is.Equal(status, http.StatusOK)
+			})
+		})
+	}
+}
+
 // testMalformedHead has calls on all kinds of routes answered by a script.
 func testMalformedHead(t *testing.T, name string, script func(*servertest.Conn) bool) {
 	for path, sends := range map[string]int{"/once/1": 1, "/get/1": 2, "/stream/1": 1, "/resumable/1": 2} {
--- a/internal/upstream/bounds_test.go
+++ b/internal/upstream/bounds_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"ragwortstep/internal/servertest"
@@ -32,9 +33,10 @@
 }{
 	"line of a head":           {"HTTP/1.1 200 X\r\nX-Pad: ", "0", headBound},
 	"lines of a head":          {"HTTP/1.1 200 X\r\n", "X-Pad: 0\r\n", headBound},
+	"long names in a head":     {"HTTP/1.1 200 X\r\n", strings.Repeat("X", 300) + ": 0\r\n", headBound},
 	"reason":                   {"HTTP/1.1 200 ", "0", headBound},
 	"interim responses":        {"", "HTTP/1.1 103 X\r\nX-Pad: 0\r\n\r\n", headBound},
-	"head behind interim ones": {strings.Repeat("HTTP/1.1 103 X\r\nX-Pad: 0\r\n\r\n", 1000), "HTTP/1.1 200 X\r\n", headBound},
+	"head behind interim ones": {strings.Repeat("HTTP/1.1 103 X\r\nX-Pad: 0\r\n\r\n", 1000) + "HTTP/1.1 200 X\r\n", "X-Pad: 0\r\n", headBound},
 	"line of a chunk":          {"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n1;", "0", lineBound},
 	"size of a chunk":          {"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", "0", lineBound},
 	"line of a trailer":        {"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Pad: ", "0", lineBound},
@@ -70,11 +72,13 @@
 				_ = resp.Body.Close()
 			}
 			is.True(err != nil)
+			is.Equal(errors.Is(err, upstream.ErrHeadTooLarge), part.bound == headBound)
 			is.True(taken.Load() <= part.bound+readAhead)
 
 			taken.Store(0)
 			err = readWith(t, newBoundedTransport(s))
 			is.True(err != nil)
+			is.Equal(errors.Is(err, upstream.ErrHeadTooLarge), part.bound == headBound)
 			is.True(taken.Load() <= part.bound+readAhead)
 		})
 	}
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -178,8 +178,8 @@
 // Read implements io.Reader.
 func (r *checkedReader) Read(p []byte) (int, error) {
 	n, err := r.r.Read(p)
-	if malformed := r.head.check(p[:n]); malformed != nil {
-		return 0, malformed
+	if broken := r.head.check(p[:n]); broken != nil {
+		return 0, broken
 	}
 	if err == io.EOF && r.sendErr != nil {
 		err = r.sendErr
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -64,6 +64,9 @@
 		},
 	}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if c := carrier.Load(); err != nil && c != nil && c.headErr.Load() != nil {
+		err = *c.headErr.Load() // the parser may report the line that it ends
+	}
 	if err == nil && t.bodies != nil {
 		resp.Body = &boundedBody{ReadCloser: resp.Body, held: t.bodies.Hold()}
 	}
@@ -96,9 +99,10 @@
 // transportConn is a connection of a Transport, which sends and reads at the same time.
 type transportConn struct {
 	net.Conn
-	head    headCheck  // used by one goroutine at a time, the one that reads
-	sending sync.Mutex // held during Write
-	sendErr error      // of the first failed Write; guarded by sending
+	head    headCheck             // used by one goroutine at a time, the one that reads
+	headErr atomic.Pointer[error] // of head
+	sending sync.Mutex            // held during Write
+	sendErr error                 // of the first failed Write; guarded by sending
 }
 
 // NetConn returns the connection that DialContext returned.
@@ -119,8 +123,9 @@
 // connection on which sending failed completes no response.
 func (c *transportConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if malformed := c.head.check(p[:n]); malformed != nil {
-		return 0, malformed
+	if broken := c.head.check(p[:n]); broken != nil {
+		c.headErr.Store(&broken)
+		return 0, broken
 	}
 	if err == io.EOF {
 		c.sending.Lock() // a Write in progress may be the one that learns of a reset
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -2,6 +2,7 @@
 // connections. A connection carries one request at a time, so every failure
 // reports whether any byte of the request was sent. Connections are closed after
 // any irregularity instead of being reused, and requests are never retried here.
+// Transport gives the clients of other servers the same checks of what they read.
 package upstream
 
 import (
@@ -361,6 +362,9 @@
 	c.checked.head.expect()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.checked.head.err != nil {
+			return nil, c.checked.head.err // the parser may report the line that it ends
+		}
 		if err != nil {
 			return nil, err
 		}
