online: wait for the slot of a stalled caller until the test's bound

Cause: a host closes the connection of an exchange before it frees the slot, and the test read the slot at the first of the two.

The slot is now asked for until the same bound as before, 2.5 s after the begin of the call, 0.5 s after the end of its time.

--- a/internal/online/stalled_caller_test.go
+++ b/internal/online/stalled_caller_test.go
@@ -38,12 +38,17 @@
 			f := newFixture(t, s)
 			c := f.dialCaller(callerKinds[""], path)
 			defer c.Close()
+			deadline := time.Now().Add(2500 * time.Millisecond) // the route's timeout is 2 s
 			select {
 			case <-ended:
-			case <-time.After(2500 * time.Millisecond): // the route's timeout is 2 s
+			case <-time.After(time.Until(deadline)):
 				t.Error("the server is still held 0.5 s after the end of the call's time")
 			}
 			load, _ := f.slots.ServiceLoad("s")
+			for load > 0 && time.Now().Before(deadline) { // the slot is freed after its connection is closed
+				time.Sleep(time.Millisecond)
+				load, _ = f.slots.ServiceLoad("s")
+			}
 			is.Equal(load, 0)
 		})
 	}
