--- a/review/lab4/lab.go
+++ b/review/lab4/lab.go
@@ -264,7 +264,7 @@
 		fmt.Fprintln(os.Stderr, "usage: lab4 SCRIPT RECORD; from the root of the repository")
 		os.Exit(cannotRun)
 	}
-	scripts := map[string]func(*Lab) int{"slow-readers": slowReaders, "lost-verdict": lostVerdict, "old-jobs": oldJobs, "same-question": sameQuestion}
+	scripts := map[string]func(*Lab) int{"lost-verdict": lostVerdict, "old-jobs": oldJobs, "same-question": sameQuestion, "crashing-request": crashingRequest}
 	script, ok := scripts[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such script")
--- a/review/lab4/old_jobs.go
+++ b/review/lab4/old_jobs.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -33,7 +34,9 @@
 
 // oldJobs: the system has accepted batch jobs at the rate of the site for four days.
 func oldJobs(l *Lab) int {
-	if err := l.start(3, 6, 0, nil); err != nil {
+	var before, after, reads tally
+	var phase atomic.Pointer[tally]
+	if err := l.start(3, 6, 3, nil); err != nil {
 		l.note("cannot start: %v", err)
 		return cannotRun
 	}
@@ -43,15 +46,25 @@
 		l.note("no batch job was finished: %v", err)
 		return cannotRun
 	}
+	phase.Store(&before)
+	for _, h := range l.hosts {
+		go l.every(100*time.Millisecond, func() {
+			t := phase.Load()
+			if served := l.ask(h); t != nil {
+				t.add(served)
+			}
+		})
+	}
 	l.note("batch job %s is finished; the system keeps this of it in %s: %s", id, headKind, sample.head)
 	// Phase one: how fast does the system remove what it keeps of finished batch jobs that
 	// nobody may read any more?
 	for range sampleJobs {
 		l.addOldJob(sample, true)
 	}
-	before := l.heads()
+	heads := l.heads()
 	time.Sleep(sampleTime)
-	removed := before - l.heads()
+	removed := heads - l.heads()
+	phase.Store(nil) // the processes stop
 	rate := float64(removed) / sampleTime.Seconds()
 	l.note("phase one: %d of %d batch jobs that were submitted an hour ago are removed in %v: %.2f a second; %.2f a second come", removed, sampleJobs, sampleTime, rate, jobsPerSecond)
 	// Phase two: a planned restart after a time of ordinary work.
@@ -72,19 +85,15 @@
 		h.resume()
 		go h.guardMemory(l.stop, l.note)
 	}
-	time.Sleep(crashTime)
-	results := 0
-	for range 10 { // "again after each failure"
+	phase.Store(nil)
+	time.AfterFunc(recovery, func() { phase.Store(&after) })
+	go l.every(time.Second, func() {
 		for _, h := range l.hosts {
 			_, p := readPage(h, id, 0)
-			results = max(results, len(p.Results))
+			reads.add(len(p.Results) > 0)
 		}
-		if results > 0 {
-			break
-		}
-		time.Sleep(500 * time.Millisecond)
-	}
-	l.note("at the end %d of %d results of batch job %s can be read, %.0f s after it was sent", results, len(sample.ids), id, time.Since(sample.sent).Seconds())
+	})
+	time.Sleep(crashTime)
 	hit := 0
 	for _, h := range l.hosts {
 		h.mu.Lock()
@@ -94,7 +103,9 @@
 		}
 		h.mu.Unlock()
 	}
-	if results == 0 && hit >= 2 {
+	l.note("ordinary requests: %d of %d served before the restart; %d of %d sent later than %v after the processes were back", before.served, before.sent, after.served, after.sent, recovery)
+	l.note("reads of batch job %s after the restart: %d of %d answered with its results", id, reads.served, reads.sent)
+	if hit >= 2 {
 		return broken
 	}
 	return held
@@ -193,3 +204,27 @@
 	h.mu.Unlock()
 	_ = h.start()
 }
+
+// tally counts requests.
+type tally struct {
+	mu           sync.Mutex
+	sent, served int
+}
+
+func (t *tally) add(served bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent++
+	if served {
+		t.served++
+	}
+}
+
+// ask sends an ordinary request to a host. It reports whether it was served.
+func (l *Lab) ask(h *Host) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	id := newID()
+	status, _, raw, err := call(ctx, http.MethodPost, h.Front(), "/puxa403/2f", id, map[string]string{"Deadline-Ms": "1000"}, []byte(id))
+	return err == nil && status == http.StatusOK && string(raw) == plainBody(id)
+}
--- a/review/lab4/same_question.go
+++ b/review/lab4/same_question.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,36 +36,17 @@
 		l.note("cannot start: %v", err)
 		return cannotRun
 	}
-	var mu sync.Mutex
-	type tally struct{ sent, served int }
 	var before, between, after, streams tally
-	count := func(t *tally, served bool) {
-		mu.Lock()
-		defer mu.Unlock()
-		t.sent++
-		if served {
-			t.served++
-		}
-	}
-	phase := &before
-	current := func() *tally {
-		mu.Lock()
-		defer mu.Unlock()
-		return phase
-	}
-	set := func(t *tally) {
-		mu.Lock()
-		defer mu.Unlock()
-		phase = t
-	}
+	var phase atomic.Pointer[tally]
+	phase.Store(&before)
 	for _, h := range l.hosts {
 		go l.every(questionGap, func() {
-			t := current()
+			t := phase.Load()
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			id := newID()
 			status, _, raw, err := call(ctx, http.MethodGet, h.Front(), "/puxa403/stock/42", id, map[string]string{"Deadline-Ms": "1000"}, nil)
-			count(t, err == nil && status == http.StatusOK && string(raw) == plainBody(id))
+			t.add(err == nil && status == http.StatusOK && string(raw) == plainBody(id))
 		})
 		go l.every(time.Second, func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -73,12 +54,12 @@
 			id := newID()
 			header := map[string]string{"Deadline-Ms": "5000", "Model": "m", "Token-Count": "450,242", "Prompt-Prefix": "5c1e07a2:200," + id[:6] + ":250"}
 			status, _, _, err := call(ctx, http.MethodPost, h.Front(), "/lohu930/2f", id, header, []byte(id))
-			count(&streams, err == nil && status == http.StatusOK)
+			streams.add(err == nil && status == http.StatusOK)
 		})
 	}
 	time.Sleep(10 * time.Second)
 	if l.trouble {
-		set(&between)
+		phase.Store(&between)
 		l.note("final fault: all processes of the system are killed")
 		for _, h := range l.hosts {
 			h.kill(restartDelay)
@@ -91,7 +72,7 @@
 			return cannotRun
 		}
 	}
-	set(&between)
+	phase.Store(&between)
 	back := time.Now()
 	time.Sleep(2 * time.Second)
 	if l.trouble {
@@ -102,12 +83,10 @@
 		}
 	}
 	time.Sleep(time.Until(back.Add(recovery)))
-	set(&after)
+	phase.Store(&after)
 	time.Sleep(30 * time.Second)
-	set(&between)
+	phase.Store(&between)
 	time.Sleep(1500 * time.Millisecond)
-	mu.Lock()
-	defer mu.Unlock()
 	l.note("the same question before the final fault: %d of %d served", before.served, before.sent)
 	l.note("later than %v after the machines were back: %d of %d served", recovery, after.served, after.sent)
 	l.note("other requests, all the while: %d of %d served", streams.served, streams.sent)
