--- a/review/lab4/same_question.go
+++ b/review/lab4/same_question.go
@@ -9,7 +9,7 @@
 
 const (
 	// questionWork is what a plain server needs for an answer, the mean of `theft-alert` in
-	// the grown deployment.
+	// the large deployment.
 	questionWork = 60 * time.Millisecond
 	// crashedFor is how long the servers are down; srv_crash in the site file has 4.5 s.
 	crashedFor = 3 * time.Second
